--- a/core/include/scaleshed/core/backend.h
+++ b/core/include/scaleshed/core/backend.h
@@ -38,8 +38,11 @@
 
   // ---- Ejection of outliers.
   void Succeeded() { failures_ = 0; }
-  // True where this failure ejects the backend server.
-  bool Failed(Time now);
+  // Counts a failure. True where it is time to eject the backend server: at
+  // once where it could not be reached, else after some in a row.
+  bool Failed(bool unreachable);
+  // Gives it no new work for a while, each time longer.
+  void Eject(Time now);
   bool IsEjected(Time now) const { return now < ejected_until_; }
 
   // ---- Answers.
--- a/core/src/answers.cc
+++ b/core/src/answers.cc
@@ -14,6 +14,9 @@
 // for this long is lost, even if its connection stands.
 constexpr Duration kMostTokenGap = seconds(3);
 
+// A request that failed this often is given up.
+constexpr int kMostTries = 5;
+
 // Tells the origin of one more token.
 void PassOn(Request& request, const State& state, const std::string& text,
             Effects& out) {
@@ -42,11 +45,12 @@
 // Tries a request again elsewhere, as far as the budget goes.
 void Retry(State& state, Request& request, Duration retry_after, Effects& out) {
   ++request.failures;
-  if (!state.retries.TryTake()) {
+  if (request.failures >= kMostTries || !state.retries.TryTake()) {
     Add(out, Counter::kRetriesDenied);
     GiveUp(state, request, Reason::kBackendFailed,
-           "the backend servers fail and the retry budget is spent", seconds(1),
-           out);
+           "the backend servers fail, and the tries or the retry budget are "
+           "spent",
+           seconds(1), out);
     return;
   }
   Add(out, Counter::kRetries);
@@ -58,14 +62,26 @@
   Enqueue(state, request, std::max(backoff, retry_after), out);
 }
 
+// At most half of a pool is ejected: when most of it fails, the fault is likely
+// to be elsewhere, and the rest could not carry the load.
+bool MayEject(const State& state, const Backend& backend) {
+  const Pool& pool = state.pools.at(backend.instance().service);
+  const auto ejected = std::count_if(
+      pool.begin(), pool.end(),
+      [&](const auto& it) { return it.second.IsEjected(state.now); });
+  return static_cast<std::size_t>(ejected) * 2 + 2 <= pool.size();
+}
+
 void NoteFailure(State& state, const std::string& name, AttemptError error,
                  Effects& out) {
   Backend* backend = FindBackend(state, name);
   if (backend == nullptr) return;
   if (error == AttemptError::kLeaving) backend->SetLeaving();
-  const bool is_fault =
-      error == AttemptError::kNotSent || error == AttemptError::kCut;
-  if (!is_fault || !backend->Failed(state.now)) return;
+  const bool unreachable = error == AttemptError::kNotSent;
+  const bool is_fault = unreachable || error == AttemptError::kCut;
+  if (!is_fault || !backend->Failed(unreachable)) return;
+  if (backend->IsEjected(state.now) || !MayEject(state, *backend)) return;
+  backend->Eject(state.now);
   Add(out, Counter::kEjections);
   out.push_back(LogChange{.what = "backend_ejected",
                           .subject = name,
--- a/core/src/backend.cc
+++ b/core/src/backend.cc
@@ -53,13 +53,15 @@
   cached_.insert(prefixes.begin(), prefixes.end());
 }
 
-bool Backend::Failed(Time now) {
+bool Backend::Failed(bool unreachable) {
   ++failures_;
-  if (failures_ < kFailuresToEject) return false;
+  return unreachable || failures_ >= kFailuresToEject;
+}
+
+void Backend::Eject(Time now) {
   failures_ = 0;
   ejections_ = std::min(ejections_ + 1, kMostDoublings);
   ejected_until_ = now + kFirstEjection * (1 << (ejections_ - 1));
-  return true;
 }
 
 bool Backend::IsLeaving() const {
--- a/core/src/fleet.cc
+++ b/core/src/fleet.cc
@@ -1,5 +1,7 @@
 #include "scaleshed/core/fleet.h"
 
+#include <algorithm>
+
 namespace scaleshed {
 namespace {
 
@@ -13,8 +15,9 @@
 
 Duration PrefillTime(const ModelTemplate& model, std::int64_t tokens,
                      std::int64_t cached) {
-  const double micros =
-      PrefillMicros(model, tokens) - PrefillMicros(model, cached);
+  // A prefix that is known may be longer than the prompt.
+  const double micros = PrefillMicros(model, tokens) -
+                        PrefillMicros(model, std::min(tokens, cached));
   return Duration(static_cast<std::int64_t>(micros));
 }
 
--- a/core/src/policy.cc
+++ b/core/src/policy.cc
@@ -174,6 +174,9 @@
   const std::int64_t memory = SmallestMemory(query);
   const int smallest = SmallestGroup(*query.call, memory);
   std::vector<const Backend*> lane = query.engines;
+  const auto avoided = [&](const Backend* it) { return Avoided(query, *it); };
+  lane.erase(std::remove_if(lane.begin(), lane.end(), avoided), lane.end());
+  if (lane.size() < static_cast<std::size_t>(smallest)) lane = query.engines;
   const std::size_t wanted = std::max(LongEngines(query.engines.size()),
                                       static_cast<std::size_t>(smallest));
   if (lane.size() < static_cast<std::size_t>(smallest)) return std::nullopt;
--- /dev/null
+++ b/testing/test/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
