--- a/core/include/scaleshed/core/events.h
+++ b/core/include/scaleshed/core/events.h
@@ -29,11 +29,14 @@
 // ---- From backend servers.
 
 // One token of an answer. `offset` counts tokens from the start of the answer,
-// over all attempts.
+// over all attempts. `checksum` is chained over the request's own seed and all
+// tokens up to this one, so that a frame of another answer can't take its
+// place.
 struct StreamFrame {
   AttemptId attempt = 0;
   std::int64_t offset = 0;
   std::string text;
+  std::uint64_t checksum = 0;
 };
 
 // The end of an answer, with the count and checksum over all of its tokens.
--- a/core/include/scaleshed/core/state.h
+++ b/core/include/scaleshed/core/state.h
@@ -103,7 +103,10 @@
   int failures = 0;
   std::string avoid;
   std::int64_t next_offset = 0;
+  // Over the tokens passed on, from zero: what the caller is told.
   std::uint64_t checksum = 0;
+  // The same from a seed of the request's own: what engines' frames carry.
+  std::uint64_t guard = 0;
   Incarnation home;
   // Requests with the same id, to be told the same outcome.
   std::vector<RequestKey> attached;
@@ -178,6 +181,8 @@
   StopPhase stop = StopPhase::kServing;
   Time stop_since{};
   Time next_ids_write{};
+  // The finished ids are left, or it was given up.
+  bool ids_left = false;
 };
 
 // Bytes of state for one request in flight, for docs/CAPACITY.md.
--- a/core/src/admission.cc
+++ b/core/src/admission.cc
@@ -142,6 +142,7 @@
                   .phase = phase,
                   .arrived = state.now};
   request.deadline = state.now + request.spec.time_limit;
+  request.guard = HashBytes(ToString(state.options.self.incarnation), key);
   state.deadlines.emplace(request.deadline, key);
   return state.requests.emplace(key, std::move(request)).first->second;
 }
--- a/core/src/answers.cc
+++ b/core/src/answers.cc
@@ -138,6 +138,12 @@
                     out);
     return;
   }
+  const std::uint64_t guard = ChainChecksum(request->guard, event.text);
+  if (guard != event.checksum) {
+    // A token of another answer; its own will come, or will be missed.
+    Add(out, Counter::kLateFrames);
+    return;
+  }
   if (Backend* backend = FindBackend(state, attempt->backend)) {
     backend->FirstToken(event.attempt);
     backend->Succeeded();
@@ -152,6 +158,7 @@
   attempt->progress_by = state.now + kMostTokenGap;
   PassOn(*request, state, event.text, out);
   request->checksum = ChainChecksum(request->checksum, event.text);
+  request->guard = guard;
   ++request->next_offset;
 }
 
@@ -169,8 +176,8 @@
                     out);
     return;
   }
-  const bool whole = event.tokens == request->next_offset &&
-                     event.checksum == request->checksum;
+  const bool whole =
+      event.tokens == request->next_offset && event.checksum == request->guard;
   // An ended stream holds nothing at its engine any more.
   ForgetAttempt(state, *request, event.attempt);
   request->may_have_started = true;
--- a/core/src/dispatch.cc
+++ b/core/src/dispatch.cc
@@ -57,7 +57,7 @@
                             .priority = request.priority,
                             .time_left = TimeLeft(state, request),
                             .offset = request.next_offset,
-                            .checksum = request.checksum,
+                            .checksum = request.guard,
                             .rank = attempt.rank,
                             .group_size = group_size,
                             .hold = hold});
@@ -108,6 +108,20 @@
   }
 }
 
+// A group of which an engine is leaving would be new work there.
+bool HasLeaving(State& state, const Request& request) {
+  return std::any_of(request.attempts.begin(), request.attempts.end(),
+                     [&](const Attempt& it) {
+                       const Backend* backend = FindBackend(state, it.backend);
+                       return backend == nullptr || backend->IsLeaving();
+                     });
+}
+
+void ReserveAgain(State& state, Request& request, Effects& out) {
+  DropAttempts(state, request, out);
+  Enqueue(state, request, Duration::zero(), out);
+}
+
 bool TryPlace(State& state, Request& request, Effects& out) {
   const ModelCall& call = *request.model_call();
   const std::string* avoid = request.avoid.empty() ? nullptr : &request.avoid;
@@ -229,12 +243,20 @@
     SendHold(state, it, TokensEach(*request), out);
     return;
   }
+  if (HasLeaving(state, *request)) {
+    ReserveAgain(state, *request, out);
+    return;
+  }
   StartGroup(state, *request, out);
 }
 
 void RenewHolds(State& state, Effects& out) {
   for (auto& [key, request] : state.requests) {
     if (request.phase != Phase::kReserving) continue;
+    if (HasLeaving(state, request)) {
+      ReserveAgain(state, request, out);
+      continue;
+    }
     for (Attempt& it : request.attempts) {
       // A hold that has not been asked for yet has no time to be renewed at.
       if (it.renew_at == Time{} || state.now < it.renew_at) continue;
--- a/core/src/platform.cc
+++ b/core/src/platform.cc
@@ -94,6 +94,22 @@
   }
 }
 
+// Ends the process once the finished ids are left. Calls of other homes that
+// came in meanwhile are answered first.
+void LeaveIds(State& state, Effects& out) {
+  state.ids_left = state.ids_left || state.ids.size() == 0 ||
+                   state.now - state.stop_since > state.options.leave_ids_for;
+  if (state.ids_left && state.requests.empty()) {
+    state.stop = StopPhase::kStopped;
+    out.push_back(Exit{});
+    return;
+  }
+  if (state.ids_left || state.now < state.next_ids_write) return;
+  state.next_ids_write = state.now + kIdsWriteInterval;
+  out.push_back(WriteFinishedIds{.home = state.options.self.incarnation,
+                                 .ids = state.ids.FinishedIds()});
+}
+
 }  // namespace
 
 void OnInstancesListed(State& state, const InstancesListed& event,
@@ -195,25 +211,12 @@
     Log(out, "stop", ToString(state.options.self.incarnation), "closed");
     out.push_back(CloseListener{});
   }
-  if (state.stop != StopPhase::kClosed || state.now < state.next_ids_write) {
-    return;
-  }
-  state.next_ids_write = state.now + kIdsWriteInterval;
-  if (state.ids.size() == 0 ||
-      state.now - state.stop_since > state.options.leave_ids_for) {
-    state.stop = StopPhase::kStopped;
-    out.push_back(Exit{});
-    return;
-  }
-  out.push_back(WriteFinishedIds{.home = state.options.self.incarnation,
-                                 .ids = state.ids.FinishedIds()});
+  if (state.stop == StopPhase::kClosed) LeaveIds(state, out);
 }
 
 void OnFinishedIdsWritten(State& state, const FinishedIdsWritten& event,
-                          Effects& out) {
-  if (state.stop != StopPhase::kClosed || !event.ok) return;
-  state.stop = StopPhase::kStopped;
-  out.push_back(Exit{});
+                          Effects& /*out*/) {
+  state.ids_left = state.ids_left || event.ok;
 }
 
 }  // namespace scaleshed::internal
--- a/daemon/src/backend_client.cc
+++ b/daemon/src/backend_client.cc
@@ -129,8 +129,10 @@
   std::visit(
       Overloaded{
           [&](const FrameLine& it) {
-            feed_(StreamFrame{
-                .attempt = attempt, .offset = it.offset, .text = it.text});
+            feed_(StreamFrame{.attempt = attempt,
+                              .offset = it.offset,
+                              .text = it.text,
+                              .checksum = it.checksum});
           },
           [&](const EndLine& it) {
             Close(attempt);
--- a/testing/include/scaleshed/testing/world.h
+++ b/testing/include/scaleshed/testing/world.h
@@ -36,6 +36,7 @@
 struct CallerView {
   SendStep sent;
   RequestKey key = 0;
+  std::string id;  // in full; empty where the call may be repeated
   Time sent_at{};
   std::vector<std::uint64_t> prefixes;
   std::int64_t tokens = 0;
@@ -147,7 +148,8 @@
   void OnReply(const ReplyChunk& chunk);
   void OnFinal(const ReplyFinal& reply);
 
-  void NoteRun(RequestKey key, const std::string& backend);
+  // A request that reached `backend` at `arrived` runs there now.
+  void NoteRun(RequestKey key, const std::string& backend, Time arrived);
   void CheckInvariants();
   void Violate(const std::string& what);
   CallerView* FindCaller(RequestKey key);
--- a/wire/include/scaleshed/wire/engine_json.h
+++ b/wire/include/scaleshed/wire/engine_json.h
@@ -53,6 +53,7 @@
   AttemptId attempt = 0;
   std::int64_t offset = 0;
   std::string text;
+  std::uint64_t checksum = 0;
 };
 struct EndLine {
   AttemptId attempt = 0;
--- a/wire/src/engine_json.cc
+++ b/wire/src/engine_json.cc
@@ -127,7 +127,8 @@
           [](const FrameLine& it) {
             return Dump({{"attempt", it.attempt},
                          {"offset", it.offset},
-                         {"text", it.text}});
+                         {"text", it.text},
+                         {"checksum", it.checksum}});
           },
           [](const EndLine& it) {
             return Dump({{"attempt", it.attempt},
@@ -158,7 +159,8 @@
   } else {
     line = FrameLine{.attempt = attempt,
                      .offset = reader.Whole("offset", 0, kMostTokens, {}),
-                     .text = reader.Text("text", true)};
+                     .text = reader.Text("text", true),
+                     .checksum = reader.Unsigned("checksum")};
   }
   return Checked(reader, std::move(line));
 }
