--- a/config/src/internal/field_reader.h
+++ b/config/include/scaleshed/config/field_reader.h
@@ -1,5 +1,5 @@
-#ifndef SCALESHED_CONFIG_SRC_INTERNAL_FIELD_READER_H_
-#define SCALESHED_CONFIG_SRC_INTERNAL_FIELD_READER_H_
+#ifndef SCALESHED_CONFIG_FIELD_READER_H_
+#define SCALESHED_CONFIG_FIELD_READER_H_
 
 #include <yaml-cpp/yaml.h>
 
@@ -10,7 +10,7 @@
 #include "scaleshed/config/errors.h"
 #include "scaleshed/core/types.h"
 
-namespace scaleshed::internal {
+namespace scaleshed {
 
 template <typename T>
 struct Range {
@@ -75,6 +75,26 @@
   std::set<std::string> known_;
 };
 
+// Calls `read` with a reader for each entry of a sequence of mappings. A field
+// that is missing has no entries; one that is no sequence is a fault.
+template <typename Read>
+void ForEachEntry(FieldReader& reader, const std::string& file,
+                  const std::string& field, ConfigErrors& errors, Read read) {
+  const YAML::Node entries = reader.Child(field);
+  if (!entries.IsDefined()) return;
+  if (!entries.IsSequence()) {
+    reader.Fault(field, "must be a list");
+    return;
+  }
+  std::size_t n = 0;
+  for (const auto& it : entries) {
+    FieldReader entry(file, field + "[" + std::to_string(n++) + "]", it,
+                      errors);
+    read(entry);
+    entry.Finish();
+  }
+}
+
 // Parses `text`; a syntax error or a document that is not a mapping is
 // reported, and an empty mapping returned.
 YAML::Node ParseMapping(const std::string& file, const std::string& text,
@@ -82,6 +102,6 @@
 
 bool IsName(const std::string& text);
 
-}  // namespace scaleshed::internal
+}  // namespace scaleshed
 
-#endif  // SCALESHED_CONFIG_SRC_INTERNAL_FIELD_READER_H_
+#endif  // SCALESHED_CONFIG_FIELD_READER_H_
--- a/config/src/field_reader.cc
+++ b/config/src/field_reader.cc
@@ -1,10 +1,10 @@
-#include "internal/field_reader.h"
+#include "scaleshed/config/field_reader.h"
 
 #include <algorithm>
 #include <cctype>
 #include <utility>
 
-namespace scaleshed::internal {
+namespace scaleshed {
 namespace {
 
 constexpr std::size_t kMostNameLength = 48;
@@ -233,4 +233,4 @@
   }
 }
 
-}  // namespace scaleshed::internal
+}  // namespace scaleshed
--- a/config/src/read_file.cc
+++ b/config/src/read_file.cc
@@ -1,9 +1,9 @@
-#include "internal/read_file.h"
+#include "scaleshed/config/read_file.h"
 
 #include <fstream>
 #include <sstream>
 
-namespace scaleshed::internal {
+namespace scaleshed {
 
 std::optional<std::string> ReadFile(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
@@ -13,4 +13,4 @@
   return text.str();
 }
 
-}  // namespace scaleshed::internal
+}  // namespace scaleshed
--- a/config/src/settings.cc
+++ b/config/src/settings.cc
@@ -1,7 +1,7 @@
 #include "scaleshed/config/settings.h"
 
-#include "internal/field_reader.h"
-#include "internal/read_file.h"
+#include "scaleshed/config/field_reader.h"
+#include "scaleshed/config/read_file.h"
 
 namespace scaleshed {
 namespace {
@@ -22,8 +22,7 @@
 Result<Settings, ConfigErrors> ParseSettings(const std::string& file,
                                              const std::string& text) {
   ConfigErrors errors;
-  internal::FieldReader reader(
-      file, "", internal::ParseMapping(file, text, errors), errors);
+  FieldReader reader(file, "", ParseMapping(file, text, errors), errors);
   Settings settings;
   settings.instance = reader.Name("instance", true);
   settings.data_centre = reader.Name("data_centre", true);
@@ -51,7 +50,7 @@
 }
 
 Result<Settings, ConfigErrors> LoadSettings(const std::string& file) {
-  const auto text = internal::ReadFile(file);
+  const auto text = ReadFile(file);
   if (!text) {
     return ConfigErrors{{.file = file,
                          .line = 0,
--- a/config/src/templates.cc
+++ b/config/src/templates.cc
@@ -3,37 +3,15 @@
 #include <algorithm>
 #include <filesystem>
 
-#include "internal/field_reader.h"
-#include "internal/read_file.h"
+#include "scaleshed/config/field_reader.h"
+#include "scaleshed/config/read_file.h"
 
 namespace scaleshed {
 namespace {
 
-using internal::FieldReader;
-using internal::ParseMapping;
-
 constexpr std::int64_t kMostTokens = 100'000'000;
 constexpr double kMostRate = 1e9;
 
-// Calls `read` with a reader for each entry of a sequence of mappings.
-template <typename Read>
-void ForEachEntry(FieldReader& reader, const std::string& file,
-                  const std::string& field, ConfigErrors& errors, Read read) {
-  const YAML::Node entries = reader.Child(field);
-  if (!entries.IsDefined()) return;
-  if (!entries.IsSequence()) {
-    reader.Fault(field, "must be a list");
-    return;
-  }
-  std::size_t n = 0;
-  for (const auto& it : entries) {
-    FieldReader entry(file, field + "[" + std::to_string(n++) + "]", it,
-                      errors);
-    read(entry);
-    entry.Finish();
-  }
-}
-
 ModelTemplate ReadModel(FieldReader& reader) {
   ModelTemplate model;
   model.name = reader.Name("name", true);
@@ -137,7 +115,7 @@
   TemplateSources sources;
   ConfigErrors errors;
   const std::string fleet_file = (fs::path(folder) / "fleet.yaml").string();
-  const auto fleet = internal::ReadFile(fleet_file);
+  const auto fleet = ReadFile(fleet_file);
   if (!fleet) return CannotRead(fleet_file);
   sources[std::string(kFleetDocument)] = {.file = fleet_file, .text = *fleet};
   std::vector<std::string> files;
@@ -148,7 +126,7 @@
   }
   std::sort(files.begin(), files.end());
   for (const std::string& file : files) {
-    const auto text = internal::ReadFile(file);
+    const auto text = ReadFile(file);
     if (!text) return CannotRead(file);
     const YAML::Node node = ParseMapping(file, *text, errors);
     const std::string name = node["account"].as<std::string>("");
--- a/testing/include/scaleshed/testing/scenario.h
+++ b/testing/include/scaleshed/testing/scenario.h
@@ -32,6 +32,8 @@
   // "self/x", "old/x" (an earlier incarnation of this daemon) or "PEER/x": an
   // id that its home handed out. Empty: the call may be repeated.
   std::string id;
+  // Prompts with the same number begin alike; zero: with nothing shared.
+  std::uint64_t prefix = 0;
   std::string to;  // real processes: the daemon that is asked
 };
 
--- a/testing/include/scaleshed/testing/world.h
+++ b/testing/include/scaleshed/testing/world.h
@@ -67,6 +67,10 @@
   void Apply(const PlatformStep& step);
   void Apply(const AcceptStep& step);
   void Apply(const PeerStep& step);
+  // No load report arrives for so long.
+  void StopReports(Duration duration) {
+    reports_stopped_until_ = now_ + duration;
+  }
   // Ends all faults, runs until all is quiet, and checks that no memory is
   // left in use.
   void Settle();
@@ -175,6 +179,7 @@
   Time next_tick_{};
   Time next_report_{};
   Time next_list_{};
+  Time reports_stopped_until_{};
   Configuration accepted_;
   std::uint64_t highest_revision_ = 0;
 
--- a/testing/src/engine_model.cc
+++ b/testing/src/engine_model.cc
@@ -237,8 +237,10 @@
     length += chunk_;
   }
   if (!decoding_.empty()) {
-    length += options_.decode_step +
-              options_.decode_per_stream * static_cast<int>(decoding_.size());
+    // Decoding is bound by memory and rides along with the prefill, which is
+    // bound by arithmetic; each stream adds a little.
+    length = std::max(length, options_.decode_step) +
+             options_.decode_per_stream * static_cast<int>(decoding_.size());
   }
   step_end_ = now + length;
 }
--- a/testing/src/world.cc
+++ b/testing/src/world.cc
@@ -28,11 +28,18 @@
                      .tokens_in_flight = 1'000'000'000'000}};
 }
 
-std::vector<std::uint64_t> PrefixesFor(const std::string& name,
-                                       std::int64_t tokens) {
-  std::vector<std::uint64_t> prefixes{HashBytes(name)};
-  for (std::size_t it = 1; PrefixTokens(it) <= tokens; ++it) {
-    prefixes.push_back(HashBytes(name, it));
+// The first half of a prompt with a shared prefix is the shared part. The last
+// hash is always the prompt's own.
+std::vector<std::uint64_t> PrefixesFor(const SendStep& step) {
+  const std::string shared = "shared " + std::to_string(step.prefix);
+  std::vector<std::uint64_t> prefixes{HashBytes(step.name)};
+  for (std::size_t it = 1; PrefixTokens(it) <= step.prompt_tokens; ++it) {
+    prefixes.push_back(HashBytes(step.name, it));
+  }
+  if (step.prefix == 0) return prefixes;
+  for (std::size_t it = 0; it + 1 < prefixes.size(); ++it) {
+    const bool is_shared = PrefixTokens(it) <= step.prompt_tokens / 2;
+    if (is_shared) prefixes[it] = HashBytes(shared, it);
   }
   return prefixes;
 }
@@ -204,6 +211,7 @@
 
 void World::PollReports() {
   next_report_ = now_ + options_.report_interval;
+  if (now_ < reports_stopped_until_) return;
   for (auto& [name, it] : engines_) {
     if (!it.alive || it.frozen) continue;
     const Report report = it.model->MakeReport(now_);
@@ -275,7 +283,7 @@
                   .key = ++last_key_,
                   .id = step.id.empty() ? "" : ResolveId(step.id),
                   .sent_at = now_,
-                  .prefixes = PrefixesFor(step.name, step.prompt_tokens)};
+                  .prefixes = PrefixesFor(step)};
   CallSpec spec{.account = step.account,
                 .id = view.id,
                 .time_limit = step.time_limit,
