Engines read short prompts before long ones

Cause: engines switch between prompts at each prefill chunk, in the order of the priority, but the priority was only the class; a short prompt waited for whole dossiers of its class. Change: nine engine levels: length first, class within a length; reports give the backlog for each level, so that placing counts only what is in front. Ruled out: more engines kept free of long prompts; at load 0.7 long ones need 17 of 20.

--- a/core/include/scaleshed/core/backend.h
+++ b/core/include/scaleshed/core/backend.h
@@ -28,8 +28,8 @@
   void SetLeaving() { said_leaving_ = true; }
 
   // ---- What this daemon has there.
-  void AddWork(AttemptId attempt, Duration prefill, std::int64_t tokens,
-               Time now);
+  void AddWork(AttemptId attempt, Duration prefill, int priority,
+               std::int64_t tokens, Time now);
   void FirstToken(AttemptId attempt);
   void RemoveWork(AttemptId attempt);
   bool HasWork(AttemptId attempt) const { return own_.contains(attempt); }
@@ -51,8 +51,8 @@
   bool IsLeaving() const;
   // Where not: no new work may go there.
   bool TakesNewWork(Time now) const;
-  // Prefill work in front of a new request.
-  Duration Backlog(Time now) const;
+  // Prefill work in front of a new request of an engine priority.
+  Duration Backlog(Time now, int priority = kEnginePriorities) const;
   std::int64_t FreeTokens() const;
   std::int64_t MemoryTokens() const;
   std::int64_t InFlight() const;
@@ -66,6 +66,7 @@
  private:
   struct OwnWork {
     Duration prefill{};
+    int priority = 0;
     std::int64_t tokens = 0;
     Time sent{};
     bool first_token = false;
--- a/core/include/scaleshed/core/call.h
+++ b/core/include/scaleshed/core/call.h
@@ -11,6 +11,10 @@
 
 namespace scaleshed {
 
+// Engines read prompts in the order of these levels, zero first, and switch
+// between them while they read.
+inline constexpr int kEnginePriorities = 9;
+
 // Prefix hashes are taken at doubling lengths from this one, so that a prompt
 // of a million tokens needs eleven of them.
 inline constexpr std::int64_t kFirstPrefixTokens = 1024;
--- a/core/include/scaleshed/core/effects.h
+++ b/core/include/scaleshed/core/effects.h
@@ -38,7 +38,7 @@
   RequestKey key = 0;
   std::string engine;
   ModelCall call;
-  Priority priority = Priority::kStandard;
+  int priority = 0;  // of kEnginePriorities
   Duration time_left{};
   std::int64_t offset = 0;
   std::uint64_t checksum = 0;
--- a/core/include/scaleshed/core/events.h
+++ b/core/include/scaleshed/core/events.h
@@ -1,6 +1,7 @@
 #ifndef SCALESHED_CORE_EVENTS_H_
 #define SCALESHED_CORE_EVENTS_H_
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -108,8 +109,8 @@
 struct Report {
   std::uint64_t incarnation = 0;
   bool leaving = false;
-  // Prefill work that is accepted and not done.
-  Duration backlog{};
+  // Prefill work that is accepted and not done, by engine priority.
+  std::array<Duration, kEnginePriorities> backlog{};
   std::int64_t used_tokens = 0;
   std::int64_t held_tokens = 0;
   std::int64_t memory_tokens = 0;
--- a/core/include/scaleshed/core/policy.h
+++ b/core/include/scaleshed/core/policy.h
@@ -16,6 +16,8 @@
 
 // Prompts of at least this many tokens count as long.
 inline constexpr std::int64_t kLongPromptTokens = 32 * 1024;
+// Prompts of at most this many count as short.
+inline constexpr std::int64_t kShortPromptTokens = 4 * 1024;
 
 // What a policy is asked: where should this call go now?
 struct PlacementQuery {
@@ -24,6 +26,8 @@
   // Engines of the model that take new work, in the order of their names.
   std::vector<const Backend*> engines;
   double short_weight = 0.5;
+  // The engine priority that the call will have.
+  int priority = 0;
   // Engines that one attempt was refused on or failed at, to be avoided.
   const std::string* avoid = nullptr;
   Time now;
@@ -89,6 +93,12 @@
 std::optional<Placement> Place(Policy& policy, const PlacementQuery& query,
                                std::mt19937_64& random);
 
+// The level at which engines read the call's prompt. Only the product's own
+// policy puts short prompts before long ones; within a length the class
+// decides.
+int EnginePriority(const Policy& policy, Priority priority,
+                   std::int64_t prompt_tokens);
+
 void ObserveArrival(Policy& policy, Duration prefill, bool is_long, int peers,
                     Time now);
 
--- a/core/src/admission.cc
+++ b/core/src/admission.cc
@@ -74,7 +74,7 @@
   if (query.engines.empty()) return Duration::zero();
   Duration least = Duration::max();
   for (const Backend* it : query.engines) {
-    least = std::min(least, it->Backlog(state.now));
+    least = std::min(least, it->Backlog(state.now, query.priority));
   }
   const auto engines = static_cast<std::int64_t>(query.engines.size());
   return least + state.queue.WorkBefore(priority) / engines;
@@ -98,7 +98,8 @@
 // lower classes that wait.
 std::optional<Final> CheckLoad(State& state, const Request& request,
                                const ModelCall& call, Effects& out) {
-  const PlacementQuery query = MakeQuery(state, call, nullptr);
+  const PlacementQuery query =
+      MakeQuery(state, call, request.priority, nullptr);
   if (query.engines.empty()) {
     return Refusal(Reason::kNoBackend,
                    "no engine of model '" + call.model + "' takes work now",
@@ -191,7 +192,8 @@
     DispatchService(state, request, out);
     return;
   }
-  const PlacementQuery query = MakeQuery(state, *call, nullptr);
+  const PlacementQuery query =
+      MakeQuery(state, *call, request.priority, nullptr);
   ObserveArrival(
       state.policy, PrefillTime(*query.model, call->prompt_tokens, 0),
       call->prompt_tokens >= kLongPromptTokens,
--- a/core/src/backend.cc
+++ b/core/src/backend.cc
@@ -36,9 +36,10 @@
   missed_reports_ = 0;
 }
 
-void Backend::AddWork(AttemptId attempt, Duration prefill, std::int64_t tokens,
-                      Time now) {
-  own_[attempt] = OwnWork{.prefill = prefill, .tokens = tokens, .sent = now};
+void Backend::AddWork(AttemptId attempt, Duration prefill, int priority,
+                      std::int64_t tokens, Time now) {
+  own_[attempt] = OwnWork{
+      .prefill = prefill, .priority = priority, .tokens = tokens, .sent = now};
 }
 
 void Backend::FirstToken(AttemptId attempt) {
@@ -73,14 +74,18 @@
   return !IsLeaving() && !IsEjected(now);
 }
 
-Duration Backend::Backlog(Time now) const {
+Duration Backend::Backlog(Time now, int priority) const {
   Duration backlog{};
   if (report_) {
-    backlog = std::max(report_->backlog - (now - report_at_), Duration::zero());
+    for (int it = 0; it < kEnginePriorities && it <= priority; ++it) {
+      backlog += report_->backlog[static_cast<std::size_t>(it)];
+    }
+    backlog = std::max(backlog - (now - report_at_), Duration::zero());
   }
   for (const auto& [attempt, work] : own_) {
     const bool unreported = !report_ || work.sent >= report_at_ - kReportLag;
-    if (unreported && !work.first_token) backlog += work.prefill;
+    const bool before = work.priority <= priority && !work.first_token;
+    if (unreported && before) backlog += work.prefill;
   }
   return backlog;
 }
--- a/core/src/dispatch.cc
+++ b/core/src/dispatch.cc
@@ -14,6 +14,11 @@
   return std::max(request.deadline - state.now, Duration::zero());
 }
 
+int EnginePriorityOf(const State& state, const Request& request) {
+  return EnginePriority(state.policy, request.priority,
+                        request.model_call()->prompt_tokens);
+}
+
 AttemptId NewAttempt(State& state, Request& request, const std::string& backend,
                      Attempt::Stage stage, int rank) {
   const AttemptId id = ++state.last_attempt;
@@ -54,7 +59,7 @@
                             .key = request.key,
                             .engine = attempt.backend,
                             .call = *request.model_call(),
-                            .priority = request.priority,
+                            .priority = EnginePriorityOf(state, request),
                             .time_left = TimeLeft(state, request),
                             .offset = request.next_offset,
                             .checksum = request.guard,
@@ -69,7 +74,8 @@
   const AttemptId id =
       NewAttempt(state, request, engine, Attempt::Stage::kStreaming, 0);
   Backend* backend = FindBackend(state, engine);
-  backend->AddWork(id, placement.prefill, placement.tokens_each, state.now);
+  backend->AddWork(id, placement.prefill, EnginePriorityOf(state, request),
+                   placement.tokens_each, state.now);
   backend->AssumeCached(request.model_call()->prefixes);
   request.phase = Phase::kRunning;
   SendStream(state, request, request.attempts.back(), 1, 0, out);
@@ -88,6 +94,7 @@
     const AttemptId id =
         NewAttempt(state, request, it, Attempt::Stage::kHolding, own_rank);
     FindBackend(state, it)->AddWork(id, placement.prefill,
+                                    EnginePriorityOf(state, request),
                                     placement.tokens_each, state.now);
   }
   SendHold(state, request.attempts.front(), TokensEach(request), out);
@@ -125,7 +132,7 @@
 bool TryPlace(State& state, Request& request, Effects& out) {
   const ModelCall& call = *request.model_call();
   const std::string* avoid = request.avoid.empty() ? nullptr : &request.avoid;
-  const PlacementQuery query = MakeQuery(state, call, avoid);
+  const PlacementQuery query = MakeQuery(state, call, request.priority, avoid);
   if (query.model == nullptr) return false;
   auto placement = Place(state.policy, query, state.random);
   if (!placement) return false;
@@ -169,13 +176,15 @@
 }  // namespace
 
 PlacementQuery MakeQuery(const State& state, const ModelCall& call,
-                         const std::string* avoid) {
-  PlacementQuery query{.call = &call,
-                       .model = nullptr,
-                       .engines = {},
-                       .short_weight = state.configuration.fleet.short_weight,
-                       .avoid = avoid,
-                       .now = state.now};
+                         Priority priority, const std::string* avoid) {
+  PlacementQuery query{
+      .call = &call,
+      .model = nullptr,
+      .engines = {},
+      .short_weight = state.configuration.fleet.short_weight,
+      .priority = EnginePriority(state.policy, priority, call.prompt_tokens),
+      .avoid = avoid,
+      .now = state.now};
   const auto model = state.configuration.fleet.models.find(call.model);
   if (model != state.configuration.fleet.models.end()) {
     query.model = &model->second;
@@ -282,7 +291,7 @@
       [&](const Backend* a, const Backend* b) { return rank(a) < rank(b); });
   const AttemptId id =
       NewAttempt(state, request, best->name(), Attempt::Stage::kCalling, 0);
-  best->AddWork(id, Duration::zero(), 0, state.now);
+  best->AddWork(id, Duration::zero(), 0, 0, state.now);
   request.phase = Phase::kRunning;
   out.push_back(SendService{.attempt = id,
                             .key = request.key,
--- a/core/src/internal/steps.h
+++ b/core/src/internal/steps.h
@@ -32,7 +32,7 @@
 void OnHoldAnswer(State& state, const HoldAnswer& event, Effects& out);
 void RenewHolds(State& state, Effects& out);
 PlacementQuery MakeQuery(const State& state, const ModelCall& call,
-                         const std::string* avoid);
+                         Priority priority, const std::string* avoid);
 void DispatchService(State& state, Request& request, Effects& out);
 
 // ---- answers.cc: from the backend servers.
--- a/core/src/policy.cc
+++ b/core/src/policy.cc
@@ -50,7 +50,7 @@
   Duration backlog{};
   for (const Backend* it : engines) {
     placement.engines.push_back(it->name());
-    backlog = std::max(backlog, it->Backlog(query.now));
+    backlog = std::max(backlog, it->Backlog(query.now, query.priority));
   }
   const int size = static_cast<int>(engines.size());
   const std::int64_t cached =
@@ -151,7 +151,7 @@
     if (!Fits(query, *engine) || Avoided(query, *engine)) continue;
     const std::int64_t cached = engine->CachedTokens(query.call->prefixes);
     Duration cost =
-        engine->Backlog(query.now) +
+        engine->Backlog(query.now, query.priority) +
         PrefillTime(*query.model, query.call->prompt_tokens, cached);
     // An engine of the long prompts may get one at any time.
     const bool shared = it < lane || engine->HasHolds();
@@ -183,7 +183,8 @@
   lane.resize(std::min(wanted, lane.size()));
   std::stable_sort(lane.begin(), lane.end(),
                    [&](const Backend* a, const Backend* b) {
-                     return a->Backlog(query.now) < b->Backlog(query.now);
+                     return a->Backlog(query.now, query.priority) <
+                            b->Backlog(query.now, query.priority);
                    });
   if (smallest == 1) {
     const auto full = [&](const Backend* it) { return !Fits(query, *it); };
@@ -192,8 +193,8 @@
   // Spread over engines while they are free, share them when they are not.
   int free = 0;
   while (free < static_cast<int>(lane.size()) &&
-         lane[static_cast<std::size_t>(free)]->Backlog(query.now) ==
-             Duration::zero()) {
+         lane[static_cast<std::size_t>(free)]->Backlog(
+             query.now, query.priority) == Duration::zero()) {
     ++free;
   }
   const int spread =
@@ -225,6 +226,19 @@
   return std::visit([&](auto& it) { return it.Place(query, random); }, policy);
 }
 
+int EnginePriority(const Policy& policy, Priority priority,
+                   std::int64_t prompt_tokens) {
+  constexpr int kClasses = static_cast<int>(kPriorityNames.size());
+  const int rank = static_cast<int>(priority);
+  if (!std::holds_alternative<LengthAwarePolicy>(policy)) {
+    return rank * kClasses;
+  }
+  int band = 1;
+  if (prompt_tokens <= kShortPromptTokens) band = 0;
+  if (prompt_tokens >= kLongPromptTokens) band = 2;
+  return band * kClasses + rank;
+}
+
 void ObserveArrival(Policy& policy, Duration prefill, bool is_long, int peers,
                     Time now) {
   auto* own = std::get_if<LengthAwarePolicy>(&policy);
--- a/core/src/reducer.cc
+++ b/core/src/reducer.cc
@@ -130,7 +130,9 @@
   if (pool != state.pools.end()) {
     explanation.engines_known = pool->second.size();
   }
-  const PlacementQuery query = internal::MakeQuery(state, *call, nullptr);
+  const PlacementQuery query = internal::MakeQuery(
+      state, *call, state.configuration.accounts.at(spec.account).priority,
+      nullptr);
   explanation.engines_open = query.engines.size();
   // Copies, so that asking does not turn the policy's wheel.
   Policy policy = state.policy;
--- a/testing/src/engine_model.cc
+++ b/testing/src/engine_model.cc
@@ -374,7 +374,8 @@
                 .memory_tokens = options_.memory_tokens,
                 .active = static_cast<std::int64_t>(streams_.size())};
   for (const auto& [key, stream] : streams_) {
-    report.backlog += std::max(stream.prefill_left, Duration::zero());
+    report.backlog[static_cast<std::size_t>(stream.request.priority)] +=
+        std::max(stream.prefill_left, Duration::zero());
     report.entries.push_back(
         {.attempt = key.second, .holder = *ParseIncarnation(key.first)});
   }
--- a/wire/include/scaleshed/wire/engine_json.h
+++ b/wire/include/scaleshed/wire/engine_json.h
@@ -21,7 +21,7 @@
   Incarnation holder;
   ModelCall call;
   std::string prompt;
-  Priority priority = Priority::kStandard;
+  int priority = 0;  // of kEnginePriorities
   Duration time_left{};
   std::int64_t offset = 0;
   std::uint64_t checksum = 0;
--- a/wire/src/engine_json.cc
+++ b/wire/src/engine_json.cc
@@ -34,6 +34,20 @@
   return Duration(reader.Whole(field, 0, kMostMicros, 0));
 }
 
+// One entry for each engine priority; those that are missing are zero.
+std::array<Duration, kEnginePriorities> ReadBacklog(JsonReader& reader) {
+  std::array<Duration, kEnginePriorities> backlog{};
+  std::size_t n = 0;
+  for (const Json& it : reader.Member("backlog_us")) {
+    if (n == backlog.size() || !it.is_number_integer()) {
+      reader.Fault("backlog_us", "must be at most 9 whole numbers");
+      break;
+    }
+    backlog[n++] = Duration(it.get<std::int64_t>());
+  }
+  return backlog;
+}
+
 template <typename E, std::size_t N>
 E ReadEnum(JsonReader& reader, const char* field, const NameTable<E, N>& table,
            E fallback) {
@@ -59,7 +73,7 @@
                {"prompt_tokens", request.call.prompt_tokens},
                {"prefixes", request.call.prefixes},
                {"max_tokens", request.call.max_tokens},
-               {"priority", NameIn(kPriorityNames, request.priority)},
+               {"priority", request.priority},
                {"time_left_us", request.time_left.count()},
                {"offset", request.offset},
                {"checksum", request.checksum},
@@ -82,7 +96,7 @@
   request.call.prefixes = ReadHashes(reader, "prefixes");
   request.call.max_tokens = reader.Whole("max_tokens", 1, kMostTokens, {});
   request.priority =
-      ReadEnum(reader, "priority", kPriorityNames, Priority::kStandard);
+      static_cast<int>(reader.Whole("priority", 0, kEnginePriorities - 1, {}));
   request.time_left = ReadMicros(reader, "time_left_us");
   request.offset = reader.Whole("offset", 0, kMostTokens, 0);
   request.checksum = reader.Unsigned("checksum");
@@ -181,6 +195,8 @@
 }
 
 std::string ReportJson(const Report& report) {
+  Json backlog = Json::array();
+  for (const Duration it : report.backlog) backlog.push_back(it.count());
   Json entries = Json::array();
   for (const HolderEntry& it : report.entries) {
     entries.push_back(
@@ -188,7 +204,7 @@
   }
   return Dump({{"incarnation", report.incarnation},
                {"leaving", report.leaving},
-               {"backlog_us", report.backlog.count()},
+               {"backlog_us", backlog},
                {"used_tokens", report.used_tokens},
                {"held_tokens", report.held_tokens},
                {"memory_tokens", report.memory_tokens},
@@ -205,7 +221,7 @@
   Report report;
   report.incarnation = reader.Unsigned("incarnation");
   report.leaving = reader.Flag("leaving", false);
-  report.backlog = ReadMicros(reader, "backlog_us");
+  report.backlog = ReadBacklog(reader);
   report.used_tokens = reader.Whole("used_tokens", 0, kMostTokens, 0);
   report.held_tokens = reader.Whole("held_tokens", 0, kMostTokens, 0);
   report.memory_tokens = reader.Whole("memory_tokens", 0, kMostTokens, 0);
