Place by what is read first; four bands; groups wait for room

Cause: with short prompts read first, the engines kept for long prompts only made long ones queue: their number followed a rate that is too bursty to follow (0.25 prompts/s of 35 s each). Groups reserved memory that had to drain and kept engines idle for it. Also: scenarios name the engine of a request instead of guessing it.

--- a/cli/src/daemon_commands.cc
+++ b/cli/src/daemon_commands.cc
@@ -85,9 +85,8 @@
             << " ms expected, of it prefill "
             << explanation.value("prefill_ms", 0.0) << " ms\n"
             << "pool        " << explanation.value("engines_known", 0)
-            << " engines, " << explanation.value("engines_open", 0) << " open, "
-            << explanation.value("engines_for_long_prompts", 0)
-            << " given to long prompts\n";
+            << " engines, " << explanation.value("engines_open", 0)
+            << " open\n";
 }
 
 }  // namespace
--- a/core/include/scaleshed/core/call.h
+++ b/core/include/scaleshed/core/call.h
@@ -13,7 +13,7 @@
 
 // Engines read prompts in the order of these levels, zero first, and switch
 // between them while they read.
-inline constexpr int kEnginePriorities = 9;
+inline constexpr int kEnginePriorities = 12;
 
 // Prefix hashes are taken at doubling lengths from this one, so that a prompt
 // of a million tokens needs eleven of them.
--- a/core/include/scaleshed/core/fair_queue.h
+++ b/core/include/scaleshed/core/fair_queue.h
@@ -16,15 +16,17 @@
 // Classes go first to last. Within a class, accounts go by their virtual token
 // counters: tokens served, divided by weight. A request that has waited for a
 // quarter of its time limit moves up a class for each quarter, so that none
-// starves. An account's long and short prompts wait apart, so that a long one
-// which does not fit never stands before short ones that do. Not thread safe.
+// starves. An account's prompts of unlike lengths wait apart, so that a long
+// one which does not fit never stands before short ones that do. Not thread
+// safe.
 class FairQueue {
  public:
   struct Entry {
     RequestKey key = 0;
     std::string account;
     Priority priority = Priority::kStandard;
-    bool is_long = false;
+    // The engine priority, by length first.
+    int level = 0;
     Time arrived{};
     Duration time_limit{};
     // Expected prefill time, for the estimate of the wait.
@@ -40,8 +42,9 @@
   void Remove(RequestKey key);
   // The head of each line that may be tried now, best first.
   std::vector<Entry> Heads(Time now) const;
-  // Work waiting in `priority` and the classes before it.
-  Duration WorkBefore(Priority priority) const;
+  // Work that waits at `level` and those before it, of `priority` and the
+  // classes before it.
+  Duration WorkBefore(Priority priority, int level) const;
   // The last come of the lowest class that is below `priority`.
   std::optional<RequestKey> LowestBelow(Priority priority) const;
   std::size_t size() const { return size_; }
@@ -53,7 +56,7 @@
   struct LineKey {
     std::string account;
     Priority priority = Priority::kStandard;
-    bool is_long = false;
+    int level = 0;
     auto operator<=>(const LineKey&) const = default;
   };
 
--- a/core/include/scaleshed/core/policy.h
+++ b/core/include/scaleshed/core/policy.h
@@ -14,10 +14,13 @@
 
 namespace scaleshed {
 
-// Prompts of at least this many tokens count as long.
-inline constexpr std::int64_t kLongPromptTokens = 32 * 1024;
-// Prompts of at most this many count as short.
+// Prompts by length: each band holds those of at most so many tokens, the last
+// one all that are longer. Engines read the bands in this order.
+enum class LengthBand { kShort, kMedium, kLong, kGiant };
 inline constexpr std::int64_t kShortPromptTokens = 4 * 1024;
+inline constexpr std::int64_t kMediumPromptTokens = 32 * 1024;
+inline constexpr std::int64_t kLongPromptTokens = 256 * 1024;
+LengthBand BandOf(std::int64_t prompt_tokens);
 
 // What a policy is asked: where should this call go now?
 struct PlacementQuery {
@@ -28,6 +31,8 @@
   double short_weight = 0.5;
   // The engine priority that the call will have.
   int priority = 0;
+  // How long the call has been waiting.
+  Duration waited{};
   // Engines that one attempt was refused on or failed at, to be avoided.
   const std::string* avoid = nullptr;
   Time now;
@@ -61,28 +66,19 @@
 };
 
 // The product's own policy: least expected time to the first token, by prompt
-// length and cached prefix. Long prompts are gathered on few engines, whose
-// number follows the load, and spread over free ones of these; short prompts
-// avoid them.
+// length and cached prefix. Engines read short prompts before long ones, so
+// only what is read first counts as being in front. What one engine can't hold
+// goes to a group; a long prompt is spread over a few engines while they are
+// free, and shares one when they are not.
 class LengthAwarePolicy {
  public:
   std::optional<Placement> Place(const PlacementQuery& query,
                                  std::mt19937_64& random);
-  // Takes in an arrival, from which the number of engines for long prompts is
-  // worked out. `peers` is the number of daemons that see arrivals like it.
-  void Observe(Duration prefill, bool is_long, int peers, Time now);
-  // Engines now given to long prompts, of `engines`.
-  std::size_t LongEngines(std::size_t engines) const;
 
  private:
-  std::optional<Placement> PlaceShort(const PlacementQuery& query,
+  std::optional<Placement> PlaceOnOne(const PlacementQuery& query,
                                       std::mt19937_64& random);
   std::optional<Placement> PlaceLong(const PlacementQuery& query);
-
-  // Seconds of prefill that arrive in each second, over all daemons.
-  double long_work_ = 0;
-  double short_work_ = 0;
-  Time observed_{};
 };
 
 using Policy =
@@ -96,12 +92,9 @@
 // The level at which engines read the call's prompt. Only the product's own
 // policy puts short prompts before long ones; within a length the class
 // decides.
-int EnginePriority(const Policy& policy, Priority priority,
+int EnginePriority(const Policy& policy, double short_weight, Priority priority,
                    std::int64_t prompt_tokens);
 
-void ObserveArrival(Policy& policy, Duration prefill, bool is_long, int peers,
-                    Time now);
-
 // Tokens of engine memory that a call needs in all.
 std::int64_t TokensNeeded(const ModelCall& call);
 
--- a/core/include/scaleshed/core/reducer.h
+++ b/core/include/scaleshed/core/reducer.h
@@ -35,7 +35,6 @@
   Placement placement;
   std::size_t engines_known = 0;
   std::size_t engines_open = 0;
-  std::size_t engines_for_long = 0;
 };
 
 // Changes nothing that later decisions depend on.
--- a/core/src/admission.cc
+++ b/core/src/admission.cc
@@ -77,7 +77,7 @@
     least = std::min(least, it->Backlog(state.now, query.priority));
   }
   const auto engines = static_cast<std::int64_t>(query.engines.size());
-  return least + state.queue.WorkBefore(priority) / engines;
+  return least + state.queue.WorkBefore(priority, query.priority) / engines;
 }
 
 // The part of its time limit that a request of a class may spend waiting. The
@@ -192,12 +192,6 @@
     DispatchService(state, request, out);
     return;
   }
-  const PlacementQuery query =
-      MakeQuery(state, *call, request.priority, nullptr);
-  ObserveArrival(
-      state.policy, PrefillTime(*query.model, call->prompt_tokens, 0),
-      call->prompt_tokens >= kLongPromptTokens,
-      static_cast<int>(state.membership.Members().size()), state.now);
   Enqueue(state, request, Duration::zero(), out);
   Pump(state, out);
 }
--- a/core/src/dispatch.cc
+++ b/core/src/dispatch.cc
@@ -15,8 +15,8 @@
 }
 
 int EnginePriorityOf(const State& state, const Request& request) {
-  return EnginePriority(state.policy, request.priority,
-                        request.model_call()->prompt_tokens);
+  return EnginePriority(state.policy, state.configuration.fleet.short_weight,
+                        request.priority, request.model_call()->prompt_tokens);
 }
 
 AttemptId NewAttempt(State& state, Request& request, const std::string& backend,
@@ -132,8 +132,9 @@
 bool TryPlace(State& state, Request& request, Effects& out) {
   const ModelCall& call = *request.model_call();
   const std::string* avoid = request.avoid.empty() ? nullptr : &request.avoid;
-  const PlacementQuery query = MakeQuery(state, call, request.priority, avoid);
+  PlacementQuery query = MakeQuery(state, call, request.priority, avoid);
   if (query.model == nullptr) return false;
+  query.waited = state.now - request.arrived;
   auto placement = Place(state.policy, query, state.random);
   if (!placement) return false;
   // Checked again before every dispatch: what can't begin in time is given up
@@ -177,14 +178,15 @@
 
 PlacementQuery MakeQuery(const State& state, const ModelCall& call,
                          Priority priority, const std::string* avoid) {
-  PlacementQuery query{
-      .call = &call,
-      .model = nullptr,
-      .engines = {},
-      .short_weight = state.configuration.fleet.short_weight,
-      .priority = EnginePriority(state.policy, priority, call.prompt_tokens),
-      .avoid = avoid,
-      .now = state.now};
+  PlacementQuery query{.call = &call,
+                       .model = nullptr,
+                       .engines = {},
+                       .short_weight = state.configuration.fleet.short_weight,
+                       .priority = EnginePriority(
+                           state.policy, state.configuration.fleet.short_weight,
+                           priority, call.prompt_tokens),
+                       .avoid = avoid,
+                       .now = state.now};
   const auto model = state.configuration.fleet.models.find(call.model);
   if (model != state.configuration.fleet.models.end()) {
     query.model = &model->second;
@@ -209,7 +211,7 @@
       .key = request.key,
       .account = request.spec.account,
       .priority = request.priority,
-      .is_long = call.prompt_tokens >= kLongPromptTokens,
+      .level = EnginePriorityOf(state, request),
       .arrived = request.arrived,
       .time_limit = request.spec.time_limit,
       .work = work,
--- a/core/src/fair_queue.cc
+++ b/core/src/fair_queue.cc
@@ -27,7 +27,7 @@
   }
   std::deque<Entry>& line = lines_[LineKey{.account = entry.account,
                                            .priority = entry.priority,
-                                           .is_long = entry.is_long}];
+                                           .level = entry.level}];
   const auto place = std::upper_bound(
       line.begin(), line.end(), entry,
       [](const Entry& a, const Entry& b) { return a.arrived < b.arrived; });
@@ -63,10 +63,10 @@
   return heads;
 }
 
-Duration FairQueue::WorkBefore(Priority priority) const {
+Duration FairQueue::WorkBefore(Priority priority, int level) const {
   Duration work{};
   for (const auto& [key, line] : lines_) {
-    if (key.priority > priority) continue;
+    if (key.priority > priority || key.level > level) continue;
     for (const Entry& it : line) work += it.work;
   }
   return work;
--- a/core/src/policy.cc
+++ b/core/src/policy.cc
@@ -14,10 +14,17 @@
 // Short prompts choose at random among engines this close to the best, so that
 // daemons with the same late reports don't all choose the same one.
 constexpr Duration kNearBest = milliseconds(15);
-// Arrival rates are averaged over about this long.
-constexpr double kAverageSeconds = 20.0;
-// Engines for long prompts are planned to be this busy.
-constexpr double kLongUtilisation = 0.7;
+// What a group that waits for an engine's memory, memory that has to drain
+// first, and a failure there just now count as, in time to the first token.
+constexpr Duration kHoldPenalty = seconds(10);
+constexpr Duration kDrainPenalty = seconds(5);
+constexpr Duration kAvoidPenalty = seconds(60);
+// From this weight of the short prompts on, the longest prompts wait for the
+// long ones too; below it these two take turns.
+constexpr double kGiantsLast = 0.5;
+// A group reserves memory that has to drain first only after it has waited for
+// so long; until then it takes engines that have the room.
+constexpr Duration kReserveAfter = seconds(60);
 // No more engines than this join for one prompt for speed alone.
 constexpr int kMostSpread = 4;
 
@@ -121,45 +128,18 @@
   return FirstOf(query, engines, size);
 }
 
-void LengthAwarePolicy::Observe(Duration prefill, bool is_long, int peers,
-                                Time now) {
-  const double elapsed = static_cast<double>((now - observed_).count()) / 1e6;
-  const double keep = std::exp(-elapsed / kAverageSeconds);
-  const double work = static_cast<double>(prefill.count()) / 1e6 * peers;
-  long_work_ = long_work_ * keep + (is_long ? work / kAverageSeconds : 0);
-  short_work_ = short_work_ * keep + (is_long ? 0 : work / kAverageSeconds);
-  observed_ = now;
-}
-
-std::size_t LengthAwarePolicy::LongEngines(std::size_t engines) const {
-  if (engines <= 1) return engines;
-  const double n = static_cast<double>(engines);
-  const double wanted = std::ceil(long_work_ / kLongUtilisation);
-  // Short prompts keep what they need, and at least one engine.
-  const double for_short = std::max(1.0, std::ceil(short_work_));
-  const double most = std::max(1.0, n - for_short);
-  return static_cast<std::size_t>(std::clamp(wanted, 1.0, most));
-}
-
-std::optional<Placement> LengthAwarePolicy::PlaceShort(
+std::optional<Placement> LengthAwarePolicy::PlaceOnOne(
     const PlacementQuery& query, std::mt19937_64& random) {
-  const std::size_t lane = LongEngines(query.engines.size());
   std::vector<std::pair<Duration, const Backend*>> ranked;
   Duration best = Duration::max();
-  for (std::size_t it = 0; it < query.engines.size(); ++it) {
-    const Backend* engine = query.engines[it];
-    if (!Fits(query, *engine) || Avoided(query, *engine)) continue;
-    const std::int64_t cached = engine->CachedTokens(query.call->prefixes);
+  for (const Backend* it : query.engines) {
+    if (!Fits(query, *it) || Avoided(query, *it)) continue;
+    const std::int64_t cached = it->CachedTokens(query.call->prefixes);
     Duration cost =
-        engine->Backlog(query.now, query.priority) +
+        it->Backlog(query.now, query.priority) +
         PrefillTime(*query.model, query.call->prompt_tokens, cached);
-    // An engine of the long prompts may get one at any time.
-    const bool shared = it < lane || engine->HasHolds();
-    if (shared) {
-      const double penalty_ms = 1000.0 * query.short_weight;
-      cost += Duration(static_cast<std::int64_t>(penalty_ms * 1000.0));
-    }
-    ranked.emplace_back(cost, engine);
+    if (it->HasHolds()) cost += kHoldPenalty;
+    ranked.emplace_back(cost, it);
     best = std::min(best, cost);
   }
   std::erase_if(ranked,
@@ -171,42 +151,40 @@
 
 std::optional<Placement> LengthAwarePolicy::PlaceLong(
     const PlacementQuery& query) {
-  const std::int64_t memory = SmallestMemory(query);
-  const int smallest = SmallestGroup(*query.call, memory);
-  std::vector<const Backend*> lane = query.engines;
-  const auto avoided = [&](const Backend* it) { return Avoided(query, *it); };
-  lane.erase(std::remove_if(lane.begin(), lane.end(), avoided), lane.end());
-  if (lane.size() < static_cast<std::size_t>(smallest)) lane = query.engines;
-  const std::size_t wanted = std::max(LongEngines(query.engines.size()),
-                                      static_cast<std::size_t>(smallest));
-  if (lane.size() < static_cast<std::size_t>(smallest)) return std::nullopt;
-  lane.resize(std::min(wanted, lane.size()));
-  std::stable_sort(lane.begin(), lane.end(),
-                   [&](const Backend* a, const Backend* b) {
-                     return a->Backlog(query.now, query.priority) <
-                            b->Backlog(query.now, query.priority);
-                   });
-  if (smallest == 1) {
-    const auto full = [&](const Backend* it) { return !Fits(query, *it); };
-    lane.erase(std::remove_if(lane.begin(), lane.end(), full), lane.end());
+  const int smallest = SmallestGroup(*query.call, SmallestMemory(query));
+  const std::int64_t each =
+      (TokensNeeded(*query.call) + smallest - 1) / smallest;
+  std::vector<std::pair<Duration, const Backend*>> ranked;
+  for (const Backend* it : query.engines) {
+    if (smallest == 1 && !Fits(query, *it)) continue;
+    const bool drained = it->FreeTokens() >= each && !it->HasHolds();
+    if (smallest > 1 && !drained && query.waited < kReserveAfter) continue;
+    Duration cost = it->Backlog(query.now, query.priority);
+    if (it->HasHolds()) cost += kHoldPenalty;
+    if (it->FreeTokens() < each) cost += kDrainPenalty;
+    if (Avoided(query, *it)) cost += kAvoidPenalty;
+    ranked.emplace_back(cost, it);
   }
-  // Spread over engines while they are free, share them when they are not.
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<const Backend*> engines;
   int free = 0;
-  while (free < static_cast<int>(lane.size()) &&
-         lane[static_cast<std::size_t>(free)]->Backlog(
-             query.now, query.priority) == Duration::zero()) {
-    ++free;
+  for (const auto& [cost, it] : ranked) {
+    engines.push_back(it);
+    if (cost == Duration::zero()) ++free;
   }
+  // Spread over engines while they are free, share them when they are not.
   const int spread =
       std::clamp(free, smallest, std::max(smallest, kMostSpread));
-  return FirstOf(query, lane, spread);
+  return FirstOf(query, engines, spread);
 }
 
 std::optional<Placement> LengthAwarePolicy::Place(const PlacementQuery& query,
                                                   std::mt19937_64& random) {
   if (query.engines.empty()) return std::nullopt;
-  const bool is_long = query.call->prompt_tokens >= kLongPromptTokens;
-  return is_long ? PlaceLong(query) : PlaceShort(query, random);
+  const bool is_long = query.call->prompt_tokens > kMediumPromptTokens;
+  return is_long ? PlaceLong(query) : PlaceOnOne(query, random);
 }
 
 Policy MakePolicy(PolicyKind kind) {
@@ -226,23 +204,24 @@
   return std::visit([&](auto& it) { return it.Place(query, random); }, policy);
 }
 
-int EnginePriority(const Policy& policy, Priority priority,
+LengthBand BandOf(std::int64_t prompt_tokens) {
+  if (prompt_tokens <= kShortPromptTokens) return LengthBand::kShort;
+  if (prompt_tokens <= kMediumPromptTokens) return LengthBand::kMedium;
+  if (prompt_tokens <= kLongPromptTokens) return LengthBand::kLong;
+  return LengthBand::kGiant;
+}
+
+int EnginePriority(const Policy& policy, double short_weight, Priority priority,
                    std::int64_t prompt_tokens) {
   constexpr int kClasses = static_cast<int>(kPriorityNames.size());
   const int rank = static_cast<int>(priority);
   if (!std::holds_alternative<LengthAwarePolicy>(policy)) {
     return rank * kClasses;
   }
-  int band = 1;
-  if (prompt_tokens <= kShortPromptTokens) band = 0;
-  if (prompt_tokens >= kLongPromptTokens) band = 2;
-  return band * kClasses + rank;
-}
-
-void ObserveArrival(Policy& policy, Duration prefill, bool is_long, int peers,
-                    Time now) {
-  auto* own = std::get_if<LengthAwarePolicy>(&policy);
-  if (own != nullptr) own->Observe(prefill, is_long, peers, now);
+  LengthBand band = BandOf(prompt_tokens);
+  const bool even = band == LengthBand::kGiant && short_weight < kGiantsLast;
+  if (even) band = LengthBand::kLong;
+  return static_cast<int>(band) * kClasses + rank;
 }
 
 }  // namespace scaleshed
--- a/core/src/reducer.cc
+++ b/core/src/reducer.cc
@@ -137,10 +137,6 @@
   // Copies, so that asking does not turn the policy's wheel.
   Policy policy = state.policy;
   std::mt19937_64 random = state.random;
-  const auto* own = std::get_if<LengthAwarePolicy>(&policy);
-  if (own != nullptr) {
-    explanation.engines_for_long = own->LongEngines(query.engines.size());
-  }
   const auto placement = Place(policy, query, random);
   if (placement) {
     explanation.placement = *placement;
--- a/daemon/src/status_json.cc
+++ b/daemon/src/status_json.cc
@@ -80,8 +80,7 @@
       {"prefill_ms", Millis(explanation.placement.prefill)},
       {"tokens_on_each_engine", explanation.placement.tokens_each},
       {"engines_known", explanation.engines_known},
-      {"engines_open", explanation.engines_open},
-      {"engines_for_long_prompts", explanation.engines_for_long}};
+      {"engines_open", explanation.engines_open}};
   return json.dump();
 }
 
--- a/testing/include/scaleshed/testing/cluster.h
+++ b/testing/include/scaleshed/testing/cluster.h
@@ -95,6 +95,8 @@
   };
 
   void Start(const std::string& name);
+  // The engine that "engine_of/REQUEST" stands for: the one that has streams.
+  std::string Resolve(const std::string& target);
   std::vector<std::string> CommandOf(const std::string& name, Kind kind);
   void WriteSettings(const std::string& name, const std::string& file);
   void PublishList();
@@ -125,6 +127,7 @@
   std::map<std::string, ClusterCall> calls_;
   std::map<std::string, HttpClient::CallId> open_;
   std::map<std::string, std::string> ids_;
+  std::map<std::string, std::string> resolved_;
   std::uint64_t revision_ = 0;
   std::string place_;
   Failures failures_;
--- a/testing/include/scaleshed/testing/scenario.h
+++ b/testing/include/scaleshed/testing/scenario.h
@@ -74,7 +74,9 @@
     {FaultKind::kStop, "stop"},
 }};
 
-// Happens to one process: an engine, a service, a daemon.
+// Happens to one process: an engine, a service, a daemon. "engine_of/NAME" is
+// the engine that answers the request; the name stays with it when the request
+// moves.
 struct FaultStep {
   FaultKind kind = FaultKind::kKill;
   std::string target;
--- a/testing/include/scaleshed/testing/world.h
+++ b/testing/include/scaleshed/testing/world.h
@@ -82,8 +82,8 @@
   Time now() const { return now_; }
   std::uint64_t Counted(Counter counter) const;
   int RunsOf(const std::string& id_or_request) const;
-  std::int64_t UsedTokens(const std::string& engine) const;
-  bool HadNewWork(const std::string& backend) const;
+  std::int64_t UsedTokens(const std::string& engine);
+  bool HadNewWork(const std::string& backend);
   bool exited() const { return exited_; }
   // The request's answer so far is checked token by token against this.
   std::string ExpectedToken(const CallerView& caller, std::int64_t index) const;
@@ -138,6 +138,8 @@
                const std::vector<EngineModel::Output>& out);
   void DeliverLine(const std::string& engine, const EngineModel::Output& line);
   void BreakConnections(const std::string& engine);
+  // The process that "engine_of/REQUEST" stands for; other names are their own.
+  std::string Resolve(const std::string& target);
   void KillDaemon();
   void ApplyToDaemon(FaultKind kind);
   void ApplyToEngine(FaultKind kind, const std::string& name);
@@ -195,6 +197,8 @@
   std::set<std::string> new_work_;
   std::map<Counter, std::uint64_t> counters_;
   std::map<AttemptId, RequestKey> key_of_attempt_;
+  std::map<RequestKey, std::string> engine_of_;
+  std::map<std::string, std::string> resolved_;
   std::vector<std::string> violations_;
 };
 
--- a/testing/src/cluster.cc
+++ b/testing/src/cluster.cc
@@ -257,10 +257,25 @@
 
 // ---- Faults.
 
+std::string Cluster::Resolve(const std::string& target) {
+  if (!target.starts_with("engine_of/")) return target;
+  const auto known = resolved_.find(target);
+  if (known != resolved_.end()) return known->second;
+  std::string found = target;
+  WaitFor([&] {
+    for (const std::string& it : Names(Kind::kEngine)) {
+      if (Ask(it, "GET", "/control").value("streams", 0) > 0) found = it;
+    }
+    return found != target;
+  });
+  return resolved_[target] = found;
+}
+
 void Cluster::Apply(const FaultStep& step) {
-  Member& member = members_.at(step.target);
+  const std::string target = Resolve(step.target);
+  Member& member = members_.at(target);
   if (member.kind == Kind::kEngine && step.kind != FaultKind::kThaw) {
-    member.started_at_fault = StartedAt(step.target);
+    member.started_at_fault = StartedAt(target);
   }
   switch (step.kind) {
     case FaultKind::kKill:
@@ -268,7 +283,7 @@
       WaitFor([&] { return !member.process->Running(); });
       return;
     case FaultKind::kStart:
-      Start(step.target);
+      Start(target);
       member.listed = true;
       PublishList();
       return;
@@ -282,10 +297,10 @@
       member.process->Signal(SIGTERM);
       return;
     case FaultKind::kCut:
-      Ask(step.target, "POST", "/control", R"({"cut": true})");
+      Ask(target, "POST", "/control", R"({"cut": true})");
       return;
     case FaultKind::kLeave:
-      Ask(step.target, "POST", "/control", R"({"leaving": true})");
+      Ask(target, "POST", "/control", R"({"leaving": true})");
       return;
     case FaultKind::kUnlist:
       member.listed = false;
@@ -456,10 +471,11 @@
 }
 
 void Cluster::CheckBackend(const ExpectStep& step) {
+  const std::string backend = Resolve(step.backend);
   if (step.used_tokens) {
     std::int64_t used = 0;
     const bool equal = WaitFor([&] {
-      used = UsedTokens(step.backend);
+      used = UsedTokens(backend);
       return used == *step.used_tokens;
     });
     if (!equal) {
@@ -469,7 +485,7 @@
   }
   if (step.new_work) {
     const std::int64_t since =
-        StartedAt(step.backend) - members_.at(step.backend).started_at_fault;
+        StartedAt(backend) - members_.at(backend).started_at_fault;
     if ((since > 0) != *step.new_work) {
       Fail("new work at " + step.backend, *step.new_work ? "some" : "none",
            std::to_string(since) + " streams");
--- a/testing/src/run_scripted.cc
+++ b/testing/src/run_scripted.cc
@@ -99,7 +99,7 @@
   }
 }
 
-void Check(const World& world, const ExpectStep& step, Checker& check) {
+void Check(World& world, const ExpectStep& step, Checker& check) {
   if (!step.request.empty()) CheckRequest(world, step, check);
   const auto runs = static_cast<std::int64_t>(world.RunsOf(step.runs_of));
   if (step.runs_at_most && runs > *step.runs_at_most) {
--- a/testing/src/world.cc
+++ b/testing/src/world.cc
@@ -428,7 +428,8 @@
   return runs == id_runs_.end() ? 0 : runs->second;
 }
 
-std::int64_t World::UsedTokens(const std::string& engine) const {
+std::int64_t World::UsedTokens(const std::string& target) {
+  const std::string engine = Resolve(target);
   std::int64_t used = 0;
   for (const auto& [name, it] : engines_) {
     const bool wanted = engine == "all" || engine == name;
@@ -437,8 +438,8 @@
   return used;
 }
 
-bool World::HadNewWork(const std::string& backend) const {
-  return new_work_.contains(backend);
+bool World::HadNewWork(const std::string& backend) {
+  return new_work_.contains(Resolve(backend));
 }
 
 }  // namespace scaleshed::testing
--- a/testing/src/world_backends.cc
+++ b/testing/src/world_backends.cc
@@ -61,7 +61,10 @@
       fail(refusal->error, refusal->retry_after);
       return;
     }
-    if (effect.rank == 0) NoteRun(effect.key, effect.engine, now_);
+    if (effect.rank == 0) {
+      engine_of_[effect.key] = effect.engine;
+      NoteRun(effect.key, effect.engine, now_);
+    }
     // A daemon that died meanwhile has no connection to it.
     if (daemon_ == nullptr ||
         daemon_->options.self.incarnation != request.holder) {
--- a/testing/src/world_faults.cc
+++ b/testing/src/world_faults.cc
@@ -6,18 +6,31 @@
 
 namespace scaleshed::testing {
 
+std::string World::Resolve(const std::string& target) {
+  constexpr std::string_view kEngineOf = "engine_of/";
+  if (!target.starts_with(kEngineOf)) return target;
+  const auto known = resolved_.find(target);
+  if (known != resolved_.end()) return known->second;
+  const auto caller = callers_.find(target.substr(kEngineOf.size()));
+  if (caller == callers_.end()) return target;
+  const auto engine = engine_of_.find(caller->second.key);
+  if (engine == engine_of_.end()) return target;
+  return resolved_[target] = engine->second;
+}
+
 void World::Apply(const FaultStep& step) {
-  new_work_.erase(step.target);
+  const std::string target = Resolve(step.target);
+  new_work_.erase(target);
   if (step.kind == FaultKind::kUnlist) {
-    unlisted_.insert(step.target);
-  } else if (step.target == "daemon") {
+    unlisted_.insert(target);
+  } else if (target == "daemon") {
     ApplyToDaemon(step.kind);
-  } else if (engines_.contains(step.target)) {
-    ApplyToEngine(step.kind, step.target);
-  } else if (services_.contains(step.target)) {
-    ApplyToService(step.kind, step.target);
+  } else if (engines_.contains(target)) {
+    ApplyToEngine(step.kind, target);
+  } else if (services_.contains(target)) {
+    ApplyToService(step.kind, target);
   } else {
-    Violate("no process is called '" + step.target + "'");
+    Violate("no process is called '" + target + "'");
   }
 }
 
@@ -123,12 +136,13 @@
 }
 
 void World::Apply(const LinkStep& step) {
-  const auto engine = engines_.find(step.target);
+  const std::string target = Resolve(step.target);
+  const auto engine = engines_.find(target);
   if (engine != engines_.end()) {
     engine->second.link = step;
     return;
   }
-  services_.at(step.target).link = step;
+  services_.at(target).link = step;
 }
 
 void World::Apply(const PlatformStep& step) {
--- a/wire/src/engine_json.cc
+++ b/wire/src/engine_json.cc
@@ -40,7 +40,7 @@
   std::size_t n = 0;
   for (const Json& it : reader.Member("backlog_us")) {
     if (n == backlog.size() || !it.is_number_integer()) {
-      reader.Fault("backlog_us", "must be at most 9 whole numbers");
+      reader.Fault("backlog_us", "must be at most 12 whole numbers");
       break;
     }
     backlog[n++] = Duration(it.get<std::int64_t>());
