--- a/cli/src/internal/commands.h
+++ b/cli/src/internal/commands.h
@@ -23,6 +23,7 @@
 ExitCode RunStatus(const Arguments& arguments);
 ExitCode RunExplain(const Arguments& arguments);
 ExitCode RunLookup(const Arguments& arguments);
+ExitCode RunLoad(const Arguments& arguments);
 
 // Whether --format=json was given. Any format but text and json is refused
 // before a command runs.
--- a/cli/src/main.cc
+++ b/cli/src/main.cc
@@ -41,6 +41,9 @@
         RunExplain},
     Command{"lookup", "--daemon              which address a caller would get",
             RunLookup},
+    Command{"load",
+            "--daemon --profile      puts a load on daemons and measures",
+            RunLoad},
 };
 
 std::string Usage() {
--- a/testing/include/scaleshed/testing/cluster.h
+++ b/testing/include/scaleshed/testing/cluster.h
@@ -12,6 +12,7 @@
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/runtime/http_client.h"
 #include "scaleshed/testing/scenario.h"
+#include "scaleshed/wire/completion_reader.h"
 
 namespace scaleshed::testing {
 
@@ -49,9 +50,7 @@
 struct ClusterCall {
   SendStep sent;
   std::string prompt;
-  int chunks = 0;
-  std::string text;
-  std::string partial;  // of a line
+  CompletionReader reader;
   std::optional<Outcome> outcome;
   std::string detail;
 };
@@ -108,8 +107,6 @@
   nlohmann::json Ask(const std::string& name, const std::string& method,
                      const std::string& path, const std::string& body = "");
   std::string FullId(const std::string& id);
-  void OnChunk(ClusterCall& call, const std::string& bytes);
-  void OnLine(ClusterCall& call, const std::string& line);
   void OnDone(ClusterCall& call, const HttpResult& result);
   void CheckRequest(const ExpectStep& step);
   void CheckRuns(const ExpectStep& step);
--- a/testing/src/cluster.cc
+++ b/testing/src/cluster.cc
@@ -344,8 +344,8 @@
         {"max_tokens", step.max_tokens},
         {"stream",
          true}}.dump();
-    http.on_chunk = [this, &call](const std::string& bytes) {
-      OnChunk(call, bytes);
+    http.on_chunk = [&call](const std::string& bytes) {
+      call.reader.Feed(bytes);
     };
   } else {
     http.path = "/services/" + step.service + "/sign-offs";
@@ -357,32 +357,13 @@
   open_[step.name] = http_.Start(std::move(http));
 }
 
-void Cluster::OnChunk(ClusterCall& call, const std::string& bytes) {
-  call.partial += bytes;
-  std::size_t end = 0;
-  while ((end = call.partial.find('\n')) != std::string::npos) {
-    OnLine(call, call.partial.substr(0, end));
-    call.partial.erase(0, end + 1);
-  }
-}
-
-void Cluster::OnLine(ClusterCall& call, const std::string& line) {
-  constexpr std::string_view kData = "data: ";
-  if (!line.starts_with(kData)) return;
-  const Json json = Json::parse(line.substr(kData.size()), nullptr, false);
-  if (!json.is_object()) return;
-  if (json.contains("choices")) {
-    ++call.chunks;
-    call.text += json["choices"][0]["text"].get<std::string>();
-    return;
-  }
-  call.outcome = FindIn(kOutcomeNames, json.value("outcome", ""));
-  call.detail = line;
-}
-
 void Cluster::OnDone(ClusterCall& call, const HttpResult& result) {
   open_.erase(call.sent.name);
-  if (call.outcome) return;
+  if (call.reader.final()) {
+    call.outcome = call.reader.final()->outcome;
+    call.detail = FinalJson(*call.reader.final());
+    return;
+  }
   const HttpResponse* response = ValueOf(result);
   if (response == nullptr) {
     // The caller can't know; for a refused connection it can.
@@ -402,7 +383,8 @@
 void Cluster::Apply(const WaitStep& step) {
   const ClusterCall& call = calls_.at(step.request);
   const bool seen = WaitFor([&] {
-    return call.outcome.has_value() || (step.first_token && call.chunks > 0);
+    return call.outcome.has_value() ||
+           (step.first_token && call.reader.tokens() > 0);
   });
   if (!seen) Fail("wait for " + step.request, "an answer", "none");
 }
@@ -432,10 +414,10 @@
   if (!is_whole_prompt) return;
   const std::string expected =
       EngineModel::Answer(call.prompt, call.sent.max_tokens);
-  if (call.text != expected) {
+  if (call.reader.text() != expected) {
     Fail("text of " + step.request,
          std::to_string(call.sent.max_tokens) + " right tokens",
-         std::to_string(call.chunks) + " tokens, or others");
+         std::to_string(call.reader.tokens()) + " tokens, or others");
   }
 }
 
