Unit tests, and bad input to a real daemon

Cause: codecs, limits, membership, queue, policy, templates and accept had scenarios above them only; bad input was never tried on a real daemon. Found and mended: an id or account that is not UTF-8 made the message to its home unreadable, so that the caller waited for its whole time limit; ids are printable now, accounts are names, and what the caller's bytes can reach travels as bytes.

--- a/core/src/admission.cc
+++ b/core/src/admission.cc
@@ -280,7 +280,7 @@
     Refuse(state, event.key, CallerOrigin{},
            Refusal(Reason::kInvalidRequest,
                    "the request id must be the id_prefix of a look-up and 1 to "
-                   "64 characters more"),
+                   "64 printable characters more"),
            out);
     return;
   }
--- a/core/src/types.cc
+++ b/core/src/types.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace scaleshed {
@@ -54,7 +55,11 @@
   const auto block =
       ParseInt<std::int64_t>(text.substr(second + 1, dash - second - 1), 10);
   const std::string_view suffix = text.substr(dash + 1);
-  if (!home || !block || suffix.empty() || suffix.size() > kMaxSuffix) {
+  const bool is_printable =
+      std::all_of(suffix.begin(), suffix.end(),
+                  [](char it) { return it > ' ' && it <= '~'; });
+  if (!home || !block || !is_printable || suffix.empty() ||
+      suffix.size() > kMaxSuffix) {
     return std::nullopt;
   }
   return RequestId{
--- a/daemon/src/caller_api.cc
+++ b/daemon/src/caller_api.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "scaleshed/config/field_reader.h"
 #include "scaleshed/core/reducer.h"
 
 namespace scaleshed {
@@ -106,6 +107,13 @@
                                   "the header X-Client-Account is missing"));
     return false;
   }
+  if (!IsName(spec.account)) {
+    SendRefusal(exchange,
+                Invalid(Reason::kUnknownAccount,
+                        "X-Client-Account must be 1 to 48 letters, digits, '-' "
+                        "or '_'"));
+    return false;
+  }
   const std::string limit = exchange.Header("X-Time-Limit-Ms");
   if (limit.empty()) return true;
   std::int64_t millis = 0;
--- a/testing/include/scaleshed/testing/cluster.h
+++ b/testing/include/scaleshed/testing/cluster.h
@@ -77,6 +77,12 @@
   void Apply(const LinkStep& step);
   void Apply(const PeerStep& step);
 
+  // Where a process listens.
+  const std::string& AddressOf(const std::string& name) const {
+    return members_.at(name).address;
+  }
+  EventLoop& loop() { return loop_; }
+
   // Prefixes the failures that follow.
   void SetPlace(std::string place) { place_ = std::move(place); }
   const Failures& failures() const { return failures_; }
