--- a/bench/decision_benchmark.cc
+++ b/bench/decision_benchmark.cc
@@ -1,5 +1,8 @@
 // What decisions cost, and how that grows: the slopes of docs/CAPACITY.md.
 
+// Google Benchmark's names and its loop are not this project's.
+// NOLINTBEGIN(readability-identifier-naming,clang-analyzer-deadcode.DeadStores)
+
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
@@ -170,7 +173,7 @@
   std::mt19937_64 random(1);
   const auto round = [&] {
     now += milliseconds(500);
-    const auto outgoing = membership.Tick(now, random);
+    auto outgoing = membership.Tick(now, random);
     for (const auto& it : outgoing) {
       Member peer = MakeMember(std::stoi(it.peer_address));
       membership.Receive({.is_ack = true, .members = {peer}}, now);
@@ -200,6 +203,7 @@
 // Which instance owns an account, among `range` members.
 void BM_AccountOwner(benchmark::State& bench) {
   std::vector<std::string> members;
+  members.reserve(static_cast<std::size_t>(bench.range(0)));
   for (int it = 0; it < bench.range(0); ++it) {
     members.push_back("entry-" + std::to_string(it));
   }
@@ -258,3 +262,5 @@
 }  // namespace scaleshed
 
 BENCHMARK_MAIN();
+
+// NOLINTEND(readability-identifier-naming,clang-analyzer-deadcode.DeadStores)
--- a/config/include/scaleshed/config/field_reader.h
+++ b/config/include/scaleshed/config/field_reader.h
@@ -24,7 +24,7 @@
 class FieldReader {
  public:
   // `path` names the mapping in error messages; empty for the whole file.
-  FieldReader(std::string file, std::string path, YAML::Node node,
+  FieldReader(std::string file, std::string path, const YAML::Node& node,
               ConfigErrors& errors);
 
   std::string Text(const std::string& field, bool required,
--- a/config/src/field_reader.cc
+++ b/config/src/field_reader.cc
@@ -60,11 +60,11 @@
   return YAML::Node(YAML::NodeType::Map);
 }
 
-FieldReader::FieldReader(std::string file, std::string path, YAML::Node node,
-                         ConfigErrors& errors)
+FieldReader::FieldReader(std::string file, std::string path,
+                         const YAML::Node& node, ConfigErrors& errors)
     : file_(std::move(file)),
       path_(std::move(path)),
-      node_(std::move(node)),
+      node_(node),
       errors_(errors) {
   if (!node_.IsMap()) {
     errors_.push_back({.file = file_,
@@ -121,14 +121,14 @@
 }
 
 std::string FieldReader::Name(const std::string& field, bool required) {
-  const std::string text = Text(field, required);
+  std::string text = Text(field, required);
   if (text.empty() || IsName(text)) return text;
   Fault(field, "'" + text + "' must be 1 to 48 letters, digits, '-' or '_'");
   return "";
 }
 
 std::string FieldReader::Address(const std::string& field) {
-  const std::string text = Text(field, true);
+  std::string text = Text(field, true);
   if (text.empty() || IsAddress(text)) return text;
   Fault(field,
         "'" + text + "' must be an IP number and a port, as 127.0.0.1:8080");
--- a/core/src/admission.cc
+++ b/core/src/admission.cc
@@ -160,7 +160,7 @@
     return;
   }
   if (auto refused = CheckAllowed(state, spec)) {
-    Finish(state, request, std::move(*refused), out);
+    Finish(state, request, *refused, out);
     return;
   }
   const AccountTemplate& account =
@@ -182,7 +182,7 @@
   const ModelCall* call = request.model_call();
   if (call != nullptr) {
     if (auto refused = CheckLoad(state, request, *call, out)) {
-      Finish(state, request, std::move(*refused), out);
+      Finish(state, request, *refused, out);
       return;
     }
   }
@@ -348,7 +348,7 @@
                               .message =
                                   "ended before its instance stopped; "
                                   "the answer is no longer kept"};
-    Finish(state, request, std::move(final), out);
+    Finish(state, request, final, out);
   }
 }
 
--- a/core/src/finish.cc
+++ b/core/src/finish.cc
@@ -68,7 +68,7 @@
 
 }  // namespace
 
-void Finish(State& state, Request& request, Final final, Effects& out) {
+void Finish(State& state, Request& request, const Final& final, Effects& out) {
   DropAttempts(state, request, out);
   state.queue.Remove(request.key);
   ReleaseLimit(state, request);
@@ -111,8 +111,8 @@
          out);
 }
 
-void Refuse(State& state, RequestKey key, const Origin& origin, Final final,
-            Effects& out) {
+void Refuse(State& state, RequestKey key, const Origin& origin,
+            const Final& final, Effects& out) {
   Add(out, CounterOf(final.outcome));
   Reply(state, key, origin, final, out);
   out.push_back(ReleaseCall{.key = key});
--- a/core/src/internal/steps.h
+++ b/core/src/internal/steps.h
@@ -46,13 +46,13 @@
 void FailAttemptsAt(State& state, const std::string& backend, Effects& out);
 
 // ---- finish.cc: the end of requests and attempts.
-void Finish(State& state, Request& request, Final final, Effects& out);
+void Finish(State& state, Request& request, const Final& final, Effects& out);
 // Ends a request that can't go on, with the outcome that is true of it.
 void GiveUp(State& state, Request& request, Reason reason, std::string message,
             Duration retry_after, Effects& out);
 // Answers a request that was never admitted.
-void Refuse(State& state, RequestKey key, const Origin& origin, Final final,
-            Effects& out);
+void Refuse(State& state, RequestKey key, const Origin& origin,
+            const Final& final, Effects& out);
 void OnCallerGone(State& state, const CallerGone& event, Effects& out);
 void OnCancelAnswer(State& state, const CancelAnswer& event, Effects& out);
 void RetryCancels(State& state, Effects& out);
--- a/core/src/peers.cc
+++ b/core/src/peers.cc
@@ -48,7 +48,7 @@
                   .reason = Reason::kBackendFailed,
                   .message = "the call ended, but part of its answer was lost"};
   }
-  Finish(state, *request, std::move(final), out);
+  Finish(state, *request, final, out);
 }
 
 Limits DemandOf(const AllowanceDemand& message) {
@@ -177,6 +177,10 @@
     limiter.SetShare(account->second.limits, state.membership.KnownInstances(),
                      state.now);
     const Limits demand = limiter.TakeDemand(state.now);
+    // An account that sends nothing here needs no more than its even share.
+    const bool idle =
+        demand.requests_per_second <= 0 && demand.tokens_in_flight <= 0;
+    if (idle) continue;
     const std::string owner = AccountOwner(state, name);
     if (owner == self) {
       limiter.Grant(DivideOwned(state, account->second, self, demand),
--- a/core/test/membership_test.cc
+++ b/core/test/membership_test.cc
@@ -95,6 +95,7 @@
 TEST_CASE("Silent members still count in the divisor of even shares") {
   Membership membership(MakeMember("self"), {});
   std::vector<Instance> list;
+  list.reserve(9);
   for (int it = 0; it < 9; ++it) list.push_back({.name = std::to_string(it)});
   membership.Listed(list);
   CHECK(membership.KnownInstances() == 9);
@@ -102,6 +103,7 @@
 
 TEST_CASE("All find the same owner, and few move when one goes") {
   std::vector<std::string> members;
+  members.reserve(9);
   for (int it = 0; it < 9; ++it) members.push_back("m" + std::to_string(it));
   std::vector<std::string> fewer(members.begin(), members.end() - 1);
   int moved = 0;
--- a/testing/src/process.cc
+++ b/testing/src/process.cc
@@ -9,13 +9,12 @@
 
 #include "scaleshed/testing/cluster.h"
 
-extern char** environ;
-
 namespace scaleshed::testing {
 
 Process::Process(std::vector<std::string> command, const std::string& output)
     : output_(output) {
   std::vector<char*> words;
+  words.reserve(command.size() + 1);
   for (std::string& it : command) words.push_back(it.data());
   words.push_back(nullptr);
   posix_spawn_file_actions_t actions;
--- a/testing/src/scenario.cc
+++ b/testing/src/scenario.cc
@@ -12,7 +12,7 @@
 // Reads the fields of one mapping; whatever was not asked for is a fault.
 class Fields {
  public:
-  explicit Fields(YAML::Node node) : node_(std::move(node)) {
+  explicit Fields(const YAML::Node& node) : node_(node) {
     if (!node_.IsMap()) Fail("a mapping is expected");
   }
 
@@ -163,11 +163,11 @@
 using Reader = std::function<Step(Fields&)>;
 
 const std::map<std::string, Reader>& MappingSteps() {
-  static const std::map<std::string, Reader> steps{
+  static const std::map<std::string, Reader> kSteps{
       {"send", ReadSend},     {"wait", ReadWait}, {"link", ReadLink},
       {"accept", ReadAccept}, {"peer", ReadPeer}, {"expect", ReadExpect},
   };
-  return steps;
+  return kSteps;
 }
 
 Step ReadStep(const YAML::Node& node) {
