--- a/bench/policy_experiment.cc
+++ b/bench/policy_experiment.cc
@@ -50,7 +50,7 @@
 // Prompts from here on are the long ones that are left out of a comparison.
 constexpr std::int64_t kLongFrom = 65'537;
 
-struct Outcome1 {
+struct RunOutcome {
   RunResults results;
   std::vector<std::string> violations;
 };
@@ -104,7 +104,7 @@
   return results;
 }
 
-Outcome1 RunOne(LoadProfile profile, PolicyKind policy, Case which) {
+RunOutcome RunOne(LoadProfile profile, PolicyKind policy, Case which) {
   profile = ProfileFor(std::move(profile), which);
   const ModelTemplate model;
   if (which == Case::kGreedyAccount) {
@@ -145,7 +145,7 @@
   std::string profile;
   PolicyKind policy = PolicyKind::kLengthAware;
   Case which = Case::kUsual;
-  std::future<Outcome1> future;
+  std::future<RunOutcome> future;
 };
 
 void PrintRow(const Job& job, const RunResults& results) {
@@ -212,7 +212,7 @@
       << "profile      policy        case              1k-4k  4k-16k "
          "16k-64k64k-256kover-256k    done failed not_run  late  tokens\n";
   for (Job& job : jobs) {
-    const Outcome1 outcome = job.future.get();
+    const RunOutcome outcome = job.future.get();
     PrintRow(job, outcome.results);
     for (const std::string& it : outcome.violations) {
       std::cout << "  violation: " << it << "\n";
--- a/core/include/scaleshed/core/backend.h
+++ b/core/include/scaleshed/core/backend.h
@@ -23,7 +23,6 @@
   // ---- What others say.
   void SetInstance(Instance instance);
   void SetReport(const Report& report, Time now);
-  void ReportMissed() { ++missed_reports_; }
   // The backend server itself said that it is leaving.
   void SetLeaving() { said_leaving_ = true; }
 
@@ -75,7 +74,6 @@
   Instance instance_;
   std::optional<Report> report_;
   Time report_at_{};
-  int missed_reports_ = 0;
   bool said_leaving_ = false;
   std::map<AttemptId, OwnWork> own_;
   std::unordered_set<std::uint64_t> cached_;
--- a/core/include/scaleshed/core/events.h
+++ b/core/include/scaleshed/core/events.h
@@ -131,11 +131,6 @@
   Report report;
 };
 
-// A report could not be had.
-struct ReportMissed {
-  std::string backend;
-};
-
 // ---- From the platform.
 
 struct InstancesListed {
@@ -173,9 +168,8 @@
 using EventBody =
     std::variant<Submit, CallerGone, StreamFrame, StreamEnd, AttemptFailed,
                  HoldAnswer, CancelAnswer, ServiceAnswer, ReportArrived,
-                 ReportMissed, InstancesListed, ConfigurationLoaded,
-                 FinishedIdsRead, FinishedIdsWritten, PeerReceived, Tick,
-                 StopRequested>;
+                 InstancesListed, ConfigurationLoaded, FinishedIdsRead,
+                 FinishedIdsWritten, PeerReceived, Tick, StopRequested>;
 
 // Everything that can happen to a daemon, with the time at which it did.
 struct Event {
--- a/core/include/scaleshed/core/state.h
+++ b/core/include/scaleshed/core/state.h
@@ -101,6 +101,7 @@
   // Whether some attempt that is over may have started at a backend server.
   bool may_have_started = false;
   int failures = 0;
+  int refusals = 0;  // by engines without room; no failures
   std::string avoid;
   std::int64_t next_offset = 0;
   // Over the tokens passed on, from zero: what the caller is told.
--- a/core/src/admission.cc
+++ b/core/src/admission.cc
@@ -192,7 +192,7 @@
     DispatchService(state, request, out);
     return;
   }
-  Enqueue(state, request, Duration::zero(), out);
+  Enqueue(state, request, Duration::zero());
   Pump(state, out);
 }
 
--- a/core/src/answers.cc
+++ b/core/src/answers.cc
@@ -59,7 +59,7 @@
     return;
   }
   const Duration backoff = Backoff(request.failures, state.random);
-  Enqueue(state, request, std::max(backoff, retry_after), out);
+  Enqueue(state, request, std::max(backoff, retry_after));
 }
 
 // At most half of a pool is ejected: when most of it fails, the fault is likely
@@ -104,13 +104,14 @@
 }
 
 // A full engine's refusal is no fault, costs no budget and is only waited out.
-void WaitForRoom(State& state, Request& request, Duration retry_after,
-                 Effects& out) {
-  ++request.failures;
-  const Duration backoff = Backoff(std::min(request.failures, 4), state.random);
+void WaitForRoom(State& state, Request& request, Duration retry_after) {
+  constexpr Duration kLongestWait = milliseconds(500);
+  constexpr int kMostSteps = 4;
+  ++request.refusals;
+  const Duration backoff =
+      Backoff(std::min(request.refusals, kMostSteps), state.random);
   Enqueue(state, request,
-          std::min<Duration>(std::max(backoff, retry_after), milliseconds(500)),
-          out);
+          std::min(std::max(backoff, retry_after), kLongestWait));
 }
 
 }  // namespace
@@ -253,7 +254,7 @@
     DispatchService(state, *request, out);
   } else if (SurelyNotStarted(event.error) && is_model_call &&
              event.error != AttemptError::kNotSent) {
-    WaitForRoom(state, *request, event.retry_after, out);
+    WaitForRoom(state, *request, event.retry_after);
   } else {
     Retry(state, *request, event.retry_after, out);
   }
--- a/core/src/backend.cc
+++ b/core/src/backend.cc
@@ -33,7 +33,6 @@
   report_->cache_added.clear();
   report_->cache_removed.clear();
   report_at_ = now;
-  missed_reports_ = 0;
 }
 
 void Backend::AddWork(AttemptId attempt, Duration prefill, int priority,
--- a/core/src/dispatch.cc
+++ b/core/src/dispatch.cc
@@ -126,7 +126,7 @@
 
 void ReserveAgain(State& state, Request& request, Effects& out) {
   DropAttempts(state, request, out);
-  Enqueue(state, request, Duration::zero(), out);
+  Enqueue(state, request, Duration::zero());
 }
 
 bool TryPlace(State& state, Request& request, Effects& out) {
@@ -199,7 +199,7 @@
   return query;
 }
 
-void Enqueue(State& state, Request& request, Duration delay, Effects& /*out*/) {
+void Enqueue(State& state, Request& request, Duration delay) {
   const ModelCall& call = *request.model_call();
   request.phase = Phase::kQueued;
   Duration work{};
--- a/core/src/internal/steps.h
+++ b/core/src/internal/steps.h
@@ -26,7 +26,7 @@
 std::optional<Final> CheckAllowed(const State& state, const CallSpec& spec);
 
 // ---- dispatch.cc: from the queue to the backend servers.
-void Enqueue(State& state, Request& request, Duration delay, Effects& out);
+void Enqueue(State& state, Request& request, Duration delay);
 // Places whatever can be placed now.
 void Pump(State& state, Effects& out);
 void OnHoldAnswer(State& state, const HoldAnswer& event, Effects& out);
@@ -76,7 +76,6 @@
 void OnConfigurationLoaded(State& state, const ConfigurationLoaded& event,
                            Effects& out);
 void OnReportArrived(State& state, const ReportArrived& event, Effects& out);
-void OnReportMissed(State& state, const ReportMissed& event, Effects& out);
 void OnStopRequested(State& state, Effects& out);
 void OnFinishedIdsWritten(State& state, const FinishedIdsWritten& event,
                           Effects& out);
--- a/core/src/platform.cc
+++ b/core/src/platform.cc
@@ -183,11 +183,6 @@
   Pump(state, out);
 }
 
-void OnReportMissed(State& state, const ReportMissed& event, Effects& /*out*/) {
-  Backend* backend = FindBackend(state, event.backend);
-  if (backend != nullptr) backend->ReportMissed();
-}
-
 void OnStopRequested(State& state, Effects& out) {
   if (state.stop != StopPhase::kServing) return;
   state.stop = StopPhase::kLeaving;
--- a/core/src/reducer.cc
+++ b/core/src/reducer.cc
@@ -70,7 +70,6 @@
           [&](const CancelAnswer& it) { OnCancelAnswer(state, it, out); },
           [&](const ServiceAnswer& it) { OnServiceAnswer(state, it, out); },
           [&](const ReportArrived& it) { OnReportArrived(state, it, out); },
-          [&](const ReportMissed& it) { OnReportMissed(state, it, out); },
           [&](const InstancesListed& it) { OnInstancesListed(state, it, out); },
           [&](const ConfigurationLoaded& it) {
             OnConfigurationLoaded(state, it, out);
--- a/core/test/reducer_test.cc
+++ b/core/test/reducer_test.cc
@@ -67,6 +67,27 @@
   CHECK(chunk->text == "mine");
 }
 
+TEST_CASE("Waiting for room is no failure") {
+  State state = MakeState();
+  Time now = kNow;
+  Effects effects = Reduce(state, {now, Prompt(1)});
+  constexpr int kRefusals = 8;
+  for (int it = 0; it < kRefusals; ++it) {
+    const auto start = First<StartStream>(effects);
+    REQUIRE(start);
+    Reduce(state, {now, AttemptFailed{.attempt = start->attempt,
+                                      .error = AttemptError::kRefused}});
+    now += seconds(1);
+    effects = Reduce(state, {now, Tick()});
+  }
+  const auto start = First<StartStream>(effects);
+  REQUIRE(start);
+  effects =
+      Reduce(state, {now, AttemptFailed{.attempt = start->attempt,
+                                        .error = AttemptError::kNotSent}});
+  CHECK_FALSE(First<ReplyFinal>(effects));
+}
+
 TEST_CASE("Refusals say why, and whether to come back") {
   State state = MakeState();
   Submit unknown = Prompt(1);
--- a/daemon/src/backend_client.cc
+++ b/daemon/src/backend_client.cc
@@ -285,10 +285,8 @@
       auto report = ParseReport(response->body);
       if (auto* it = ValueOf(report)) {
         feed_(ReportArrived{.backend = backend, .report = std::move(*it)});
-        return;
       }
     }
-    feed_(ReportMissed{.backend = backend});
   };
   http_.Start(std::move(call));
 }
--- a/runtime/src/log.cc
+++ b/runtime/src/log.cc
@@ -33,7 +33,7 @@
 }  // namespace
 
 void StartLog(const std::string& level, const std::string& instance) {
-  static const log4cplus::Initializer initializer;
+  static const log4cplus::Initializer kInitializer;
   log4cplus::SharedAppenderPtr appender(
       new log4cplus::ConsoleAppender(/*logToStdErr=*/true, /*immediate=*/true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
