A roll of all nine daemons; prompts that need more engines than there are

And, found in reading: a prompt whose group is larger than the pool waited for its whole time limit. A group that is larger than the engines that take work is refused at once, with a time to come back. Before: p4_more_engines_than_there_are printed 'request dossier: expected a final answer, got none'. Ruled out: refusing it as too long for good; engines may come back.

--- a/core/src/admission.cc
+++ b/core/src/admission.cc
@@ -105,10 +105,16 @@
                    "no engine of model '" + call.model + "' takes work now",
                    seconds(1));
   }
+  const int group = SmallestGroup(call, query.engines.front()->MemoryTokens());
+  if (static_cast<std::size_t>(group) > query.engines.size()) {
+    return Refusal(Reason::kNoBackend,
+                   "the prompt needs " + std::to_string(group) +
+                       " engines at once; " +
+                       std::to_string(query.engines.size()) + " take work now",
+                   seconds(1));
+  }
   const Duration own =
-      PrefillTime(*query.model, call.prompt_tokens, 0) /
-          std::max(1,
-                   SmallestGroup(call, query.engines.front()->MemoryTokens())) +
+      PrefillTime(*query.model, call.prompt_tokens, 0) / group +
       DecodeTime(*query.model, call.max_tokens);
   if (own > request.spec.time_limit) {
     return Refusal(Reason::kTimeLimit, "the call needs about " +
--- a/testing/include/scaleshed/testing/scenario.h
+++ b/testing/include/scaleshed/testing/scenario.h
@@ -151,7 +151,8 @@
   std::optional<std::uint64_t> revision;
   std::optional<bool> ready;
   std::optional<bool> stopped;
-  std::string lookup_names;  // the look-up answers this instance
+  std::string daemon = "d1";  // that `stopped` is about; real processes
+  std::string lookup_names;   // the look-up answers this instance
   std::string counter;
   std::optional<std::uint64_t> counter_at_least;
 };
--- a/testing/src/cluster_checks.cc
+++ b/testing/src/cluster_checks.cc
@@ -105,7 +105,7 @@
     }
   }
   if (step.stopped) {
-    Process& process = *members_.at("d1").process;
+    Process& process = *members_.at(step.daemon).process;
     const bool ended = WaitFor([&] { return process.EndedWell(); });
     if (!ended) Fail("planned stop", "exit with success", process.Output());
   }
--- a/testing/src/scenario.cc
+++ b/testing/src/scenario.cc
@@ -154,6 +154,7 @@
   fields.Read("revision", step.revision);
   fields.Read("ready", step.ready);
   fields.Read("stopped", step.stopped);
+  fields.Read("daemon", step.daemon);
   fields.Read("lookup_names", step.lookup_names);
   fields.Read("counter", step.counter);
   fields.Read("counter_at_least", step.counter_at_least);
