Status no longer shows a count of platform calls that was always zero

Cause: found in reading: StatusJson() took the count, and its only caller passed zero; the true one is scaleshed_platform_calls of /metrics. Change: the parameter and the member of /v1/status are gone. Nothing read them. Ruled out: passing the count through the callers' interface for a second place.

--- a/daemon/src/caller_api.cc
+++ b/daemon/src/caller_api.cc
@@ -70,7 +70,7 @@
   } else if (path == "/v1/explain" && is_post) {
     ExplainCall(*exchange);
   } else if (path == "/v1/status" && is_get) {
-    exchange->Reply(200, JsonHeaders(), StatusJson(state_, 0) + "\n");
+    exchange->Reply(200, JsonHeaders(), StatusJson(state_) + "\n");
   } else if (path == "/v1/configuration" && is_get) {
     exchange->Reply(200, JsonHeaders(), pages_.configuration());
   } else if (path == "/v1/instances" && is_get) {
--- a/daemon/src/internal/caller_api.h
+++ b/daemon/src/internal/caller_api.h
@@ -78,7 +78,7 @@
 };
 
 // The JSON of /v1/status.
-std::string StatusJson(const State& state, std::uint64_t platform_calls);
+std::string StatusJson(const State& state);
 std::string ExplanationJson(const Explanation& explanation);
 
 }  // namespace scaleshed
--- a/daemon/src/status_json.cc
+++ b/daemon/src/status_json.cc
@@ -50,7 +50,7 @@
 
 }  // namespace
 
-std::string StatusJson(const State& state, std::uint64_t platform_calls) {
+std::string StatusJson(const State& state) {
   const Json status = {
       {"instance", state.options.self.incarnation.instance},
       {"incarnation", ToString(state.options.self.incarnation)},
@@ -64,7 +64,6 @@
       {"queued", state.queue.size()},
       {"pending_cancels", state.cancels.size()},
       {"ids_kept", state.ids.size()},
-      {"platform_calls", platform_calls},
       {"members", MembersJson(state)},
       {"backends", BackendsJson(state)}};
   return status.dump();
