--- a/runtime/include/scaleshed/runtime/address.h
+++ b/runtime/include/scaleshed/runtime/address.h
@@ -1,7 +1,10 @@
 #ifndef SCALESHED_RUNTIME_ADDRESS_H_
 #define SCALESHED_RUNTIME_ADDRESS_H_
 
+#include <netinet/in.h>
+
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace scaleshed {
@@ -14,6 +17,9 @@
 
 Address ParseAddress(const std::string& text);
 
+// For the socket calls; nothing where the host is no IPv4 number.
+std::optional<sockaddr_in> SocketAddress(const std::string& text);
+
 }  // namespace scaleshed
 
 #endif  // SCALESHED_RUNTIME_ADDRESS_H_
--- a/runtime/include/scaleshed/runtime/http_client.h
+++ b/runtime/include/scaleshed/runtime/http_client.h
@@ -8,18 +8,32 @@
 
 #include "scaleshed/core/result.h"
 #include "scaleshed/runtime/event_loop.h"
-#include "scaleshed/runtime/http_server.h"
+#include "scaleshed/runtime/http_headers.h"
 
 namespace scaleshed {
 
 // Why no whole response came. Only `kNotSent` says that the server can't have
 // seen any of the request.
-enum class HttpError { kNotSent, kCut, kTimeout, kCancelled };
+enum class HttpError {
+  kNotSent,    // no connection stood
+  kCut,        // the connection ended or broke off first
+  kTimeout,    // the call's own time ran out
+  kCancelled,  // by the caller
+  kInvalid,    // the bytes that came are no HTTP response
+};
+inline constexpr NameTable<HttpError, 5> kHttpErrorNames{{
+    {HttpError::kNotSent, "not_sent"},
+    {HttpError::kCut, "cut"},
+    {HttpError::kTimeout, "timeout"},
+    {HttpError::kCancelled, "cancelled"},
+    {HttpError::kInvalid, "invalid"},
+}};
 
 struct HttpResponse {
   int status = 0;
-  HttpHeaders headers;  // names in lower case
-  std::string body;     // empty where chunks were asked for
+  std::string reason;
+  HttpHeaders headers;
+  std::string body;  // empty where chunks were asked for
 };
 
 using HttpResult = Result<HttpResponse, HttpError>;
@@ -27,11 +41,19 @@
 struct HttpCall {
   std::string address;  // "ip:port"
   std::string method = "GET";
-  std::string path = "/";
+  std::string path = "/";  // with the query, passed on as it stands
+  // A Host field is added unless there is one; the body's length always.
   HttpHeaders headers;
   std::string body;
   // For the whole exchange; zero: none.
   Duration timeout = seconds(10);
+  // Until the connection stands. A server on the same site answers within
+  // milliseconds; one lost opening packet is sent again after a second.
+  Duration connect_timeout = milliseconds(1500);
+  // Tells the server that the connection is not used again. It never is.
+  bool announce_close = true;
+  // Where set, gets status and headers before anything of the body.
+  std::function<void(const HttpResponse&)> on_head;
   // Where set, gets the body piece by piece, if the status is 200.
   std::function<void(const std::string&)> on_chunk;
   // Called exactly once, unless the call is cancelled.
@@ -39,7 +61,8 @@
 };
 
 // Makes HTTP calls on a loop, each on a connection of its own, and never twice:
-// a call that may not be repeated is safe with it.
+// a call that may not be repeated is safe with it, and no byte of one answer
+// can be taken for another's. Bytes after the whole response are dropped.
 class HttpClient {
  public:
   explicit HttpClient(EventLoop& loop) : loop_(loop) {}
@@ -49,7 +72,7 @@
 
   using CallId = std::uint64_t;
   CallId Start(HttpCall call);
-  // Breaks the connection; on_done is not called any more.
+  // Breaks the connection; no callback is called any more.
   void Cancel(CallId id);
 
  private:
--- a/runtime/include/scaleshed/runtime/http_server.h
+++ b/runtime/include/scaleshed/runtime/http_server.h
@@ -5,42 +5,63 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "scaleshed/runtime/event_loop.h"
+#include "scaleshed/runtime/http_headers.h"
 
-struct evhttp;
-struct evhttp_bound_socket;
-struct evhttp_connection;
-struct evhttp_request;
+struct evconnlistener;
+struct sockaddr;
 
 namespace scaleshed {
 
-using HttpHeaders = std::map<std::string, std::string>;
+namespace internal {
+class ServerConnection;
+}  // namespace internal
+
+// A request as it was read, whole.
+struct HttpRequest {
+  std::string method;
+  std::string target;  // path and query as they stand in the request
+  HttpHeaders headers;
+  std::string body;  // without any chunking
+  int minor_version = 1;
+};
 
 // One request to an HttpServer, and its answer: either Reply(), or
 // StartStream(), SendChunk()s and EndStream(). After the client has gone all of
 // these do nothing. Used from the loop's thread only.
 class HttpExchange {
  public:
-  explicit HttpExchange(evhttp_request* request);
+  HttpExchange(std::weak_ptr<internal::ServerConnection> connection,
+               HttpRequest request);
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
   ~HttpExchange();
 
-  const std::string& method() const { return method_; }
+  const HttpRequest& request() const { return request_; }
+  const std::string& method() const { return request_.method; }
   const std::string& path() const { return path_; }  // without the query
   std::string Query(const std::string& name) const;
-  std::string Header(const char* name) const;
-  std::string TakeBody();
-
-  void Reply(int status, const HttpHeaders& headers, const std::string& body);
-  void StartStream(int status, const HttpHeaders& headers);
+  std::string Header(const char* name) const {
+    return request_.headers.Get(name);
+  }
+  std::string TakeBody() { return std::move(request_.body); }
+
+  // The connection closes after this answer; to be said before it begins.
+  void CloseAfter() { close_after_ = true; }
+  void Reply(int status, const HttpHeaders& headers, const std::string& body,
+             const std::string& reason = "");
+  // With a length the body is sent as it is, else in chunks.
+  void StartStream(int status, const HttpHeaders& headers,
+                   std::optional<std::uint64_t> length = std::nullopt,
+                   const std::string& reason = "");
   void SendChunk(const std::string& text);
   void EndStream();
   // Breaks the connection, so that the client sees a cut answer.
   void Abort();
-  bool finished() const { return request_ == nullptr; }
+  bool finished() const { return finished_; }
 
   // Called once if the client goes before the answer is complete.
   void OnClosed(std::function<void()> handler) { closed_ = std::move(handler); }
@@ -48,14 +69,20 @@
   void ConnectionClosed();
 
  private:
-  void SetHeaders(const HttpHeaders& headers);
+  std::shared_ptr<internal::ServerConnection> Usable() const;
+  std::string Head(int status, const std::string& reason,
+                   const HttpHeaders& headers,
+                   std::optional<std::uint64_t> length) const;
 
-  evhttp_request* request_;
-  std::string method_;
+  std::weak_ptr<internal::ServerConnection> connection_;
+  HttpRequest request_;
   std::string path_;
   std::string query_;
+  bool close_after_ = false;
   bool gone_ = false;
   bool streaming_ = false;
+  bool chunked_ = false;
+  bool finished_ = false;
   std::function<void()> closed_;
 };
 
@@ -63,12 +90,15 @@
   std::string address = "127.0.0.1:0";  // port 0: any free one
   std::int64_t max_body_bytes = 16 * 1024 * 1024;
   std::int64_t max_header_bytes = 64 * 1024;
+  // From a request's first byte to the end of its head.
+  Duration header_timeout = seconds(120);
   // A client that sends or takes nothing for so long is cut off.
   Duration idle_timeout = seconds(120);
 };
 
-// An HTTP server on a loop. Bodies and headers over their limits are refused
-// before any handler sees them.
+// An HTTP/1.1 server on a loop. Requests that are over the limits, late, or
+// framed in a way that another server could read differently are refused before
+// any handler sees them, and their connections closed.
 class HttpServer {
  public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
@@ -81,19 +111,27 @@
   ~HttpServer();
 
   std::uint16_t port() const { return port_; }
+  // For requests that begin from now on.
+  void SetLimits(const HttpServerOptions& options);
   // Accepts no new connections; those open go on.
   void StopAccepting();
+  // Closes the connections on which no request is being read or answered.
+  void CloseIdle();
+  std::size_t connections() const { return connections_.size(); }
 
  private:
-  static void Handle(evhttp_request* request, void* arg);
-  static void OnConnectionClosed(evhttp_connection* connection, void* arg);
+  friend class internal::ServerConnection;
+  static void OnAccept(evconnlistener* listener, int fd, sockaddr* from,
+                       int length, void* arg);
 
-  evhttp* http_;
-  evhttp_bound_socket* socket_ = nullptr;
-  std::uint16_t port_ = 0;
+  EventLoop& loop_;
+  HttpServerOptions options_;
   Handler handler_;
-  // The request last begun on each open connection.
-  std::map<evhttp_connection*, std::weak_ptr<HttpExchange>> open_;
+  evconnlistener* listener_ = nullptr;
+  std::uint16_t port_ = 0;
+  std::map<const internal::ServerConnection*,
+           std::shared_ptr<internal::ServerConnection>>
+      connections_;
 };
 
 }  // namespace scaleshed
--- a/runtime/src/address.cc
+++ b/runtime/src/address.cc
@@ -1,5 +1,7 @@
 #include "scaleshed/runtime/address.h"
 
+#include <arpa/inet.h>
+
 #include <charconv>
 
 namespace scaleshed {
@@ -13,4 +15,15 @@
   return address;
 }
 
+std::optional<sockaddr_in> SocketAddress(const std::string& text) {
+  const Address address = ParseAddress(text);
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(address.port);
+  if (inet_pton(AF_INET, address.host.c_str(), &name.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return name;
+}
+
 }  // namespace scaleshed
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -2,11 +2,13 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
-#include <algorithm>
-#include <cctype>
+#include <boost/beast/http.hpp>
+#include <limits>
+#include <optional>
 #include <utility>
 
 #include "scaleshed/runtime/address.h"
@@ -14,33 +16,44 @@
 namespace scaleshed {
 namespace {
 
-evhttp_cmd_type CommandOf(const std::string& method) {
-  if (method == "POST") return EVHTTP_REQ_POST;
-  if (method == "PUT") return EVHTTP_REQ_PUT;
-  if (method == "DELETE") return EVHTTP_REQ_DELETE;
-  return EVHTTP_REQ_GET;
-}
+namespace http = boost::beast::http;
+using Parser = http::response_parser<http::string_body>;
 
-std::string Drain(evbuffer* buffer) {
-  std::string text(evbuffer_get_length(buffer), '\0');
-  evbuffer_remove(buffer, text.data(), text.size());
-  return text;
-}
+// Response heads over this are no sound answer.
+constexpr std::uint32_t kMostHeaderBytes = 64 * 1024;
+// A peer that takes nothing of what was sent for so long is gone. Above two
+// retransmissions on a lossy link, below the shortest deadline of a caller.
+constexpr unsigned kUnackedLimitMillis = 3000;
 
-std::string LowerCase(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char it) { return std::tolower(it); });
-  return text;
+std::string RequestBytes(const HttpCall& call) {
+  std::string bytes = call.method + " " + call.path + " HTTP/1.1\r\n";
+  const auto add = [&](std::string_view name, std::string_view value) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  };
+  if (call.headers.find("Host") == call.headers.end()) {
+    add("Host", call.address);
+  }
+  for (const auto& [name, value] : call.headers) add(name, value);
+  if (call.announce_close) add("Connection", "close");
+  const bool bodiless = call.method == "GET" || call.method == "HEAD";
+  if (!call.body.empty() || !bodiless) {
+    add("Content-Length", std::to_string(call.body.size()));
+  }
+  bytes += "\r\n";
+  bytes += call.body;
+  return bytes;
 }
 
-HttpHeaders ReadHeaders(evhttp_request* request) {
-  HttpHeaders headers;
-  const evkeyvalq* from = evhttp_request_get_input_headers(request);
-  for (const evkeyval* it = from->tqh_first; it != nullptr;
-       it = it->next.tqe_next) {
-    headers[LowerCase(it->key)] = it->value;
+HttpResponse HeadOf(const Parser& parser) {
+  const auto& message = parser.get();
+  HttpResponse head{.status = static_cast<int>(message.result_int()),
+                    .reason = std::string(message.reason()),
+                    .headers = {},
+                    .body = {}};
+  for (const auto& it : message) {
+    head.headers.Add(std::string(it.name_string()), std::string(it.value()));
   }
-  return headers;
+  return head;
 }
 
 }  // namespace
@@ -52,82 +65,179 @@
       : client_(client),
         id_(id),
         call_(std::move(call)),
-        timer_(client.loop_, [this] { Finish(HttpError::kTimeout); }) {}
-  ~Exchange() { evhttp_connection_free(connection_); }
+        timer_(client.loop_, [this] { Finish(HttpError::kTimeout); }),
+        connect_timer_(client.loop_, [this] { Finish(HttpError::kNotSent); }) {}
+  ~Exchange() {
+    if (bev_ != nullptr) bufferevent_free(bev_);
+  }
 
   void Start() {
-    const Address address = ParseAddress(call_.address);
-    connection_ = evhttp_connection_base_new(
-        client_.loop_.base(), nullptr, address.host.c_str(), address.port);
-    evhttp_connection_set_retries(connection_, 0);
-    // Only a call's own timeout ends it, however long its answer is silent.
-    constexpr int kNoInactivityLimit = 24 * 3600;
-    evhttp_connection_set_timeout(connection_, kNoInactivityLimit);
-    evhttp_request* request = evhttp_request_new(OnDone, this);
-    evhttp_request_set_error_cb(request, OnError);
-    if (call_.on_chunk) evhttp_request_set_chunked_cb(request, OnChunk);
-    evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", call_.address.c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    for (const auto& [name, value] : call_.headers) {
-      evhttp_add_header(headers, name.c_str(), value.c_str());
-    }
-    evbuffer_add(evhttp_request_get_output_buffer(request), call_.body.data(),
-                 call_.body.size());
     if (call_.timeout > Duration::zero()) timer_.Once(call_.timeout);
-    const int failed = evhttp_make_request(
-        connection_, request, CommandOf(call_.method), call_.path.c_str());
-    if (failed != 0) Finish(HttpError::kNotSent);
+    connect_timer_.Once(call_.connect_timeout);
+    const auto to = SocketAddress(call_.address);
+    bev_ =
+        bufferevent_socket_new(client_.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    if (!to || bev_ == nullptr) {
+      FinishSoon(HttpError::kNotSent);
+      return;
+    }
+    bufferevent_setcb(bev_, OnRead, nullptr, OnEvent, this);
+    sockaddr_in name = *to;
+    if (bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&name),
+                                   sizeof(name)) != 0) {
+      FinishSoon(HttpError::kNotSent);
+    }
   }
 
  private:
-  static void OnChunk(evhttp_request* request, void* arg) {
-    auto* self = static_cast<Exchange*>(arg);
+  // Callers don't expect an answer before Start() has returned.
+  void FinishSoon(HttpError error) {
+    client_.loop_.Defer([client = &client_, id = id_, error] {
+      const auto it = client->exchanges_.find(id);
+      if (it != client->exchanges_.end()) it->second->Finish(error);
+    });
+  }
+
+  void OnConnected() {
+    connected_ = true;
+    connect_timer_.Cancel();
+    const int fd = bufferevent_getfd(bev_);
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedLimitMillis,
+               sizeof(kUnackedLimitMillis));
+    const std::string bytes = RequestBytes(call_);
+    call_.body.clear();
+    bufferevent_write(bev_, bytes.data(), bytes.size());
+    bufferevent_enable(bev_, EV_READ | EV_WRITE);
+  }
+
+  static void OnRead(bufferevent* /*bev*/, void* arg) {
+    const auto self = static_cast<Exchange*>(arg)->Held();
+    self->ReadAll();
+  }
+
+  static void OnEvent(bufferevent* /*bev*/, short what, void* arg) {
+    const auto self = static_cast<Exchange*>(arg)->Held();
+    if (self->finished_) return;
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      self->OnConnected();
+      return;
+    }
+    if (!self->connected_) {
+      self->Finish(HttpError::kNotSent);
+      return;
+    }
+    self->ReadAll();
     if (self->finished_) return;
-    // An error's body is kept whole for the caller.
-    if (evhttp_request_get_response_code(request) != 200) {
-      self->body_ += Drain(evhttp_request_get_input_buffer(request));
+    if ((what & BEV_EVENT_EOF) != 0) {
+      self->OnEnd();
+    } else {
+      self->Finish(HttpError::kCut);
+    }
+  }
+
+  // Keeps the exchange alive through a callback that may cancel it.
+  std::shared_ptr<Exchange> Held() { return client_.exchanges_.at(id_); }
+
+  void ReadAll() {
+    evbuffer* in = bufferevent_get_input(bev_);
+    while (!finished_) {
+      const std::size_t n = evbuffer_get_length(in);
+      if (n == 0) return;
+      if (!parser_) StartParser();
+      const auto* bytes = evbuffer_pullup(in, -1);
+      boost::beast::error_code ec;
+      const std::size_t used =
+          parser_->put(boost::asio::const_buffer(bytes, n), ec);
+      evbuffer_drain(in, used);
+      if (ec && ec != http::error::need_more) {
+        Finish(HttpError::kInvalid);
+        return;
+      }
+      TakeParsed();
+      if (ec == http::error::need_more && used == 0) return;
+    }
+  }
+
+  void StartParser() {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(kMostHeaderBytes);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (call_.method == "HEAD") parser_->skip(true);
+  }
+
+  void TakeParsed() {
+    constexpr int kFirstFinalStatus = 200;
+    if (!parser_->is_header_done()) return;
+    if (parser_->get().result_int() < kFirstFinalStatus) {
+      if (parser_->is_done()) parser_.reset();
       return;
     }
-    self->call_.on_chunk(Drain(evhttp_request_get_input_buffer(request)));
+    if (!std::exchange(told_head_, true)) {
+      head_ = HeadOf(*parser_);
+      if (call_.on_head) call_.on_head(head_);
+      if (finished_) return;
+    }
+    TakeBody();
+    if (!finished_ && parser_->is_done()) FinishWhole();
   }
 
-  // libevent calls this only once a connection stood.
-  static void OnError(evhttp_request_error /*error*/, void* arg) {
-    static_cast<Exchange*>(arg)->connected_ = true;
+  void TakeBody() {
+    constexpr int kOk = 200;
+    std::string text = std::move(parser_->get().body());
+    parser_->get().body().clear();
+    if (text.empty()) return;
+    if (call_.on_chunk && head_.status == kOk) {
+      call_.on_chunk(text);
+    } else {
+      head_.body += text;
+    }
   }
 
-  static void OnDone(evhttp_request* request, void* arg) {
-    auto* self = static_cast<Exchange*>(arg);
-    if (self->finished_) return;
-    const int status =
-        request == nullptr ? 0 : evhttp_request_get_response_code(request);
-    if (status == 0) {
-      self->Finish(self->connected_ ? HttpError::kCut : HttpError::kNotSent);
+  // The server closed in good order: whole only for a body without a length.
+  void OnEnd() {
+    if (!parser_ || !parser_->is_header_done()) {
+      Finish(HttpError::kCut);
       return;
     }
-    HttpResponse response{.status = status,
-                          .headers = ReadHeaders(request),
-                          .body = std::move(self->body_)};
-    response.body += Drain(evhttp_request_get_input_buffer(request));
-    self->Finish(std::move(response));
+    boost::beast::error_code ec;
+    parser_->put_eof(ec);
+    if (ec) {
+      Finish(HttpError::kCut);
+    } else {
+      FinishWhole();
+    }
   }
 
+  void FinishWhole() { Finish(std::move(head_)); }
+
   void Finish(HttpResult result) {
     if (std::exchange(finished_, true)) return;
-    timer_.Cancel();
+    Stop();
     const auto done = std::move(call_.on_done);
     client_.Remove(id_);
     if (done) done(std::move(result));
   }
 
+  // Breaks the connection at once, so that the server stops working.
+  void Stop() {
+    timer_.Cancel();
+    connect_timer_.Cancel();
+    if (bev_ != nullptr) bufferevent_free(std::exchange(bev_, nullptr));
+  }
+
   HttpClient& client_;
   CallId id_;
   HttpCall call_;
   Timer timer_;
-  evhttp_connection* connection_ = nullptr;
-  std::string body_;
+  Timer connect_timer_;
+  bufferevent* bev_ = nullptr;
+  std::optional<Parser> parser_;
+  HttpResponse head_;
   bool connected_ = false;
+  bool told_head_ = false;
   bool finished_ = false;
 
   friend class HttpClient;
@@ -149,7 +259,7 @@
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
   it->second->finished_ = true;
-  it->second->timer_.Cancel();
+  it->second->Stop();
   Remove(id);
 }
 
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -1,61 +1,59 @@
 #include "scaleshed/runtime/http_server.h"
 
-#include <arpa/inet.h>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <boost/beast/http/status.hpp>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
+#include "internal/server_connection.h"
 #include "scaleshed/runtime/address.h"
 
 namespace scaleshed {
 namespace {
 
-std::string MethodName(evhttp_request* request) {
-  switch (evhttp_request_get_command(request)) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    default:
-      return "OTHER";
-  }
+constexpr int kInternalError = 500;
+// New connections that wait to be accepted; a full queue drops their opening
+// packets, which come again only after a second.
+constexpr int kAcceptQueue = 1024;
+
+std::string ReasonOf(int status) {
+  const auto known =
+      boost::beast::http::int_to_status(static_cast<unsigned>(status));
+  return std::string(boost::beast::http::obsolete_reason(known));
 }
 
-std::uint16_t BoundPort(evhttp_bound_socket* socket) {
-  sockaddr_in address{};
-  socklen_t length = sizeof(address);
-  getsockname(evhttp_bound_socket_get_fd(socket),
-              reinterpret_cast<sockaddr*>(&address), &length);
-  return ntohs(address.sin_port);
+std::string HexLength(std::size_t n) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string text;
+  do {
+    text.insert(text.begin(), kDigits[n % 16]);
+    n /= 16;
+  } while (n > 0);
+  return text;
 }
 
 }  // namespace
 
-HttpExchange::HttpExchange(evhttp_request* request)
-    : request_(request), method_(MethodName(request)) {
-  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
-  const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
-  const char* query = uri == nullptr ? nullptr : evhttp_uri_get_query(uri);
-  path_ = path == nullptr || *path == '\0' ? "/" : path;
-  query_ = query == nullptr ? "" : query;
+HttpExchange::HttpExchange(std::weak_ptr<internal::ServerConnection> connection,
+                           HttpRequest request)
+    : connection_(std::move(connection)), request_(std::move(request)) {
+  const std::size_t mark = request_.target.find('?');
+  path_ = request_.target.substr(0, mark);
+  if (mark != std::string::npos) query_ = request_.target.substr(mark + 1);
 }
 
 HttpExchange::~HttpExchange() {
-  if (request_ == nullptr) return;
+  if (finished_ || gone_) return;
   if (streaming_) {
     Abort();
   } else {
-    Reply(500, {}, "the request was dropped\n");
+    Reply(kInternalError, {}, "the request was dropped\n");
   }
 }
 
@@ -68,127 +66,135 @@
   return text;
 }
 
-std::string HttpExchange::Header(const char* name) const {
-  if (request_ == nullptr) return "";
-  const char* value =
-      evhttp_find_header(evhttp_request_get_input_headers(request_), name);
-  return value == nullptr ? "" : value;
+std::shared_ptr<internal::ServerConnection> HttpExchange::Usable() const {
+  return finished_ || gone_ ? nullptr : connection_.lock();
 }
 
-std::string HttpExchange::TakeBody() {
-  if (request_ == nullptr) return "";
-  evbuffer* buffer = evhttp_request_get_input_buffer(request_);
-  std::string body(evbuffer_get_length(buffer), '\0');
-  evbuffer_remove(buffer, body.data(), body.size());
-  return body;
-}
-
-void HttpExchange::SetHeaders(const HttpHeaders& headers) {
-  evkeyvalq* to = evhttp_request_get_output_headers(request_);
+std::string HttpExchange::Head(int status, const std::string& reason,
+                               const HttpHeaders& headers,
+                               std::optional<std::uint64_t> length) const {
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " " +
+                     (reason.empty() ? ReasonOf(status) : reason) + "\r\n";
   for (const auto& [name, value] : headers) {
-    evhttp_add_header(to, name.c_str(), value.c_str());
+    head += name + ": " + value + "\r\n";
+  }
+  if (length) {
+    head += "Content-Length: " + std::to_string(*length) + "\r\n";
+  } else if (chunked_) {
+    head += "Transfer-Encoding: chunked\r\n";
   }
+  if (close_after_) head += "Connection: close\r\n";
+  return head + "\r\n";
 }
 
 void HttpExchange::Reply(int status, const HttpHeaders& headers,
-                         const std::string& body) {
-  if (request_ == nullptr) return;
-  SetHeaders(headers);
-  evbuffer* buffer = evbuffer_new();
-  evbuffer_add(buffer, body.data(), body.size());
-  evhttp_send_reply(std::exchange(request_, nullptr), status, nullptr, buffer);
-  evbuffer_free(buffer);
-}
-
-void HttpExchange::StartStream(int status, const HttpHeaders& headers) {
-  if (request_ == nullptr || gone_) return;
-  SetHeaders(headers);
+                         const std::string& body, const std::string& reason) {
+  const auto connection = Usable();
+  finished_ = true;
+  if (connection == nullptr) return;
+  if (!connection->client_keeps()) close_after_ = true;
+  const bool bodiless = request_.method == "HEAD";
+  connection->Write(Head(status, reason, headers, body.size()) +
+                    (bodiless ? std::string() : body));
+  connection->AnswerDone(close_after_);
+}
+
+void HttpExchange::StartStream(int status, const HttpHeaders& headers,
+                               std::optional<std::uint64_t> length,
+                               const std::string& reason) {
+  const auto connection = Usable();
+  if (connection == nullptr) return;
   streaming_ = true;
-  evhttp_send_reply_start(request_, status, nullptr);
+  chunked_ = !length && request_.minor_version >= 1;
+  // Without a length or chunks only the connection's end marks the body's.
+  if (!connection->client_keeps() || (!length && !chunked_)) {
+    close_after_ = true;
+  }
+  connection->Write(Head(status, reason, headers, length));
 }
 
 void HttpExchange::SendChunk(const std::string& text) {
-  if (request_ == nullptr || gone_ || !streaming_) return;
-  evbuffer* buffer = evbuffer_new();
-  evbuffer_add(buffer, text.data(), text.size());
-  evhttp_send_reply_chunk(request_, buffer);
-  evbuffer_free(buffer);
+  const auto connection = Usable();
+  if (connection == nullptr || !streaming_ || text.empty()) return;
+  if (chunked_) {
+    connection->Write(HexLength(text.size()) + "\r\n" + text + "\r\n");
+  } else {
+    connection->Write(text);
+  }
 }
 
 void HttpExchange::EndStream() {
-  if (request_ == nullptr) return;
-  evhttp_send_reply_end(std::exchange(request_, nullptr));
+  const auto connection = Usable();
+  finished_ = true;
+  if (connection == nullptr) return;
+  if (chunked_) connection->Write("0\r\n\r\n");
+  connection->AnswerDone(close_after_);
 }
 
 void HttpExchange::Abort() {
-  if (request_ == nullptr) return;
-  evhttp_connection* connection = evhttp_request_get_connection(request_);
-  if (gone_ || connection == nullptr) {
-    EndStream();
-    return;
-  }
-  // Only the descriptor is shut down here; libevent sees the end of the
-  // connection and frees its parts itself.
-  const evutil_socket_t fd =
-      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  const auto connection = Usable();
+  finished_ = true;
   closed_ = nullptr;
-  gone_ = true;
-  shutdown(fd, SHUT_RDWR);
-  EndStream();
+  if (connection != nullptr) connection->Break();
 }
 
 void HttpExchange::ConnectionClosed() {
-  if (gone_ || request_ == nullptr) return;
+  if (gone_ || finished_) return;
   gone_ = true;
   if (closed_) std::exchange(closed_, nullptr)();
 }
 
 HttpServer::HttpServer(EventLoop& loop, const HttpServerOptions& options,
                        Handler handler)
-    : http_(evhttp_new(loop.base())), handler_(std::move(handler)) {
-  const Address address = ParseAddress(options.address);
-  evhttp_set_max_body_size(http_, options.max_body_bytes);
-  evhttp_set_max_headers_size(http_, options.max_header_bytes);
-  evhttp_set_timeout(
-      http_,
-      static_cast<int>(
-          std::chrono::duration_cast<seconds>(options.idle_timeout).count()));
-  evhttp_set_gencb(http_, Handle, this);
-  socket_ =
-      evhttp_bind_socket_with_handle(http_, address.host.c_str(), address.port);
-  if (socket_ == nullptr) {
-    evhttp_free(http_);
+    : loop_(loop), options_(options), handler_(std::move(handler)) {
+  const auto name = SocketAddress(options.address);
+  if (name) {
+    sockaddr_in bound = *name;
+    listener_ = evconnlistener_new_bind(
+        loop.base(), OnAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        kAcceptQueue, reinterpret_cast<sockaddr*>(&bound), sizeof(bound));
+  }
+  if (listener_ == nullptr) {
     throw std::runtime_error("can't listen on " + options.address);
   }
-  port_ = BoundPort(socket_);
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  getsockname(evconnlistener_get_fd(listener_),
+              reinterpret_cast<sockaddr*>(&address), &length);
+  port_ = ntohs(address.sin_port);
 }
 
-HttpServer::~HttpServer() { evhttp_free(http_); }
+HttpServer::~HttpServer() {
+  StopAccepting();
+  while (!connections_.empty()) connections_.begin()->second->Break();
+}
+
+void HttpServer::SetLimits(const HttpServerOptions& options) {
+  const std::string address = std::move(options_.address);
+  options_ = options;
+  options_.address = address;
+}
 
 void HttpServer::StopAccepting() {
-  if (socket_ == nullptr) return;
-  evhttp_del_accept_socket(http_, std::exchange(socket_, nullptr));
+  if (listener_ != nullptr) {
+    evconnlistener_free(std::exchange(listener_, nullptr));
+  }
 }
 
-void HttpServer::OnConnectionClosed(evhttp_connection* connection, void* arg) {
-  auto* self = static_cast<HttpServer*>(arg);
-  const auto it = self->open_.find(connection);
-  if (it == self->open_.end()) return;
-  const std::shared_ptr<HttpExchange> exchange = it->second.lock();
-  self->open_.erase(it);
-  if (exchange != nullptr) exchange->ConnectionClosed();
+void HttpServer::CloseIdle() {
+  std::vector<std::shared_ptr<internal::ServerConnection>> open;
+  open.reserve(connections_.size());
+  for (const auto& [key, connection] : connections_) open.push_back(connection);
+  for (const auto& it : open) it->CloseIfIdle();
 }
 
-void HttpServer::Handle(evhttp_request* request, void* arg) {
+void HttpServer::OnAccept(evconnlistener* /*listener*/, int fd,
+                          sockaddr* /*from*/, int /*length*/, void* arg) {
   auto* self = static_cast<HttpServer*>(arg);
-  auto exchange = std::make_shared<HttpExchange>(request);
-  evhttp_connection* connection = evhttp_request_get_connection(request);
-  // libevent reads nothing while a request is being answered; without reading
-  // it would not see that the client has gone.
-  bufferevent_enable(evhttp_connection_get_bufferevent(connection), EV_READ);
-  self->open_[connection] = exchange;
-  evhttp_connection_set_closecb(connection, OnConnectionClosed, self);
-  self->handler_(std::move(exchange));
+  auto connection = std::make_shared<internal::ServerConnection>(*self, fd);
+  self->connections_[connection.get()] = connection;
+  connection->Open();
 }
 
 }  // namespace scaleshed
--- /dev/null
+++ b/runtime/src/internal/server_connection.h
@@ -0,0 +1,65 @@
+#ifndef SCALESHED_RUNTIME_INTERNAL_SERVER_CONNECTION_H_
+#define SCALESHED_RUNTIME_INTERNAL_SERVER_CONNECTION_H_
+
+#include <event2/bufferevent.h>
+
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "scaleshed/runtime/http_server.h"
+
+namespace scaleshed::internal {
+
+// One client's connection: reads one request after another and hands each to
+// the server's handler once the answer before it is complete.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(HttpServer& server, int fd);
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+  ~ServerConnection();
+
+  void Open();
+  void Write(const std::string& bytes);
+  // The answer is complete; `close` ends the connection after it.
+  void AnswerDone(bool close);
+  // Ends the connection without waiting for anything.
+  void Break();
+  void CloseIfIdle();
+  bool client_keeps() const { return client_keeps_; }
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  static void OnRead(bufferevent* bev, void* arg);
+  static void OnWritten(bufferevent* bev, void* arg);
+  static void OnEvent(bufferevent* bev, short what, void* arg);
+  void OnTime();
+  void ReadRequests();
+  // False where nothing more can be done with the bytes that are there.
+  bool ReadSome();
+  bool BeginHead();
+  bool CheckParsedHead();
+  void Dispatch();
+  void Refuse(int status, const std::string& message);
+  void CloseAfterWriting();
+
+  HttpServer* server_;
+  bufferevent* bev_;
+  Timer timer_;
+  std::optional<Parser> parser_;
+  std::weak_ptr<HttpExchange> exchange_;
+  bool reading_head_ = false;
+  bool answering_ = false;
+  bool client_keeps_ = true;
+  bool closing_ = false;
+  bool half_closed_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace scaleshed::internal
+
+#endif  // SCALESHED_RUNTIME_INTERNAL_SERVER_CONNECTION_H_
--- /dev/null
+++ b/runtime/src/server_connection.cc
@@ -0,0 +1,277 @@
+#include "internal/server_connection.h"
+
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace scaleshed::internal {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
+
+// How long a closing connection waits for its client, so that bytes still on
+// the way don't reset it before the last answer was read.
+constexpr Duration kLinger = seconds(1);
+// A client that takes nothing of what was sent for so long is gone.
+constexpr unsigned kUnackedLimitMillis = 5000;
+// Bytes read ahead of the request in work; a client that sends more waits.
+constexpr std::size_t kReadAheadBytes = 256 * 1024;
+
+// Shapes that some servers read differently from others: a NUL, a folded line,
+// a line end without its carriage return.
+bool IsPlainHead(std::string_view head) {
+  for (std::size_t i = 0; i < head.size(); ++i) {
+    if (head[i] == '\0') return false;
+    if (head[i] == '\r' && (i + 1 >= head.size() || head[i + 1] != '\n')) {
+      return false;
+    }
+    if (head[i] != '\n') continue;
+    if (i == 0 || head[i - 1] != '\r') return false;
+    if (i + 1 < head.size() && (head[i + 1] == ' ' || head[i + 1] == '\t')) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::size_t CountField(const http::request<http::string_body>& request,
+                       http::field name) {
+  const auto range = request.equal_range(name);
+  return static_cast<std::size_t>(std::distance(range.first, range.second));
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(HttpServer& server, int fd)
+    : server_(&server),
+      bev_(bufferevent_socket_new(server.loop_.base(), fd,
+                                  BEV_OPT_CLOSE_ON_FREE)),
+      timer_(server.loop_, [this] { OnTime(); }) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedLimitMillis,
+             sizeof(kUnackedLimitMillis));
+}
+
+ServerConnection::~ServerConnection() {
+  if (bev_ != nullptr) bufferevent_free(bev_);
+}
+
+void ServerConnection::Open() {
+  bufferevent_setcb(bev_, OnRead, OnWritten, OnEvent, this);
+  bufferevent_setwatermark(bev_, EV_READ, 0, kReadAheadBytes);
+  bufferevent_enable(bev_, EV_READ | EV_WRITE);
+  timer_.Once(server_->options_.idle_timeout);
+}
+
+void ServerConnection::OnRead(bufferevent* /*bev*/, void* arg) {
+  const auto self = static_cast<ServerConnection*>(arg)->shared_from_this();
+  self->ReadRequests();
+}
+
+void ServerConnection::OnWritten(bufferevent* /*bev*/, void* arg) {
+  const auto self = static_cast<ServerConnection*>(arg)->shared_from_this();
+  if (self->closing_) self->CloseAfterWriting();
+}
+
+void ServerConnection::OnEvent(bufferevent* /*bev*/, short /*what*/,
+                               void* arg) {
+  const auto self = static_cast<ServerConnection*>(arg)->shared_from_this();
+  self->Break();
+}
+
+void ServerConnection::OnTime() {
+  const auto self = shared_from_this();
+  if (reading_head_ && !closing_) {
+    Refuse(kRequestTimeout, "the head of the request took too long\n");
+    return;
+  }
+  Break();
+}
+
+void ServerConnection::Write(const std::string& bytes) {
+  if (!closed_) bufferevent_write(bev_, bytes.data(), bytes.size());
+}
+
+void ServerConnection::ReadRequests() {
+  if (closing_) {
+    // What comes after the last answer belongs to no request.
+    evbuffer* in = bufferevent_get_input(bev_);
+    evbuffer_drain(in, evbuffer_get_length(in));
+    return;
+  }
+  while (!closed_ && !answering_ && !closing_ && ReadSome()) {
+  }
+}
+
+bool ServerConnection::ReadSome() {
+  evbuffer* in = bufferevent_get_input(bev_);
+  if (evbuffer_get_length(in) == 0) return false;
+  if (!parser_ && !BeginHead()) return false;
+  const std::size_t n = evbuffer_get_length(in);
+  const auto* bytes = evbuffer_pullup(in, -1);
+  const bool had_head = parser_->is_header_done();
+  boost::beast::error_code ec;
+  const std::size_t used =
+      parser_->put(boost::asio::const_buffer(bytes, n), ec);
+  evbuffer_drain(in, used);
+  if (ec == http::error::body_limit) {
+    Refuse(kPayloadTooLarge, "the body is over the limit\n");
+    return false;
+  }
+  if (ec == http::error::header_limit) {
+    Refuse(kHeadersTooLarge, "the head is over the limit\n");
+    return false;
+  }
+  if (ec && ec != http::error::need_more) {
+    Refuse(kBadRequest, "the request can't be read: " + ec.message() + "\n");
+    return false;
+  }
+  if (!had_head && parser_->is_header_done() && !CheckParsedHead()) {
+    return false;
+  }
+  if (parser_->is_done()) {
+    Dispatch();
+    return true;
+  }
+  return used > 0;
+}
+
+// Waits for a whole head, so that it can be looked at as one piece.
+bool ServerConnection::BeginHead() {
+  evbuffer* in = bufferevent_get_input(bev_);
+  const auto most =
+      static_cast<std::size_t>(server_->options_.max_header_bytes);
+  if (!std::exchange(reading_head_, true)) {
+    timer_.Once(server_->options_.header_timeout);
+  }
+  const evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, nullptr);
+  const std::size_t size = end.pos < 0 ? evbuffer_get_length(in)
+                                       : static_cast<std::size_t>(end.pos) + 4;
+  if (size > most) {
+    Refuse(kHeadersTooLarge, "the head is over the limit\n");
+    return false;
+  }
+  if (end.pos < 0) return false;
+  const auto* bytes = reinterpret_cast<const char*>(
+      evbuffer_pullup(in, static_cast<ev_ssize_t>(size)));
+  if (!IsPlainHead({bytes, size})) {
+    Refuse(kBadRequest, "the head has a NUL, a folded or a bare line\n");
+    return false;
+  }
+  reading_head_ = false;
+  timer_.Once(server_->options_.idle_timeout);
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(static_cast<std::uint32_t>(most));
+  parser_->body_limit(
+      static_cast<std::uint64_t>(server_->options_.max_body_bytes));
+  return true;
+}
+
+bool ServerConnection::CheckParsedHead() {
+  const auto& request = parser_->get();
+  const std::size_t lengths = CountField(request, http::field::content_length);
+  const std::size_t codings =
+      CountField(request, http::field::transfer_encoding);
+  const bool chunked =
+      boost::beast::iequals(request[http::field::transfer_encoding], "chunked");
+  const bool framed_once = lengths + codings <= 1 && (codings == 0 || chunked);
+  const std::size_t hosts = CountField(request, http::field::host);
+  const std::size_t least_hosts = request.version() >= 11 ? 1 : 0;
+  if (!framed_once || hosts < least_hosts || hosts > 1) {
+    Refuse(kBadRequest, "the request has no single length or host\n");
+    return false;
+  }
+  if (!parser_->is_done() &&
+      boost::beast::iequals(request[http::field::expect], "100-continue")) {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return true;
+}
+
+void ServerConnection::Dispatch() {
+  http::request<http::string_body> message = parser_->release();
+  client_keeps_ = message.keep_alive();
+  parser_.reset();
+  answering_ = true;
+  timer_.Cancel();
+  HttpRequest request{.method = std::string(message.method_string()),
+                      .target = std::string(message.target()),
+                      .headers = {},
+                      .body = std::move(message.body()),
+                      .minor_version = message.version() >= 11 ? 1 : 0};
+  for (const auto& it : message) {
+    request.headers.Add(std::string(it.name_string()), std::string(it.value()));
+  }
+  auto exchange =
+      std::make_shared<HttpExchange>(weak_from_this(), std::move(request));
+  exchange_ = exchange;
+  server_->handler_(std::move(exchange));
+}
+
+void ServerConnection::Refuse(int status, const std::string& message) {
+  const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+  Write("HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) +
+        "\r\nContent-Type: text/plain\r\nContent-Length: " +
+        std::to_string(message.size()) + "\r\nConnection: close\r\n\r\n" +
+        message);
+  closing_ = true;
+  timer_.Once(kLinger);
+}
+
+void ServerConnection::AnswerDone(bool close) {
+  if (closed_) return;
+  answering_ = false;
+  if (close || !client_keeps_) {
+    closing_ = true;
+    timer_.Once(kLinger);
+    if (evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
+      CloseAfterWriting();
+    }
+    return;
+  }
+  timer_.Once(server_->options_.idle_timeout);
+  // The next request may be there already; it is read from the loop, as the
+  // caller is still inside the handler of this one.
+  server_->loop_.Defer([self = shared_from_this()] {
+    if (!self->closed_) self->ReadRequests();
+  });
+}
+
+// Says that nothing more comes, and waits for the client to close.
+void ServerConnection::CloseAfterWriting() {
+  if (closed_ || std::exchange(half_closed_, true)) return;
+  shutdown(bufferevent_getfd(bev_), SHUT_WR);
+  timer_.Once(kLinger);
+}
+
+void ServerConnection::Break() {
+  if (std::exchange(closed_, true)) return;
+  const auto self = shared_from_this();
+  timer_.Cancel();
+  bufferevent_free(std::exchange(bev_, nullptr));
+  if (const auto exchange = exchange_.lock(); exchange && answering_) {
+    exchange->ConnectionClosed();
+  }
+  if (server_ != nullptr) {
+    server_->loop_.Defer([self] {});
+    server_->connections_.erase(this);
+  }
+}
+
+void ServerConnection::CloseIfIdle() {
+  const bool idle = !answering_ && !parser_ && !reading_head_ && !closing_;
+  if (idle && evbuffer_get_length(bufferevent_get_input(bev_)) == 0) Break();
+}
+
+}  // namespace scaleshed::internal
--- /dev/null
+++ b/runtime/test/http_test.cc
@@ -0,0 +1,223 @@
+// The HTTP server and client against peers that frame badly, on loopback.
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "scaleshed/runtime/address.h"
+#include "scaleshed/runtime/http_client.h"
+#include "scaleshed/runtime/http_server.h"
+
+namespace scaleshed {
+namespace {
+
+// Ends a test that hangs; no test's verdict depends on how long it takes.
+constexpr Duration kHangLimit = seconds(20);
+
+int ConnectTo(std::uint16_t port) {
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(port);
+  inet_pton(AF_INET, "127.0.0.1", &name.sin_addr);
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0);
+  return fd;
+}
+
+std::string ReadToEnd(int fd) {
+  std::string text;
+  char buf[4096];
+  for (;;) {
+    const auto n = recv(fd, buf, sizeof(buf), 0);
+    if (n <= 0) return text;
+    text.append(buf, static_cast<std::size_t>(n));
+  }
+}
+
+// Answers every request with its method, path and body.
+class EchoServer {
+ public:
+  explicit EchoServer(HttpServerOptions options = {})
+      : server_(loop_, options, [this](std::shared_ptr<HttpExchange> it) {
+          ++requests_;
+          const std::string said = it->method() + " " + it->path() + " ";
+          it->Reply(200, {}, said + it->TakeBody());
+        }) {}
+
+  // Sends bytes and gives all that comes until the server closes.
+  std::string Send(const std::string& bytes) {
+    std::string answer;
+    std::thread client([&] {
+      const int fd = ConnectTo(server_.port());
+      (void)!write(fd, bytes.data(), bytes.size());
+      answer = ReadToEnd(fd);
+      close(fd);
+      loop_.Stop();
+    });
+    Timer limit(loop_, [this] { loop_.Stop(); });
+    limit.Once(kHangLimit);
+    loop_.Run();
+    client.join();
+    return answer;
+  }
+  int requests() const { return requests_; }
+
+ private:
+  EventLoop loop_;
+  int requests_ = 0;
+  HttpServer server_;
+};
+
+// Accepts one connection, reads the request, sends `answer` and closes it, in
+// good order or by a reset.
+HttpResult AskServerThatSends(const std::string& answer, bool reset = false) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  inet_pton(AF_INET, "127.0.0.1", &name.sin_addr);
+  REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&name), sizeof(name)) ==
+          0);
+  REQUIRE(listen(listener, 1) == 0);
+  socklen_t length = sizeof(name);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&name), &length);
+  std::thread server([&] {
+    const int fd = accept(listener, nullptr, nullptr);
+    char buf[4096];
+    (void)!read(fd, buf, sizeof(buf));
+    (void)!write(fd, answer.data(), answer.size());
+    if (reset) {
+      // Time for the bytes to be read before the reset discards them.
+      usleep(100'000);
+      const linger hard{.l_onoff = 1, .l_linger = 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    }
+    close(fd);
+  });
+  EventLoop loop;
+  HttpClient client(loop);
+  HttpResult result = HttpError::kCancelled;
+  client.Start({.address = "127.0.0.1:" + std::to_string(ntohs(name.sin_port)),
+                .timeout = kHangLimit,
+                .on_done = [&](HttpResult it) {
+                  result = std::move(it);
+                  loop.Stop();
+                }});
+  loop.Run();
+  server.join();
+  close(listener);
+  return result;
+}
+
+std::string OutcomeOf(const HttpResult& result) {
+  if (const auto* response = ValueOf(result)) {
+    return std::to_string(response->status) + " " + response->body;
+  }
+  switch (ErrorOf(result)) {
+    case HttpError::kNotSent:
+      return "not_sent";
+    case HttpError::kTimeout:
+      return "timeout";
+    default:
+      return "broken";
+  }
+}
+
+TEST_CASE("A request that could be read in two ways is refused") {
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::string traps[] = {
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: "
+      "3\r\n\r\nabc",
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -3\r\n\r\nabc",
+      "GET /a HTTP/1.1\r\nHost: h\r\nX-A: b\r\n folded\r\n\r\n",
+      "GET /a HTTP/1.1\r\nHost: h\nX-A: b\r\n\r\n",
+      "GET /a HTTP/1.1\r\nHost : h\r\n\r\n",
+      "GET /a HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n",
+      "GET /a HTTP/1.1\r\n\r\n",
+      std::string("GET /a HTTP/1.1\r\nHost: h\r\nX-A: b\0c\r\n\r\n", 41),
+  };
+  for (const std::string& it : traps) {
+    EchoServer server;
+    const std::string answer = server.Send(it);
+    INFO("sent: " << it << "\nanswered: " << answer);
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 400");
+    CHECK(server.requests() == 0);
+  }
+}
+
+TEST_CASE("Bodies arrive unchanged, with a length or in chunks") {
+  EchoServer server;
+  const std::string answer = server.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+      "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n3\r\nwor\r\n2\r\nld\r\n0\r\n\r\n");
+  INFO(answer);
+  CHECK(server.requests() == 2);
+  CHECK(answer.find("POST /a hello") != std::string::npos);
+  CHECK(answer.find("POST /b world") != std::string::npos);
+}
+
+TEST_CASE("Requests over the limits are refused with their own status") {
+  EchoServer big({.max_body_bytes = 10});
+  CHECK(big.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n")
+            .substr(0, 12) == "HTTP/1.1 413");
+  EchoServer chunks({.max_body_bytes = 10});
+  CHECK(chunks
+            .Send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                  "chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n")
+            .substr(0, 12) == "HTTP/1.1 413");
+  EchoServer head({.max_header_bytes = 100});
+  CHECK(head.Send("GET / HTTP/1.1\r\nHost: h\r\nX-A: " + std::string(200, 'x'))
+            .substr(0, 12) == "HTTP/1.1 431");
+}
+
+TEST_CASE("A slow head is refused") {
+  EchoServer server(HttpServerOptions{.header_timeout = milliseconds(50)});
+  CHECK(server.Send("GET / HTTP/1.1\r\nHost:").substr(0, 12) == "HTTP/1.1 408");
+}
+
+TEST_CASE("Only a whole answer counts as one") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  CHECK(OutcomeOf(AskServerThatSends(ok + "Content-Length: 2\r\n\r\nhi")) ==
+        "200 hi");
+  CHECK(OutcomeOf(AskServerThatSends(ok + "Content-Length: 2\r\n\r\nhiHTTP/1.1 "
+                                          "200 OK\r\n\r\nother")) == "200 hi");
+  CHECK(OutcomeOf(AskServerThatSends(ok + "Content-Length: 9\r\n\r\nhi")) ==
+        "broken");
+  CHECK(OutcomeOf(AskServerThatSends(
+            ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n")) == "broken");
+  CHECK(OutcomeOf(AskServerThatSends(ok + "\r\nhi")) == "200 hi");
+  CHECK(OutcomeOf(AskServerThatSends(ok + "\r\nhi", true)) == "broken");
+  CHECK(OutcomeOf(AskServerThatSends("\x16\x03 no answer\r\n\r\n")) ==
+        "broken");
+  CHECK(OutcomeOf(AskServerThatSends("")) == "broken");
+  CHECK(OutcomeOf(AskServerThatSends("HTTP/1.1 100 Continue\r\n\r\n" + ok +
+                                     "Content-Length: 2\r\n\r\nhi")) ==
+        "200 hi");
+}
+
+TEST_CASE("A port on which nobody listens is told as not sent") {
+  EventLoop loop;
+  HttpClient client(loop);
+  HttpResult result = HttpError::kCancelled;
+  client.Start({.address = "127.0.0.1:1", .on_done = [&](HttpResult it) {
+                  result = std::move(it);
+                  loop.Stop();
+                }});
+  loop.Run();
+  CHECK(OutcomeOf(result) == "not_sent");
+}
+
+}  // namespace
+}  // namespace scaleshed
