--- a/config/include/scaleshed/config/settings.h
+++ b/config/include/scaleshed/config/settings.h
@@ -1,6 +1,7 @@
 #ifndef SCALESHED_CONFIG_SETTINGS_H_
 #define SCALESHED_CONFIG_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,23 @@
 
 namespace scaleshed {
 
+// For a daemon on the users' platform: it serves requests by the routes of the
+// configuration that lies in the platform's store.
+struct FleetSettings {
+  std::string ready_listen;    // the platform's checks, "ip:port"
+  std::string look_up_listen;  // clients' questions where to go, "ip:port"
+  // How long ago the configuration must have been the newest for a request
+  // with a key to run; keys count for ever where `keys_fail_closed` is false.
+  Duration key_freshness = seconds(5);
+  bool keys_fail_closed = true;
+  // Of all daemons together, for each service and window.
+  double repeat_ratio = 0.2;
+  double repeat_slack = 0;
+  Duration repeat_window = seconds(10);
+  // From the request to stop to the end of the process.
+  Duration grace = seconds(8);
+};
+
 // What one daemon is told when it starts. A restart is needed to change it.
 struct Settings {
   std::string instance;
@@ -25,6 +43,8 @@
   Duration list_interval = seconds(1);
   Duration default_time_limit = seconds(60);
   std::int64_t max_body_bytes = 16 * 1024 * 1024;
+  // Where set, the daemon serves the platform's clients instead of its own API.
+  std::optional<FleetSettings> fleet;
 };
 
 Result<Settings, ConfigErrors> ParseSettings(const std::string& file,
--- a/config/src/settings.cc
+++ b/config/src/settings.cc
@@ -16,6 +16,34 @@
 
 constexpr std::int64_t kMostBodyBytes = 256 * 1024 * 1024;
 constexpr std::int64_t kOneHourMillis = 3'600'000;
+constexpr double kMostSeconds = 3600;
+constexpr double kMostRepeats = 1e6;
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+FleetSettings ReadFleet(const std::string& file, const YAML::Node& node,
+                        ConfigErrors& errors) {
+  FieldReader reader(file, "fleet", node, errors);
+  FleetSettings fleet;
+  fleet.ready_listen = reader.Address("ready_listen");
+  fleet.look_up_listen = reader.Address("look_up_listen");
+  fleet.key_freshness = reader.Millis(
+      "key_freshness_ms", {500, kOneHourMillis}, fleet.key_freshness);
+  fleet.keys_fail_closed =
+      reader.Flag("keys_fail_closed", fleet.keys_fail_closed);
+  fleet.repeat_ratio =
+      reader.Number("repeat_ratio", {0, 10}, fleet.repeat_ratio);
+  fleet.repeat_slack =
+      reader.Number("repeat_slack", {0, kMostRepeats}, fleet.repeat_slack);
+  fleet.repeat_window =
+      FromSeconds(reader.Number("repeat_window_s", {0.1, kMostSeconds}, 10));
+  fleet.grace = FromSeconds(reader.Number("grace_s", {0.5, kMostSeconds}, 8));
+  reader.Finish();
+  return fleet;
+}
 
 }  // namespace
 
@@ -44,6 +72,8 @@
                     settings.default_time_limit);
   settings.max_body_bytes = reader.Whole(
       "max_body_bytes", {1024, kMostBodyBytes}, settings.max_body_bytes);
+  const YAML::Node fleet = reader.Child("fleet");
+  if (fleet.IsDefined()) settings.fleet = ReadFleet(file, fleet, errors);
   reader.Finish();
   if (!errors.empty()) return errors;
   return settings;
--- /dev/null
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -0,0 +1,74 @@
+#ifndef SCALESHED_DAEMON_FLEET_DAEMON_H_
+#define SCALESHED_DAEMON_FLEET_DAEMON_H_
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "scaleshed/config/settings.h"
+#include "scaleshed/runtime/datagram_socket.h"
+#include "scaleshed/runtime/event_loop.h"
+#include "scaleshed/runtime/http_server.h"
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed {
+
+class BackendCalls;
+class StoreFollower;
+
+// One entry instance on the users' platform: takes clients' requests, answers
+// where to go and whether it is ready, and carries out what serving::Reduce()
+// decides.
+//
+// Lives on one loop and one thread. Stop() begins the planned stop; the loop is
+// stopped when that is complete.
+class FleetDaemon {
+ public:
+  // `settings.fleet` is set. Throws std::runtime_error where an address can't
+  // be listened on.
+  FleetDaemon(EventLoop& loop, const Settings& settings);
+  FleetDaemon(const FleetDaemon&) = delete;
+  FleetDaemon& operator=(const FleetDaemon&) = delete;
+  ~FleetDaemon();
+
+  void Stop();
+
+ private:
+  void Feed(serving::EventBody body);
+  void Drain();
+  void Carry(const serving::Effect& effect);
+  void Deliver(const serving::DeliverAnswer& effect);
+  void Begin(const serving::BeginStream& effect);
+  void Answer(const serving::Refuse& effect);
+  void OnRequest(std::shared_ptr<HttpExchange> exchange);
+  void OnLookUp(HttpExchange& exchange);
+  void OnReadyCheck(HttpExchange& exchange);
+  void ApplyLimits(const serving::RequestLimits& limits);
+  void Exit();
+  // The client's exchange, which is forgotten; nullptr if it has gone.
+  std::shared_ptr<HttpExchange> Take(RequestKey key);
+
+  EventLoop& loop_;
+  Settings settings_;
+  serving::State state_;
+  std::unique_ptr<BackendCalls> backends_;
+  std::unique_ptr<StoreFollower> store_;
+  DatagramSocket peers_;
+  HttpServer front_;
+  HttpServer ready_;
+  HttpServer look_ups_;
+  std::map<RequestKey, std::shared_ptr<HttpExchange>> exchanges_;
+  RequestKey last_key_ = 0;
+  std::deque<serving::EventBody> pending_;
+  bool draining_ = false;
+  std::array<std::uint64_t, serving::kCounterNames.size()> counters_{};
+  Timer tick_;
+  Timer exit_;
+};
+
+}  // namespace scaleshed
+
+#endif  // SCALESHED_DAEMON_FLEET_DAEMON_H_
--- /dev/null
+++ b/daemon/src/backend_calls.cc
@@ -0,0 +1,152 @@
+#include "internal/backend_calls.h"
+
+#include <utility>
+
+#include "scaleshed/platform/messages.h"
+#include "scaleshed/runtime/log.h"
+
+namespace scaleshed {
+namespace {
+
+// Why an answer's head is not that of the request's own answer; empty if it is.
+std::string FaultOf(const platform::AnswerHead& head,
+                    const std::string& request_id) {
+  if (head.request_id != request_id) return "answer_of_another_request";
+  if (head.encoded) return "encoded_body";
+  if (head.kind == serving::AnswerKind::kSuccess && !head.sealed) {
+    return "no_seal";
+  }
+  return "";
+}
+
+}  // namespace
+
+BackendCalls::BackendCalls(EventLoop& loop, Feed feed)
+    : http_(loop), orders_(loop), feed_(std::move(feed)) {}
+
+void BackendCalls::Start(const serving::StartAttempt& effect,
+                         const HttpRequest& request) {
+  const AttemptId id = effect.attempt;
+  Attempt& attempt = attempts_[id];
+  attempt.request_id = platform::ReadRequest(request).id;
+  attempt.stream = effect.stream;
+  HttpCall call = platform::WorkerRequest(request, effect);
+  call.on_head = [this, id](const HttpResponse& head) { OnHead(id, head); };
+  if (effect.stream) {
+    call.on_chunk = [this, id](const std::string& it) { OnBytes(id, it); };
+  }
+  call.on_done = [this, id](HttpResult it) { OnDone(id, std::move(it)); };
+  attempt.call = http_.Start(std::move(call));
+}
+
+void BackendCalls::Cancel(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  http_.Cancel(it->second.call);
+  attempts_.erase(it);
+}
+
+const HttpResponse* BackendCalls::AnswerOf(AttemptId attempt) const {
+  const auto it = attempts_.find(attempt);
+  return it == attempts_.end() ? nullptr : &it->second.answer;
+}
+
+void BackendCalls::TellFailed(AttemptId attempt, serving::AttemptError error,
+                              const std::string& detail) {
+  Cancel(attempt);
+  feed_(serving::AttemptFailed{
+      .attempt = attempt, .error = error, .detail = detail});
+}
+
+void BackendCalls::OnHead(AttemptId attempt, const HttpResponse& head) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  it->second.answer = head;
+  const std::string fault =
+      FaultOf(platform::ReadAnswer(head), it->second.request_id);
+  if (!fault.empty()) {
+    TellFailed(attempt, serving::AttemptError::kCut, fault);
+  }
+}
+
+void BackendCalls::OnBytes(AttemptId attempt, const std::string& bytes) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  it->second.splitter.Add(bytes);
+  // Telling an event may end the attempt.
+  while (attempts_.contains(attempt)) {
+    auto event = attempts_.at(attempt).splitter.Next();
+    if (!event) return;
+    feed_(serving::StreamEvent{.attempt = attempt,
+                               .id = std::move(event->id),
+                               .bytes = std::move(event->bytes)});
+  }
+}
+
+void BackendCalls::OnDone(AttemptId attempt, HttpResult result) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  auto* response = ValueOf(result);
+  if (response == nullptr) {
+    const HttpError error = ErrorOf(result);
+    TellFailed(attempt,
+               error == HttpError::kNotSent ? serving::AttemptError::kNotSent
+                                            : serving::AttemptError::kCut,
+               std::string(NameIn(kHttpErrorNames, error)));
+    return;
+  }
+  const platform::AnswerHead head = platform::ReadAnswer(*response);
+  const bool cut_event = it->second.stream &&
+                         head.kind == serving::AnswerKind::kSuccess &&
+                         !it->second.splitter.rest().empty();
+  if (cut_event) {
+    TellFailed(attempt, serving::AttemptError::kCut, "unfinished_event");
+    return;
+  }
+  it->second.answer = std::move(*response);
+  const int status = it->second.answer.status;
+  feed_(serving::AttemptAnswered{.attempt = attempt,
+                                 .kind = head.kind,
+                                 .status = status,
+                                 .at_fault = head.at_fault});
+}
+
+void BackendCalls::Reserve(const serving::ReserveMemory& order) {
+  HttpCall call = platform::ReserveOrder(order);
+  call.on_done = [this, order](const HttpResult& result) {
+    const auto* response = ValueOf(result);
+    const bool granted =
+        response != nullptr && platform::IsReserved(*response);
+    LogInfo("reserve",
+            {{"attempt", std::to_string(order.attempt)},
+             {"address", order.address},
+             {"ticket", order.ticket},
+             {"tokens", std::to_string(order.tokens)},
+             {"status",
+              response == nullptr
+                  ? std::string(NameIn(kHttpErrorNames, ErrorOf(result)))
+                  : std::to_string(response->status)}});
+    // No answer is no refusal: the order may still be carried out.
+    if (response == nullptr) return;
+    feed_(serving::MemoryAnswered{
+        .attempt = order.attempt, .index = order.index, .granted = granted});
+  };
+  orders_.Start(std::move(call));
+}
+
+void BackendCalls::Release(const serving::ReleaseMemory& order) {
+  HttpCall call = platform::ReleaseOrder(order);
+  call.on_done = [order](const HttpResult& result) {
+    const auto* response = ValueOf(result);
+    LogInfo("release",
+            {{"address", order.address},
+             {"ticket", order.ticket},
+             {"status",
+              response == nullptr
+                  ? std::string(NameIn(kHttpErrorNames, ErrorOf(result)))
+                  : std::to_string(response->status)}});
+  };
+  orders_.Start(std::move(call));
+}
+
+}  // namespace scaleshed
--- /dev/null
+++ b/daemon/src/fleet_daemon.cc
@@ -0,0 +1,222 @@
+#include "scaleshed/daemon/fleet_daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "internal/backend_calls.h"
+#include "internal/store_follower.h"
+#include "scaleshed/platform/messages.h"
+#include "scaleshed/runtime/log.h"
+#include "scaleshed/wire/snapshot_codec.h"
+
+namespace scaleshed {
+namespace {
+
+// Bytes of the last answers leave within this after the last request.
+constexpr Duration kExitDelay = milliseconds(150);
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+serving::ServingOptions OptionsOf(const Settings& settings) {
+  const FleetSettings& fleet = *settings.fleet;
+  const auto life = static_cast<std::uint64_t>(UnixMicros());
+  return {.instance = settings.listen,
+          .peer_address = settings.peer_listen,
+          .data_centre = settings.data_centre,
+          .life = life,
+          .seed = HashBytes(settings.instance, life),
+          .key_freshness = fleet.keys_fail_closed ? fleet.key_freshness
+                                                  : Duration::max() / 4,
+          .grace = fleet.grace,
+          .repeats = {.ratio = fleet.repeat_ratio,
+                      .slack = fleet.repeat_slack,
+                      .window = fleet.repeat_window}};
+}
+
+}  // namespace
+
+FleetDaemon::FleetDaemon(EventLoop& loop, const Settings& settings)
+    : loop_(loop),
+      settings_(settings),
+      state_(OptionsOf(settings)),
+      backends_(std::make_unique<BackendCalls>(
+          loop, [this](auto body) { Feed(std::move(body)); })),
+      store_(std::make_unique<StoreFollower>(
+          loop,
+          StoreFollowerOptions{.store = settings.platform,
+                               .peer_address = settings.peer_listen,
+                               .seed = state_.options.seed},
+          [this](auto body) { Feed(std::move(body)); })),
+      peers_(loop, settings.peer_listen,
+             [this](const std::string& bytes) {
+               auto snapshot = DecodeSnapshot(bytes, loop_.Now());
+               if (!snapshot) return;
+               Feed(serving::SnapshotReceived{std::move(*snapshot)});
+             }),
+      front_(loop, {.address = settings.listen},
+             [this](auto exchange) { OnRequest(std::move(exchange)); }),
+      ready_(loop, {.address = settings.fleet->ready_listen},
+             [this](const auto& exchange) { OnReadyCheck(*exchange); }),
+      look_ups_(loop, {.address = settings.fleet->look_up_listen},
+                [this](const auto& exchange) { OnLookUp(*exchange); }),
+      tick_(loop, [this] { Feed(serving::Tick{}); }),
+      exit_(loop, [this] { loop_.Stop(); }) {
+  LogInfo("started", {{"listen", settings.listen},
+                      {"ready_listen", settings.fleet->ready_listen},
+                      {"look_up_listen", settings.fleet->look_up_listen},
+                      {"peer_listen", settings.peer_listen},
+                      {"platform", settings.platform},
+                      {"life", std::to_string(state_.options.life)}});
+  store_->Start();
+  Feed(serving::Tick{});
+}
+
+FleetDaemon::~FleetDaemon() = default;
+
+void FleetDaemon::Stop() {
+  if (state_.stop_at) return;
+  store_->Leave();
+  Feed(serving::StopRequested{});
+}
+
+void FleetDaemon::Feed(serving::EventBody body) {
+  pending_.push_back(std::move(body));
+  if (!draining_) Drain();
+}
+
+void FleetDaemon::Drain() {
+  draining_ = true;
+  while (!pending_.empty()) {
+    const serving::Event event{.now = loop_.Now(),
+                               .body = std::move(pending_.front())};
+    pending_.pop_front();
+    for (const auto& it : serving::Reduce(state_, event)) Carry(it);
+  }
+  draining_ = false;
+  tick_.Once(NextWake(state_) - loop_.Now());
+}
+
+void FleetDaemon::Carry(const serving::Effect& effect) {
+  std::visit(
+      Overloaded{
+          [&](const serving::StartAttempt& it) {
+            const auto found = exchanges_.find(it.key);
+            if (found == exchanges_.end()) return;
+            backends_->Start(it, found->second->request());
+          },
+          [&](const serving::CancelAttempt& it) {
+            backends_->Cancel(it.attempt);
+          },
+          [&](const serving::DeliverAnswer& it) { Deliver(it); },
+          [&](const serving::BeginStream& it) { Begin(it); },
+          [&](const serving::PassEvent& it) {
+            const auto found = exchanges_.find(it.key);
+            if (found != exchanges_.end()) found->second->SendChunk(it.bytes);
+          },
+          [&](const serving::EndStream& it) {
+            if (const auto exchange = Take(it.key)) exchange->EndStream();
+          },
+          [&](const serving::BreakAnswer& it) {
+            if (const auto exchange = Take(it.key)) exchange->Abort();
+          },
+          [&](const serving::Refuse& it) { Answer(it); },
+          [&](const serving::ReserveMemory& it) { backends_->Reserve(it); },
+          [&](const serving::ReleaseMemory& it) { backends_->Release(it); },
+          [&](const serving::PublishSnapshot& it) {
+            const std::string bytes = EncodeSnapshot(it.snapshot, state_.now);
+            for (const std::string& to : it.to) peers_.Send(to, bytes);
+          },
+          [&](const serving::LogDecision& it) { LogInfo(it.what, it.fields); },
+          [&](const serving::Count& it) {
+            ++counters_[static_cast<std::size_t>(it.counter)];
+          },
+          [&](const serving::ObserveLatency&) {},
+          [&](const serving::ApplyLimits& it) { ApplyLimits(it.limits); },
+          [&](const serving::Exit&) { Exit(); }},
+      effect);
+}
+
+std::shared_ptr<HttpExchange> FleetDaemon::Take(RequestKey key) {
+  const auto found = exchanges_.find(key);
+  if (found == exchanges_.end()) return nullptr;
+  auto exchange = std::move(found->second);
+  exchanges_.erase(found);
+  if (state_.stop_at) exchange->CloseAfter();
+  return exchange;
+}
+
+void FleetDaemon::Deliver(const serving::DeliverAnswer& effect) {
+  const HttpResponse* answer = backends_->AnswerOf(effect.attempt);
+  const auto exchange = Take(effect.key);
+  if (exchange != nullptr && answer != nullptr) {
+    exchange->Reply(answer->status, platform::ClientHeaders(*answer),
+                    answer->body, answer->reason);
+  }
+  backends_->Forget(effect.attempt);
+}
+
+void FleetDaemon::Begin(const serving::BeginStream& effect) {
+  const HttpResponse* answer = backends_->AnswerOf(effect.attempt);
+  const auto found = exchanges_.find(effect.key);
+  if (found == exchanges_.end() || answer == nullptr) return;
+  if (state_.stop_at) found->second->CloseAfter();
+  found->second->StartStream(answer->status, platform::ClientHeaders(*answer),
+                             std::nullopt, answer->reason);
+}
+
+void FleetDaemon::Answer(const serving::Refuse& effect) {
+  const auto exchange = Take(effect.key);
+  if (exchange == nullptr) return;
+  const platform::OwnAnswer answer = platform::RefusalAnswer(effect);
+  exchange->Reply(answer.status, answer.headers, answer.body);
+}
+
+void FleetDaemon::OnRequest(std::shared_ptr<HttpExchange> exchange) {
+  const RequestKey key = ++last_key_;
+  exchanges_[key] = exchange;
+  exchange->OnClosed([this, key] {
+    exchanges_.erase(key);
+    Feed(serving::ClientGone{.key = key});
+  });
+  Feed(serving::RequestArrived{
+      .key = key, .facts = platform::ReadRequest(exchange->request())});
+}
+
+void FleetDaemon::OnLookUp(HttpExchange& exchange) {
+  if (!platform::IsLookUp(exchange)) {
+    exchange.Reply(kNotFound, {}, "");
+    return;
+  }
+  const serving::LookUpAnswer answer = serving::LookUp(state_);
+  exchange.Reply(kOk, {{"Content-Type", "application/json"}},
+                 platform::LookUpJson(answer.addresses, answer.keep));
+}
+
+void FleetDaemon::OnReadyCheck(HttpExchange& exchange) {
+  if (!platform::IsReadyCheck(exchange)) {
+    exchange.Reply(kNotFound, {}, "");
+    return;
+  }
+  exchange.Reply(serving::IsServing(state_) ? kOk : kUnavailable, {}, "");
+}
+
+void FleetDaemon::ApplyLimits(const serving::RequestLimits& limits) {
+  HttpServerOptions options;
+  const auto set = [](auto value, auto& to) {
+    if (value > decltype(value){}) to = value;
+  };
+  set(limits.max_body_bytes, options.max_body_bytes);
+  set(limits.max_header_bytes, options.max_header_bytes);
+  set(limits.header_timeout, options.header_timeout);
+  set(limits.idle_timeout, options.idle_timeout);
+  front_.SetLimits(options);
+}
+
+void FleetDaemon::Exit() {
+  front_.StopAccepting();
+  front_.CloseIdle();
+  exit_.Once(kExitDelay);
+}
+
+}  // namespace scaleshed
--- /dev/null
+++ b/daemon/src/internal/backend_calls.h
@@ -0,0 +1,60 @@
+#ifndef SCALESHED_DAEMON_INTERNAL_BACKEND_CALLS_H_
+#define SCALESHED_DAEMON_INTERNAL_BACKEND_CALLS_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "scaleshed/runtime/http_client.h"
+#include "scaleshed/runtime/http_server.h"
+#include "scaleshed/serving/effects.h"
+#include "scaleshed/serving/events.h"
+#include "scaleshed/wire/event_splitter.h"
+
+namespace scaleshed {
+
+// Carries out the reducer's attempts: sends requests to backend servers, and
+// tells what comes back. An answer that is not the one to this request, lacks
+// its backend server's seal or breaks off is told as a failure, never as an
+// answer.
+class BackendCalls {
+ public:
+  using Feed = std::function<void(serving::EventBody)>;
+
+  BackendCalls(EventLoop& loop, Feed feed);
+
+  void Start(const serving::StartAttempt& effect, const HttpRequest& request);
+  void Cancel(AttemptId attempt);
+  void Reserve(const serving::ReserveMemory& order);
+  void Release(const serving::ReleaseMemory& order);
+
+  // The whole answer of an attempt, or the head of its stream; nullptr where
+  // there is none.
+  const HttpResponse* AnswerOf(AttemptId attempt) const;
+  // The attempt's answer is not needed any more.
+  void Forget(AttemptId attempt) { attempts_.erase(attempt); }
+
+ private:
+  struct Attempt {
+    HttpClient::CallId call = 0;
+    std::string request_id;
+    bool stream = false;
+    HttpResponse answer;
+    EventSplitter splitter;
+  };
+
+  void OnHead(AttemptId attempt, const HttpResponse& head);
+  void OnBytes(AttemptId attempt, const std::string& bytes);
+  void OnDone(AttemptId attempt, HttpResult result);
+  void TellFailed(AttemptId attempt, serving::AttemptError error,
+                  const std::string& detail);
+
+  HttpClient http_;
+  HttpClient orders_;
+  Feed feed_;
+  std::map<AttemptId, Attempt> attempts_;
+};
+
+}  // namespace scaleshed
+
+#endif  // SCALESHED_DAEMON_INTERNAL_BACKEND_CALLS_H_
--- a/daemon/src/main.cc
+++ b/daemon/src/main.cc
@@ -10,6 +10,8 @@
 
 #include "scaleshed/config/settings.h"
 #include "scaleshed/daemon/daemon.h"
+#include "scaleshed/daemon/fleet_daemon.h"
+#include "scaleshed/platform/settings_file.h"
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/runtime/log.h"
 
@@ -19,24 +21,45 @@
 
 constexpr int kBadSettings = 2;
 
-int Run(const scaleshed::Settings& settings) {
-  scaleshed::StartLog(settings.log_level, settings.instance);
-  std::signal(SIGPIPE, SIG_IGN);
+// Settings may change under a running daemon; what it was started with stays in
+// force until the next start, and a fault in them is told at once.
+void CheckSettings(const std::string& file) {
+  const auto settings = scaleshed::LoadSettings(file);
+  if (scaleshed::ValueOf(settings) != nullptr) {
+    scaleshed::LogInfo("settings_checked", {{"file", file}});
+    return;
+  }
+  scaleshed::LogWarn(
+      "settings_bad",
+      {{"faults", scaleshed::ToString(scaleshed::ErrorOf(settings))}});
+}
+
+template <typename DaemonType>
+int RunDaemon(const scaleshed::Settings& settings, const std::string& file) {
   scaleshed::EventLoop loop;
-  scaleshed::Daemon daemon(loop, settings);
+  DaemonType daemon(loop, settings);
   loop.OnSignal(SIGTERM, [&] { daemon.Stop(); });
   loop.OnSignal(SIGINT, [&] { daemon.Stop(); });
+  loop.OnSignal(SIGHUP, [&] { CheckSettings(file); });
   loop.Run();
   scaleshed::LogInfo("stopped", {});
   return 0;
 }
 
+int Run(const scaleshed::Settings& settings, const std::string& file) {
+  scaleshed::StartLog(settings.log_level, settings.instance);
+  std::signal(SIGPIPE, SIG_IGN);
+  if (settings.fleet) return RunDaemon<scaleshed::FleetDaemon>(settings, file);
+  return RunDaemon<scaleshed::Daemon>(settings, file);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("scaleshedd --settings=FILE");
   absl::ParseCommandLine(argc, argv);
-  const std::string file = absl::GetFlag(FLAGS_settings);
+  std::string file = absl::GetFlag(FLAGS_settings);
+  if (file.empty()) file = scaleshed::platform::SettingsFile();
   if (file.empty()) {
     std::cerr << "scaleshedd: --settings=FILE is needed\n";
     return kBadSettings;
@@ -48,7 +71,7 @@
     return kBadSettings;
   }
   try {
-    return Run(*value);
+    return Run(*value, file);
   } catch (const std::exception& error) {
     std::cerr << "scaleshedd: " << error.what() << "\n";
     return 1;
--- /dev/null
+++ b/serving/include/scaleshed/serving/effects.h
@@ -0,0 +1,182 @@
+#ifndef SCALESHED_SERVING_EFFECTS_H_
+#define SCALESHED_SERVING_EFFECTS_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "scaleshed/core/types.h"
+#include "scaleshed/serving/configuration.h"
+#include "scaleshed/serving/work.h"
+
+namespace scaleshed::serving {
+
+// An engine that reads a part of a prompt, with the name of the memory that is
+// set aside there, if any.
+struct Helper {
+  std::string address;
+  std::string ticket;
+};
+
+// Sends a request to a backend server.
+struct StartAttempt {
+  AttemptId attempt = 0;
+  RequestKey key = 0;
+  std::string address;
+  std::string instance;  // the life that is meant
+  std::string account;   // empty on public routes
+  Duration time_left{};
+  bool stream = false;
+  // Empty: from the beginning, or where the client's own request says.
+  std::string resume_after;
+  std::vector<Helper> helpers;
+};
+
+// Breaks the connection, so that the backend server stops working.
+struct CancelAttempt {
+  AttemptId attempt = 0;
+};
+
+// Passes on a whole answer that the driver holds.
+struct DeliverAnswer {
+  RequestKey key = 0;
+  AttemptId attempt = 0;
+};
+
+// Begins a stream's answer with status and headers of that attempt.
+struct BeginStream {
+  RequestKey key = 0;
+  AttemptId attempt = 0;
+};
+struct PassEvent {
+  RequestKey key = 0;
+  std::string bytes;
+};
+struct EndStream {
+  RequestKey key = 0;
+};
+// Ends an answer that has begun so that it can't be taken for whole.
+struct BreakAnswer {
+  RequestKey key = 0;
+};
+
+// Why a request gets an answer of our own.
+enum class Refusal {
+  kNoConfiguration,
+  kNotFresh,  // the configuration may be older than keys may be
+  kUnknownRoute,
+  kUnknownKey,
+  kInvalid,
+  kNoBackend,
+  kOverload,
+  kStopping,
+  kNotRun,   // every backend server that was asked declined
+  kUnknown,  // it may have run, and no answer came
+  kTimeLimit,
+};
+inline constexpr NameTable<Refusal, 11> kRefusalNames{{
+    {Refusal::kNoConfiguration, "no_configuration"},
+    {Refusal::kNotFresh, "configuration_not_fresh"},
+    {Refusal::kUnknownRoute, "unknown_route"},
+    {Refusal::kUnknownKey, "unknown_key"},
+    {Refusal::kInvalid, "invalid"},
+    {Refusal::kNoBackend, "no_backend"},
+    {Refusal::kOverload, "overload"},
+    {Refusal::kStopping, "stopping"},
+    {Refusal::kNotRun, "not_run"},
+    {Refusal::kUnknown, "unknown"},
+    {Refusal::kTimeLimit, "time_limit"},
+}};
+
+struct Refuse {
+  RequestKey key = 0;
+  Refusal why = Refusal::kInvalid;
+  int status = 0;
+  Duration retry_after{};  // zero: nothing is said
+};
+
+// Asks an engine to keep memory free under `ticket`, anew or for longer.
+struct ReserveMemory {
+  AttemptId attempt = 0;
+  std::size_t index = 0;
+  std::string address;
+  std::string ticket;
+  std::int64_t tokens = 0;
+  Duration hold{};
+};
+struct ReleaseMemory {
+  std::string address;
+  std::string ticket;
+};
+
+// Tells other daemons; each message may be lost.
+struct PublishSnapshot {
+  std::vector<std::string> to;
+  LoadSnapshot snapshot;
+};
+
+struct LogDecision {
+  std::string what;
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
+enum class Counter {
+  kRequests,
+  kDelivered,
+  kRefused,
+  kBroken,
+  kClientsGone,
+  kSends,
+  kRepeats,
+  kRepeatsDenied,
+  kResumed,
+  kSuspicions,
+  kHelped,
+  kTickets,
+};
+inline constexpr NameTable<Counter, 12> kCounterNames{{
+    {Counter::kRequests, "requests"},
+    {Counter::kDelivered, "delivered"},
+    {Counter::kRefused, "refused"},
+    {Counter::kBroken, "broken"},
+    {Counter::kClientsGone, "clients_gone"},
+    {Counter::kSends, "sends"},
+    {Counter::kRepeats, "repeats"},
+    {Counter::kRepeatsDenied, "repeats_denied"},
+    {Counter::kResumed, "resumed"},
+    {Counter::kSuspicions, "suspicions"},
+    {Counter::kHelped, "helped"},
+    {Counter::kTickets, "tickets"},
+}};
+
+struct Count {
+  Counter counter = Counter::kRequests;
+};
+
+// How long an answer or a stream's first event took.
+struct ObserveLatency {
+  std::string account;
+  std::string route;
+  Duration elapsed{};
+};
+
+// The limits for requests that begin from now on.
+struct ApplyLimits {
+  RequestLimits limits;
+};
+
+// Nothing is in work any more: the planned stop is complete.
+struct Exit {};
+
+using Effect =
+    std::variant<StartAttempt, CancelAttempt, DeliverAnswer, BeginStream,
+                 PassEvent, EndStream, BreakAnswer, Refuse, ReserveMemory,
+                 ReleaseMemory, PublishSnapshot, LogDecision, Count,
+                 ObserveLatency, ApplyLimits, Exit>;
+using Effects = std::vector<Effect>;
+
+}  // namespace scaleshed::serving
+
+#endif  // SCALESHED_SERVING_EFFECTS_H_
--- /dev/null
+++ b/serving/include/scaleshed/serving/events.h
@@ -0,0 +1,157 @@
+#ifndef SCALESHED_SERVING_EVENTS_H_
+#define SCALESHED_SERVING_EVENTS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "scaleshed/core/types.h"
+#include "scaleshed/serving/configuration.h"
+#include "scaleshed/serving/work.h"
+
+namespace scaleshed::serving {
+
+// What deciding needs to know of a request. The driver keeps its bytes.
+struct RequestFacts {
+  std::string id;  // the client's, new for each of its attempts
+  std::string host;
+  std::string path;  // without the query
+  std::vector<std::string> keys;
+  Duration deadline{};  // zero: not told
+  std::int64_t prompt_tokens = 0;
+  std::int64_t answer_tokens = 0;
+  std::string last_event_id;
+};
+
+struct RequestArrived {
+  RequestKey key = 0;
+  RequestFacts facts;
+};
+
+// Before its answer was complete.
+struct ClientGone {
+  RequestKey key = 0;
+};
+
+// A whole event of a stream.
+struct StreamEvent {
+  AttemptId attempt = 0;
+  std::string id;
+  std::string bytes;
+};
+
+// How an answer that came whole is to be taken.
+enum class AnswerKind {
+  kSuccess,
+  kFailure,  // the backend server's own, after it ran the request
+  kNotRun,   // the backend server says that it did not run it
+  kGone,     // as kNotRun: another backend server has that address
+};
+inline constexpr NameTable<AnswerKind, 4> kAnswerKindNames{{
+    {AnswerKind::kSuccess, "success"},
+    {AnswerKind::kFailure, "failure"},
+    {AnswerKind::kNotRun, "not_run"},
+    {AnswerKind::kGone, "gone"},
+}};
+
+// The whole answer is there; the driver keeps it. For a stream: its end.
+struct AttemptAnswered {
+  AttemptId attempt = 0;
+  AnswerKind kind = AnswerKind::kFailure;
+  int status = 0;
+  // The address of the backend server that a refusal is due to, if not the one
+  // that was asked.
+  std::string at_fault;
+};
+
+enum class AttemptError {
+  kNotSent,  // no byte left
+  kCut,      // sent; the answer broke off, never came or belongs to nobody
+};
+inline constexpr NameTable<AttemptError, 2> kAttemptErrorNames{{
+    {AttemptError::kNotSent, "not_sent"},
+    {AttemptError::kCut, "cut"},
+}};
+
+struct AttemptFailed {
+  AttemptId attempt = 0;
+  AttemptError error = AttemptError::kCut;
+  std::string detail;
+};
+
+// The answer to ReserveMemory.
+struct MemoryAnswered {
+  AttemptId attempt = 0;
+  std::size_t index = 0;
+  bool granted = false;
+};
+
+// A configuration that is stored. `asked` is when the question was put whose
+// answer it is: then it was the newest.
+struct ConfigurationSeen {
+  Configuration configuration;
+  Time asked{};
+};
+
+// The configuration in force was still the newest at `asked`.
+struct ConfigurationConfirmed {
+  std::uint64_t revision = 0;
+  Time asked{};
+};
+
+struct BackendServer {
+  std::string id;  // of this life
+  std::string service;
+  std::string address;
+  std::string data_centre;
+  std::int64_t slots = 1;
+  bool leaving = false;
+  std::uint64_t revision = 0;  // of its entry
+};
+
+struct BackendListed {
+  BackendServer backend;
+};
+
+// Its entry is gone. `certain` unless the store was away just before, when
+// entries of living backend servers lapse too.
+struct BackendUnlisted {
+  std::string id;
+  bool certain = true;
+};
+
+// All entries there are; others are gone.
+struct BackendsListed {
+  std::vector<BackendServer> backends;
+  bool certain = true;
+};
+
+// Where other daemons take snapshots, as registered at the platform.
+struct PeersListed {
+  std::vector<std::string> peer_addresses;
+};
+
+struct SnapshotReceived {
+  LoadSnapshot snapshot;
+};
+
+struct Tick {};
+struct StopRequested {};
+
+using EventBody =
+    std::variant<RequestArrived, ClientGone, StreamEvent, AttemptAnswered,
+                 AttemptFailed, MemoryAnswered, ConfigurationSeen,
+                 ConfigurationConfirmed, BackendListed, BackendUnlisted,
+                 BackendsListed, PeersListed, SnapshotReceived, Tick,
+                 StopRequested>;
+
+struct Event {
+  Time now;
+  EventBody body;
+};
+
+}  // namespace scaleshed::serving
+
+#endif  // SCALESHED_SERVING_EVENTS_H_
--- /dev/null
+++ b/serving/include/scaleshed/serving/placement.h
@@ -0,0 +1,93 @@
+#ifndef SCALESHED_SERVING_PLACEMENT_H_
+#define SCALESHED_SERVING_PLACEMENT_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "scaleshed/core/types.h"
+#include "scaleshed/serving/configuration.h"
+#include "scaleshed/serving/work.h"
+
+namespace scaleshed::serving {
+
+// How long one engine with nothing else to do reads a prompt.
+Duration ReadTime(const EngineTiming& timing, std::int64_t prompt_tokens);
+// How long a pass lasts in which `writers` requests write, without reading.
+Duration PassTime(const EngineTiming& timing, std::int64_t writers,
+                  std::int64_t context_tokens);
+
+// A prompt that one engine reads within this is short: it is read whole, on an
+// engine with others of its kind. Half of the shortest objective of the sites.
+inline constexpr Duration kShortRead = milliseconds(150);
+
+// What is known of one engine of a pool.
+struct EngineView {
+  BackendId id = 0;
+  bool suspect = false;
+  std::int64_t running = 0;        // requests that it has, reading or writing
+  std::int64_t short_running = 0;  // of these, those with short prompts
+  std::int64_t writers = 0;        // of these, those past their first token
+  std::int64_t reading = 0;        // of these, those before it
+  std::int64_t helping = 0;        // parts of other engines' prompts
+  Duration backlog{};              // of reading that it has before it
+  std::int64_t memory_used = 0;
+  std::int64_t context_tokens = 0;  // of those that write
+};
+
+// All engines of a pool that take work, in an order that is the same for every
+// daemon, with what `works` says they have.
+std::vector<EngineView> ViewPool(const EngineTiming& timing,
+                                 std::vector<EngineView> engines,
+                                 const std::vector<const Work*>& works,
+                                 Time now);
+
+struct PlacementQuery {
+  std::int64_t prompt_tokens = 0;
+  std::int64_t answer_tokens = 0;
+  Duration longest_pause{};
+};
+
+struct Placed {
+  BackendId backend = 0;
+  std::vector<BackendId> helpers;
+  // Tokens to be set aside at each helper; empty where none are needed. Zero:
+  // that helper only reads.
+  std::vector<std::int64_t> helper_tokens;
+  Duration first_token{};  // as expected
+};
+// Why there is no room now.
+enum class Shortage {
+  kTurn,      // others that wait go first
+  kEngines,   // too few engines have little before them
+  kMemory,    // no engine has the memory
+  kTickets,   // nor have several together
+  kBackends,  // none takes work
+};
+inline constexpr NameTable<Shortage, 5> kShortageNames{{
+    {Shortage::kTurn, "turn"},
+    {Shortage::kEngines, "engines"},
+    {Shortage::kMemory, "memory"},
+    {Shortage::kTickets, "tickets"},
+    {Shortage::kBackends, "backends"},
+}};
+
+// Room is expected later.
+struct NoRoomNow {
+  Shortage of = Shortage::kEngines;
+};
+// Not even an empty pool could take it.
+struct TooLarge {};
+using Placing = std::variant<Placed, NoRoomNow, TooLarge>;
+
+// Where a prompt goes. Short prompts fill the first engines of the order, one
+// after another; long ones are read in even parts by as many of the others as
+// bring the first token soonest, so that those who write short answers don't
+// pause for them.
+Placing Place(const EngineTiming& timing, const std::vector<EngineView>& pool,
+              const PlacementQuery& query);
+
+}  // namespace scaleshed::serving
+
+#endif  // SCALESHED_SERVING_PLACEMENT_H_
--- /dev/null
+++ b/serving/include/scaleshed/serving/work.h
@@ -0,0 +1,66 @@
+#ifndef SCALESHED_SERVING_WORK_H_
+#define SCALESHED_SERVING_WORK_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "scaleshed/core/types.h"
+
+namespace scaleshed::serving {
+
+// A backend server's life, as daemons name it to each other: a hash of the
+// instance id under which it is listed.
+using BackendId = std::uint64_t;
+
+// One request that a daemon has at a backend server. Every daemon knows those
+// of all, so that each sees what an engine has before it.
+struct Work {
+  std::uint64_t id = 0;  // of one daemon's life
+  BackendId backend = 0;
+  // Engines that read parts of the prompt besides `backend`.
+  std::vector<BackendId> helpers;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t answer_tokens = 0;  // at most
+  Time started{};                  // on the clock of the daemon that reads it
+  bool writing = false;            // the first event has come
+  Duration longest_pause{};        // that keeps its answer in time
+  // Tokens of its memory that lie at helpers, in their order.
+  std::vector<std::int64_t> helper_tokens;
+  bool operator==(const Work&) const = default;
+};
+
+// A request that waits for engines, for one order over all daemons.
+struct Waiting {
+  std::uint64_t id = 0;
+  std::string service;
+  Time turn{};      // lower ones go first
+  Duration read{};  // what its prompt takes on one engine
+  bool operator==(const Waiting&) const = default;
+};
+
+// What a daemon has seen go wrong at a backend server.
+struct Suspicion {
+  BackendId backend = 0;
+  Time until{};
+  bool operator==(const Suspicion&) const = default;
+};
+
+// All that a daemon tells the others about itself. Each one replaces the last,
+// so that a lost one does no harm.
+struct LoadSnapshot {
+  std::string instance;      // the daemon's address for clients
+  std::string peer_address;  // and for these messages
+  std::string data_centre;
+  std::uint64_t life = 0;      // rises with each start
+  std::uint64_t sequence = 0;  // rises within a life
+  bool serving = false;        // clients may be sent to it
+  std::uint64_t revision = 0;  // of its configuration
+  std::vector<Work> works;
+  std::vector<Waiting> waiting;
+  std::vector<Suspicion> suspicions;
+};
+
+}  // namespace scaleshed::serving
+
+#endif  // SCALESHED_SERVING_WORK_H_
--- /dev/null
+++ b/serving/src/admission.cc
@@ -0,0 +1,198 @@
+#include <algorithm>
+#include <utility>
+
+#include "internal/steps.h"
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed::serving::internal {
+namespace {
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kBadRequest = 400;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// After a refusal that another daemon would not give: clients go there at once.
+constexpr Duration kElsewhere = milliseconds(50);
+// After one that all daemons would give now.
+constexpr Duration kLater = milliseconds(300);
+// Streams that come so long after the request to stop could not end in time.
+constexpr Duration kTakesStreams = milliseconds(2500);
+// A request without a time limit gets its route's; without a route's, this.
+constexpr Duration kDefaultDeadline = seconds(10);
+
+int StatusOf(Refusal why, bool may_have_run) {
+  switch (why) {
+    case Refusal::kUnknownRoute:
+      return kNotFound;
+    case Refusal::kUnknownKey:
+      return kUnauthorized;
+    case Refusal::kInvalid:
+      return kBadRequest;
+    case Refusal::kUnknown:
+      return kBadGateway;
+    case Refusal::kTimeLimit:
+      return may_have_run ? kGatewayTimeout : kUnavailable;
+    default:
+      // 503 is a promise that nothing ran.
+      return may_have_run ? kBadGateway : kUnavailable;
+  }
+}
+
+// One of the route's services, by their weights.
+std::string PickService(State& state, const Route& route) {
+  std::int64_t all = 0;
+  for (const ServiceShare& it : route.shares) all += it.weight;
+  if (all <= 0) return route.shares.empty() ? "" : route.shares[0].service;
+  auto draw = static_cast<std::int64_t>(state.random() %
+                                        static_cast<std::uint64_t>(all));
+  for (const ServiceShare& it : route.shares) {
+    draw -= it.weight;
+    if (draw < 0) return it.service;
+  }
+  return route.shares.back().service;
+}
+
+void RefuseAtOnce(State& state, const RequestArrived& event, Refusal why,
+                  Duration retry_after) {
+  Request request{.key = event.key, .facts = event.facts};
+  request.arrived = state.now;
+  RefuseRequest(state, request, why, retry_after);
+}
+
+// The account that the request's key belongs to; nothing if there is none.
+const ClientAccount* AccountOf(const State& state, const RequestFacts& facts) {
+  if (facts.keys.size() != 1) return nullptr;
+  return state.configuration->FindAccount(facts.keys.front());
+}
+
+// Refuses what can't be taken whatever the load. True if it did.
+bool RefusedByRule(State& state, const RequestArrived& event,
+                   const Route*& route, const ClientAccount*& account) {
+  if (!state.configuration) {
+    RefuseAtOnce(state, event, Refusal::kNoConfiguration, kLater);
+    return true;
+  }
+  const RequestFacts& facts = event.facts;
+  route = state.configuration->FindRoute(facts.host, facts.path);
+  const bool fresh = IsFresh(state);
+  if (route == nullptr) {
+    // What is unknown to an old configuration may be in the newest.
+    RefuseAtOnce(state, event,
+                 fresh ? Refusal::kUnknownRoute : Refusal::kNotFresh,
+                 fresh ? Duration::zero() : kElsewhere);
+    return true;
+  }
+  const bool keyed = !route->is_public &&
+                     !state.configuration->configuration().accounts.empty();
+  if (!keyed) return false;
+  if (!fresh) {
+    RefuseAtOnce(state, event, Refusal::kNotFresh, kElsewhere);
+    return true;
+  }
+  account = AccountOf(state, facts);
+  if (account == nullptr) {
+    RefuseAtOnce(state, event, Refusal::kUnknownKey, Duration::zero());
+    return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+void Admit(State& state, const RequestArrived& event) {
+  state.effects.emplace_back(Count{Counter::kRequests});
+  const Route* route = nullptr;
+  const ClientAccount* account = nullptr;
+  if (RefusedByRule(state, event, route, account)) return;
+  if (state.stop_at && IsStream(route->kind) &&
+      state.now - *state.stop_at > kTakesStreams) {
+    RefuseAtOnce(state, event, Refusal::kStopping, kElsewhere);
+    return;
+  }
+  Request request{.key = event.key, .facts = event.facts, .route = *route};
+  request.service = PickService(state, *route);
+  if (account != nullptr) request.account = account->name;
+  request.arrived = state.now;
+  request.due = state.now + route->objective;
+  Duration limit = event.facts.deadline;
+  if (limit <= Duration::zero()) limit = kDefaultDeadline;
+  if (route->timeout > Duration::zero()) {
+    limit = std::min(limit, route->timeout);
+  }
+  request.deadline = state.now + limit;
+  request.last_event_id = event.facts.last_event_id;
+  const Service* service = state.configuration->FindService(request.service);
+  if (service != nullptr && service->engine) {
+    request.read = ReadTime(*service->engine, event.facts.prompt_tokens);
+  }
+  auto budget = state.budgets.try_emplace(request.service,
+                                          RepeatBudget(state.options.repeats));
+  budget.first->second.CountRequest(state.now);
+  Request& kept =
+      state.requests.emplace(event.key, std::move(request)).first->second;
+  TryStart(state, kept);
+}
+
+void OnClientGone(State& state, const ClientGone& event) {
+  const auto it = state.requests.find(event.key);
+  if (it == state.requests.end()) return;
+  Request& request = it->second;
+  state.effects.emplace_back(Count{Counter::kClientsGone});
+  Log(state, "client_gone",
+      {{"request", request.facts.id},
+       {"phase", std::string(NameIn(kPhaseNames, request.phase))},
+       {"after_ms", Millis(state.now - request.arrived)}});
+  DropAttempt(state, request, true);
+  Forget(state, event.key);
+}
+
+void RefuseRequest(State& state, Request& request, Refusal why,
+                   Duration retry_after) {
+  DropAttempt(state, request, true);
+  const int status = StatusOf(why, request.may_have_run);
+  if (request.begun) {
+    state.effects.emplace_back(Count{Counter::kBroken});
+    state.effects.emplace_back(BreakAnswer{.key = request.key});
+  } else {
+    state.effects.emplace_back(Count{Counter::kRefused});
+    state.effects.emplace_back(Refuse{.key = request.key,
+                                      .why = why,
+                                      .status = status,
+                                      .retry_after = status == kUnavailable
+                                                         ? retry_after
+                                                         : Duration::zero()});
+  }
+  Log(state, request.begun ? "broken" : "refused",
+      {{"request", request.facts.id},
+       {"why", std::string(NameIn(kRefusalNames, why))},
+       {"status", std::to_string(status)},
+       {"route", request.route.name},
+       {"account", request.account},
+       {"after_ms", Millis(state.now - request.arrived)},
+       {"runs", std::to_string(request.runs)},
+       {"refusals", std::to_string(request.refusals)},
+       {"may_have_run", request.may_have_run ? "true" : "false"},
+       {"confirmed_ms_ago", Millis(state.now - state.confirmed_at)}});
+  Forget(state, request.key);
+}
+
+void DropAttempt(State& state, Request& request, bool cancel) {
+  ReleaseMemoryOf(state, request);
+  if (request.attempt == 0) return;
+  if (cancel) {
+    state.effects.emplace_back(CancelAttempt{.attempt = request.attempt});
+  }
+  state.attempts.erase(request.attempt);
+  request.attempt = 0;
+  state.changed = true;
+}
+
+void Forget(State& state, RequestKey key) {
+  state.requests.erase(key);
+  state.changed = true;
+}
+
+}  // namespace scaleshed::serving::internal
--- /dev/null
+++ b/serving/src/attempts.cc
@@ -0,0 +1,271 @@
+#include <algorithm>
+
+#include "internal/steps.h"
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed::serving::internal {
+namespace {
+
+// Between two events of a stream, before another backend server is asked to go
+// on: this multiple of the longest pause that keeps it in time, and not less
+// than a dead backend server's requests stand still in the worst case.
+constexpr int kSilentPauses = 5;
+constexpr Duration kLeastSilence = milliseconds(1000);
+// A send after one that may have run needs at least so much time.
+constexpr Duration kLeastTimeLeft = milliseconds(50);
+// The backend server's own word at the deadline is waited for so long.
+constexpr Duration kDeadlineSlack = milliseconds(100);
+constexpr Duration kAfterRefusals = milliseconds(150);
+
+Request* RequestOf(State& state, AttemptId attempt) {
+  const auto found = state.attempts.find(attempt);
+  if (found == state.attempts.end()) return nullptr;
+  return &state.requests.at(found->second);
+}
+
+bool IsPromise(int status) {
+  // Statuses by which clients are told that nothing ran.
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+void Finish(State& state, Request& request) {
+  Log(state, "answered",
+      {{"request", request.facts.id},
+       {"route", request.route.name},
+       {"account", request.account},
+       {"backend", request.backend_name},
+       {"runs", std::to_string(request.runs)},
+       {"prompt", std::to_string(request.facts.prompt_tokens)},
+       {"helpers", std::to_string(request.work.helpers.size())},
+       {"waited_ms", Millis(request.sent_at - request.arrived)},
+       {"expected_ms", Millis(request.expected_first)},
+       {"first_ms", Millis(request.first_after)},
+       {"pause_ms", Millis(request.longest_seen)},
+       {"after_ms", Millis(state.now - request.arrived)}});
+  state.effects.emplace_back(Count{Counter::kDelivered});
+  DropAttempt(state, request, false);
+  Forget(state, request.key);
+}
+
+void ObserveFirst(State& state, const Request& request) {
+  state.effects.emplace_back(
+      ObserveLatency{.account = request.account,
+                     .route = request.route.name,
+                     .elapsed = state.now - request.arrived});
+}
+
+// Whether a request may be sent to one more backend server. Spends the budget.
+bool MaySendAgain(State& state, Request& request) {
+  if (state.now + kLeastTimeLeft >= request.deadline) return false;
+  if (request.arrivals == 0) return true;
+  RepeatBudget& budget =
+      state.budgets
+          .try_emplace(request.service, RepeatBudget(state.options.repeats))
+          .first->second;
+  if (budget.Spend(state.now, LiveDaemons(state))) {
+    state.effects.emplace_back(Count{Counter::kRepeats});
+    return true;
+  }
+  state.effects.emplace_back(Count{Counter::kRepeatsDenied});
+  return false;
+}
+
+void SendAgain(State& state, Request& request) {
+  request.tried.insert(request.backend);
+  DropAttempt(state, request, true);
+  request.phase = Phase::kWaiting;
+  request.retry_at = state.now;
+  if (request.begun) state.effects.emplace_back(Count{Counter::kResumed});
+  TryStart(state, request);
+}
+
+// The send may have run and brought no whole answer.
+void Lost(State& state, Request& request, const std::string& why) {
+  request.may_have_run = true;
+  Log(state, "lost",
+      {{"request", request.facts.id},
+       {"attempt", std::to_string(request.attempt)},
+       {"backend", request.backend_name},
+       {"why", why},
+       {"begun", request.begun ? "true" : "false"},
+       {"last_event", request.last_event_id}});
+  const bool again = MayRunAgain(request.route.kind) &&
+                     request.runs < std::max(request.route.max_sends, 1) + 1 &&
+                     MaySendAgain(state, request);
+  if (again) {
+    SendAgain(state, request);
+    return;
+  }
+  RefuseRequest(state, request, Refusal::kUnknown, {});
+}
+
+// The send did not run.
+void Declined(State& state, Request& request) {
+  --request.runs;
+  ++request.refusals;
+  if (MaySendAgain(state, request)) {
+    SendAgain(state, request);
+    return;
+  }
+  RefuseRequest(state, request, Refusal::kNotRun, kAfterRefusals);
+}
+
+void OnFailureAnswer(State& state, Request& request,
+                     const AttemptAnswered& event) {
+  NoteBadAnswer(state, request.backend);
+  request.may_have_run = true;
+  const bool again = MayRunAgain(request.route.kind) &&
+                     request.runs < std::max(request.route.max_sends, 1) &&
+                     event.status >= 500 && MaySendAgain(state, request);
+  if (again) {
+    SendAgain(state, request);
+    return;
+  }
+  if (IsPromise(event.status)) {
+    // The backend server does not say that it did not run it, and this status
+    // would.
+    RefuseRequest(state, request, Refusal::kUnknown, {});
+    return;
+  }
+  state.effects.emplace_back(
+      DeliverAnswer{.key = request.key, .attempt = event.attempt});
+  Log(state, "delivered_failure",
+      {{"request", request.facts.id},
+       {"status", std::to_string(event.status)},
+       {"backend", request.backend_name},
+       {"runs", std::to_string(request.runs)}});
+  Finish(state, request);
+}
+
+void OnSuccess(State& state, Request& request, const AttemptAnswered& event) {
+  NoteSuccess(state, request.backend);
+  if (!IsStream(request.route.kind)) {
+    ObserveFirst(state, request);
+    state.effects.emplace_back(
+        DeliverAnswer{.key = request.key, .attempt = event.attempt});
+  } else {
+    if (!request.begun) {
+      state.effects.emplace_back(
+          BeginStream{.key = request.key, .attempt = event.attempt});
+    }
+    state.effects.emplace_back(EndStream{.key = request.key});
+  }
+  Finish(state, request);
+}
+
+void NoteAtFault(State& state, const std::string& address) {
+  for (auto& [name, backend] : state.backends) {
+    if (backend.server.address == address) {
+      NoteFailure(state, backend.id, "at_fault");
+      return;
+    }
+  }
+}
+
+}  // namespace
+
+void OnStreamEvent(State& state, const StreamEvent& event) {
+  Request* request = RequestOf(state, event.attempt);
+  if (request == nullptr) return;
+  if (!request->work.writing) {
+    ++request->arrivals;
+    request->first_after = state.now - request->sent_at;
+    request->work.writing = true;
+    state.changed = true;
+    NoteSuccess(state, request->backend);
+  }
+  if (!request->begun) {
+    request->begun = true;
+    ObserveFirst(state, *request);
+    state.effects.emplace_back(
+        BeginStream{.key = request->key, .attempt = event.attempt});
+  }
+  if (request->last_event_at != Time{}) {
+    request->longest_seen =
+        std::max(request->longest_seen, state.now - request->last_event_at);
+  }
+  request->last_event_at = state.now;
+  if (!event.id.empty()) request->last_event_id = event.id;
+  state.effects.emplace_back(
+      PassEvent{.key = request->key, .bytes = event.bytes});
+  request->progress_by =
+      state.now +
+      std::max(kSilentPauses * request->route.longest_pause, kLeastSilence);
+}
+
+void OnAnswered(State& state, const AttemptAnswered& event) {
+  Request* request = RequestOf(state, event.attempt);
+  if (request == nullptr) return;
+  ++request->arrivals;
+  switch (event.kind) {
+    case AnswerKind::kSuccess:
+      OnSuccess(state, *request, event);
+      return;
+    case AnswerKind::kFailure:
+      OnFailureAnswer(state, *request, event);
+      return;
+    case AnswerKind::kGone:
+      NoteGone(state, request->backend, "address_taken");
+      break;
+    case AnswerKind::kNotRun:
+      NoteAtFault(state, event.at_fault);
+      break;
+  }
+  Log(state, "declined",
+      {{"request", request->facts.id},
+       {"attempt", std::to_string(event.attempt)},
+       {"backend", request->backend_name},
+       {"status", std::to_string(event.status)},
+       {"kind", std::string(NameIn(kAnswerKindNames, event.kind))},
+       {"at_fault", event.at_fault}});
+  Declined(state, *request);
+}
+
+void OnFailed(State& state, const AttemptFailed& event) {
+  Request* request = RequestOf(state, event.attempt);
+  if (request == nullptr) return;
+  NoteFailure(state, request->backend, event.detail);
+  if (event.error == AttemptError::kNotSent) {
+    Log(state, "not_sent",
+        {{"request", request->facts.id},
+         {"backend", request->backend_name},
+         {"why", event.detail}});
+    Declined(state, *request);
+    return;
+  }
+  ++request->arrivals;
+  Lost(state, *request, event.detail);
+}
+
+void ExpireAttempts(State& state) {
+  std::vector<RequestKey> keys;
+  for (const auto& [key, request] : state.requests) keys.push_back(key);
+  for (const RequestKey key : keys) {
+    const auto it = state.requests.find(key);
+    if (it == state.requests.end()) continue;
+    Request& request = it->second;
+    const bool running = request.phase == Phase::kRunning;
+    const Duration slack = running ? kDeadlineSlack : Duration::zero();
+    if (state.now >= request.deadline + slack) {
+      request.may_have_run = request.may_have_run || running;
+      RefuseRequest(state, request, Refusal::kTimeLimit, kAfterRefusals);
+      continue;
+    }
+    if (request.phase == Phase::kReserving &&
+        state.now >= request.progress_by) {
+      DropAttempt(state, request, false);
+      request.phase = Phase::kWaiting;
+      request.retry_at = state.now;
+      continue;
+    }
+    RenewMemory(state, request);
+    if (running && MayRunAgain(request.route.kind) &&
+        state.now >= request.progress_by) {
+      ++request.arrivals;
+      NoteFailure(state, request.backend, "silent");
+      Lost(state, request, "silent");
+    }
+  }
+}
+
+}  // namespace scaleshed::serving::internal
--- /dev/null
+++ b/serving/src/backends.cc
@@ -0,0 +1,192 @@
+#include <algorithm>
+
+#include "internal/steps.h"
+
+namespace scaleshed::serving::internal {
+namespace {
+
+// A backend server's first failure keeps requests away for so long; each
+// further one doubles it.
+constexpr Duration kFirstSuspicion = milliseconds(500);
+constexpr int kMostDoublings = 3;
+// Entries that lapse while the store is away come back with the next heartbeat
+// of their backend server, which is at most 1.2 s later.
+constexpr Duration kLapseWait = seconds(2);
+// Answers that are remembered: each new one takes away this part of the old.
+constexpr double kForgetting = 0.08;
+// A backend server that fails this part of its requests more than the others
+// of its service is suspect, from this many answers on.
+constexpr double kMoreBadAnswers = 0.25;
+constexpr double kLeastAnswers = 4;
+constexpr Duration kBadAnswersSuspicion = seconds(2);
+// At most this part of a service's backend servers is kept out at a time.
+constexpr double kMostSuspects = 0.34;
+
+std::size_t CountSuspects(const State& state, const std::string& service,
+                          std::size_t& all) {
+  std::size_t n = 0;
+  all = 0;
+  for (const auto& [name, backend] : state.backends) {
+    if (backend.server.service != service) continue;
+    ++all;
+    if (backend.suspect_until > state.now) ++n;
+  }
+  return n;
+}
+
+void Suspect(State& state, Backend& backend, Duration length,
+             const std::string& why) {
+  std::size_t all = 0;
+  const std::size_t n = CountSuspects(state, backend.server.service, all);
+  const bool already = backend.suspect_until > state.now;
+  const auto most = static_cast<double>(all) * kMostSuspects;
+  if (!already && static_cast<double>(n + 1) > most) return;
+  backend.suspect_until = std::max(backend.suspect_until, state.now + length);
+  state.changed = true;
+  state.effects.emplace_back(Count{Counter::kSuspicions});
+  Log(state, "suspect",
+      {{"backend", backend.server.id},
+       {"address", backend.server.address},
+       {"why", why},
+       {"for_ms", Millis(length)}});
+}
+
+}  // namespace
+
+BackendId IdOf(const std::string& instance) { return HashBytes(instance); }
+
+Backend* FindBackend(State& state, BackendId id) {
+  for (auto& [name, backend] : state.backends) {
+    if (backend.id == id) return &backend;
+  }
+  return nullptr;
+}
+
+void OnListed(State& state, const BackendServer& server) {
+  Backend& backend = state.backends[server.id];
+  if (server.revision < backend.server.revision) return;
+  const bool is_new = backend.server.id.empty();
+  const bool was_leaving = backend.server.leaving;
+  backend.server = server;
+  // A word of leaving is never taken back within one life.
+  backend.server.leaving = server.leaving || was_leaving;
+  backend.id = IdOf(server.id);
+  backend.gone_at.reset();
+  if (is_new || was_leaving != backend.server.leaving) {
+    Log(state, "backend",
+        {{"backend", server.id},
+         {"service", server.service},
+         {"address", server.address},
+         {"state", backend.server.leaving ? "leaving" : "listed"}});
+  }
+}
+
+void OnUnlisted(State& state, const BackendUnlisted& event) {
+  const auto it = state.backends.find(event.id);
+  if (it == state.backends.end()) return;
+  if (!event.certain) {
+    if (!it->second.gone_at) it->second.gone_at = state.now + kLapseWait;
+    return;
+  }
+  Log(state, "backend",
+      {{"backend", event.id},
+       {"service", it->second.server.service},
+       {"address", it->second.server.address},
+       {"state", "unlisted"}});
+  state.backends.erase(it);
+}
+
+void OnAllListed(State& state, const BackendsListed& event) {
+  std::set<std::string> there;
+  for (const BackendServer& it : event.backends) {
+    there.insert(it.id);
+    OnListed(state, it);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [name, backend] : state.backends) {
+    if (!there.contains(name)) gone.push_back(name);
+  }
+  for (const std::string& it : gone) {
+    OnUnlisted(state, {.id = it, .certain = event.certain});
+  }
+}
+
+void DropLapsed(State& state) {
+  std::vector<std::string> gone;
+  for (const auto& [name, backend] : state.backends) {
+    if (backend.gone_at && *backend.gone_at <= state.now) gone.push_back(name);
+  }
+  for (const std::string& it : gone) OnUnlisted(state, {.id = it});
+}
+
+void NoteSuccess(State& state, BackendId id) {
+  Backend* backend = FindBackend(state, id);
+  if (backend == nullptr) return;
+  backend->failures = 0;
+  backend->answers = backend->answers * (1 - kForgetting) + 1;
+  backend->bad_answers *= 1 - kForgetting;
+}
+
+void NoteFailure(State& state, BackendId id, const std::string& why) {
+  Backend* backend = FindBackend(state, id);
+  if (backend == nullptr) return;
+  const int doublings = std::min(backend->failures++, kMostDoublings);
+  Suspect(state, *backend, kFirstSuspicion * (1 << doublings), why);
+}
+
+void NoteBadAnswer(State& state, BackendId id) {
+  Backend* backend = FindBackend(state, id);
+  if (backend == nullptr) return;
+  backend->answers = backend->answers * (1 - kForgetting) + 1;
+  backend->bad_answers = backend->bad_answers * (1 - kForgetting) + 1;
+  double answers = 0;
+  double bad = 0;
+  for (const auto& [name, it] : state.backends) {
+    if (it.server.service != backend->server.service || it.id == id) continue;
+    answers += it.answers;
+    bad += it.bad_answers;
+  }
+  const double usual = answers > 0 ? bad / answers : 0;
+  const double own = backend->bad_answers / backend->answers;
+  if (backend->answers >= kLeastAnswers && own > usual + kMoreBadAnswers) {
+    Suspect(state, *backend, kBadAnswersSuspicion, "bad_answers");
+  }
+}
+
+void NoteGone(State& state, BackendId id, const std::string& why) {
+  Backend* backend = FindBackend(state, id);
+  if (backend == nullptr || backend->server.leaving) return;
+  backend->server.leaving = true;
+  Log(state, "backend",
+      {{"backend", backend->server.id},
+       {"service", backend->server.service},
+       {"address", backend->server.address},
+       {"state", "leaving"},
+       {"why", why}});
+}
+
+bool IsSuspect(const State& state, const Backend& backend) {
+  if (backend.suspect_until > state.now) return true;
+  for (const auto& [address, member] : state.members) {
+    if (!IsHeard(state, member) || !member.snapshot.serving) continue;
+    for (const Suspicion& it : member.snapshot.suspicions) {
+      if (it.backend == backend.id && it.until > state.now) return true;
+    }
+  }
+  return false;
+}
+
+std::vector<const Backend*> OpenBackends(const State& state,
+                                         const std::string& service) {
+  std::vector<const Backend*> open;
+  for (const auto& [name, backend] : state.backends) {
+    if (backend.server.service == service && !backend.server.leaving) {
+      open.push_back(&backend);
+    }
+  }
+  std::sort(open.begin(), open.end(),
+            [](const Backend* a, const Backend* b) { return a->id < b->id; });
+  return open;
+}
+
+}  // namespace scaleshed::serving::internal
--- /dev/null
+++ b/serving/src/internal/steps.h
@@ -0,0 +1,73 @@
+#ifndef SCALESHED_SERVING_INTERNAL_STEPS_H_
+#define SCALESHED_SERVING_INTERNAL_STEPS_H_
+
+#include <string>
+#include <vector>
+
+#include "scaleshed/serving/state.h"
+
+// The steps of the reducer, by subject. Each changes the state and appends to
+// its effects.
+namespace scaleshed::serving::internal {
+
+// admission.cc: what comes from clients, and how requests end.
+void Admit(State& state, const RequestArrived& event);
+void OnClientGone(State& state, const ClientGone& event);
+void RefuseRequest(State& state, Request& request, Refusal why,
+                   Duration retry_after);
+// Forgets a request whose answer is complete or given up.
+void Forget(State& state, RequestKey key);
+// Ends the attempt at its backend server, if there is one.
+void DropAttempt(State& state, Request& request, bool cancel);
+
+// starting.cc: where and when requests go.
+void TryStart(State& state, Request& request);
+void StartWaiting(State& state);
+// When it is a waiting request's turn, among those of all daemons.
+Time TurnOf(const State& state, const Request& request);
+void OnMemoryAnswered(State& state, const MemoryAnswered& event);
+void RenewMemory(State& state, Request& request);
+void ReleaseMemoryOf(State& state, Request& request);
+
+// attempts.cc: what backend servers answer.
+void OnStreamEvent(State& state, const StreamEvent& event);
+void OnAnswered(State& state, const AttemptAnswered& event);
+void OnFailed(State& state, const AttemptFailed& event);
+// An attempt that does not go on is taken for lost.
+void ExpireAttempts(State& state);
+
+// backends.cc: which backend servers there are, and how well they do.
+BackendId IdOf(const std::string& instance);
+Backend* FindBackend(State& state, BackendId id);
+void OnListed(State& state, const BackendServer& server);
+void OnUnlisted(State& state, const BackendUnlisted& event);
+void OnAllListed(State& state, const BackendsListed& event);
+void DropLapsed(State& state);
+void NoteSuccess(State& state, BackendId id);
+void NoteFailure(State& state, BackendId id, const std::string& why);
+void NoteBadAnswer(State& state, BackendId id);
+void NoteGone(State& state, BackendId id, const std::string& why);
+bool IsSuspect(const State& state, const Backend& backend);
+// Those of a service that take new work.
+std::vector<const Backend*> OpenBackends(const State& state,
+                                         const std::string& service);
+
+// members.cc: the other daemons and the configuration.
+void OnSnapshot(State& state, const SnapshotReceived& event);
+void OnPeersListed(State& state, const PeersListed& event);
+void Publish(State& state);
+bool IsHeard(const State& state, const Member& member);
+std::size_t LiveDaemons(const State& state);
+// What all daemons have at backend servers.
+std::vector<const Work*> AllWorks(const State& state);
+void OnConfiguration(State& state, const ConfigurationSeen& event);
+void OnConfirmed(State& state, const ConfigurationConfirmed& event);
+bool IsFresh(const State& state);
+
+void Log(State& state, std::string what,
+         std::vector<std::pair<std::string, std::string>> fields);
+std::string Millis(Duration duration);
+
+}  // namespace scaleshed::serving::internal
+
+#endif  // SCALESHED_SERVING_INTERNAL_STEPS_H_
--- /dev/null
+++ b/serving/src/members.cc
@@ -0,0 +1,179 @@
+#include <algorithm>
+#include <iterator>
+
+#include "internal/steps.h"
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed::serving {
+namespace internal {
+namespace {
+
+// A daemon that has been silent so long is not named to clients, and what it
+// had is forgotten. Four heartbeats, so that lost messages do no harm.
+constexpr Duration kSilence = milliseconds(2000);
+// A waiting request of a silent daemon holds up others no longer than this.
+constexpr Duration kHeartbeat = milliseconds(500);
+// Sooner while something waits, as others order theirs by it.
+constexpr Duration kBusyHeartbeat = milliseconds(100);
+// What is needed to take a request and get it to a backend server is done well
+// within this part of the bound for keys.
+constexpr Duration kFreshnessMargin = milliseconds(200);
+
+}  // namespace
+
+bool IsHeard(const State& state, const Member& member) {
+  return state.now - member.heard < kSilence;
+}
+
+std::size_t LiveDaemons(const State& state) {
+  std::size_t n = 1;
+  for (const auto& [address, member] : state.members) {
+    if (IsHeard(state, member)) ++n;
+  }
+  return std::max(n, state.listed_peers.size());
+}
+
+std::vector<const Work*> AllWorks(const State& state) {
+  std::vector<const Work*> works;
+  for (const auto& [key, request] : state.requests) {
+    if (request.phase != Phase::kWaiting) works.push_back(&request.work);
+  }
+  for (const auto& [address, member] : state.members) {
+    if (!IsHeard(state, member)) continue;
+    for (const Work& it : member.snapshot.works) works.push_back(&it);
+  }
+  return works;
+}
+
+void OnSnapshot(State& state, const SnapshotReceived& event) {
+  const LoadSnapshot& snapshot = event.snapshot;
+  if (snapshot.peer_address == state.options.peer_address) return;
+  Member& member = state.members[snapshot.peer_address];
+  const LoadSnapshot& last = member.snapshot;
+  const bool newer =
+      snapshot.life > last.life ||
+      (snapshot.life == last.life && snapshot.sequence > last.sequence);
+  if (!newer) return;
+  if (!IsHeard(state, member) || last.serving != snapshot.serving) {
+    Log(state, "member",
+        {{"peer", snapshot.peer_address},
+         {"serving", snapshot.serving ? "true" : "false"},
+         {"life", std::to_string(snapshot.life)}});
+  }
+  member.snapshot = snapshot;
+  member.heard = state.now;
+  StartWaiting(state);
+}
+
+void OnPeersListed(State& state, const PeersListed& event) {
+  state.listed_peers = {event.peer_addresses.begin(),
+                        event.peer_addresses.end()};
+  state.listed_peers.erase(state.options.peer_address);
+  // Those that went long ago are not written to for ever.
+  std::erase_if(state.members, [&](const auto& it) {
+    return !IsHeard(state, it.second) && !state.listed_peers.contains(it.first);
+  });
+  state.changed = true;
+}
+
+void Publish(State& state) {
+  const bool waits = std::any_of(
+      state.requests.begin(), state.requests.end(),
+      [](const auto& it) { return it.second.phase == Phase::kWaiting; });
+  const Duration pause = waits ? kBusyHeartbeat : kHeartbeat;
+  if (!state.changed && state.now - state.published_at < pause) return;
+  state.changed = false;
+  state.published_at = state.now;
+  PublishSnapshot effect;
+  std::set<std::string> to = state.listed_peers;
+  for (const auto& [address, member] : state.members) to.insert(address);
+  effect.to.assign(to.begin(), to.end());
+  LoadSnapshot& snapshot = effect.snapshot;
+  snapshot.instance = state.options.instance;
+  snapshot.peer_address = state.options.peer_address;
+  snapshot.data_centre = state.options.data_centre;
+  snapshot.life = state.options.life;
+  snapshot.sequence = ++state.sequence;
+  snapshot.serving = IsServing(state);
+  if (state.configuration) {
+    snapshot.revision = state.configuration->configuration().revision;
+  }
+  for (const auto& [key, request] : state.requests) {
+    if (request.phase != Phase::kWaiting) {
+      snapshot.works.push_back(request.work);
+    } else {
+      snapshot.waiting.push_back({.id = request.key,
+                                  .service = request.service,
+                                  .turn = TurnOf(state, request),
+                                  .read = request.read});
+    }
+  }
+  for (const auto& [name, backend] : state.backends) {
+    if (backend.suspect_until > state.now) {
+      snapshot.suspicions.push_back(
+          {.backend = backend.id, .until = backend.suspect_until});
+    }
+  }
+  if (!effect.to.empty()) state.effects.emplace_back(std::move(effect));
+}
+
+bool IsFresh(const State& state) {
+  return state.configuration.has_value() &&
+         state.now - state.confirmed_at <
+             state.options.key_freshness - kFreshnessMargin;
+}
+
+void OnConfiguration(State& state, const ConfigurationSeen& event) {
+  const std::uint64_t known =
+      state.configuration ? state.configuration->configuration().revision : 0;
+  if (event.configuration.revision < known) return;
+  // Whatever was the newest at that time is at least as new as this one; that
+  // it still was is what `asked` says of the newest that is known.
+  state.confirmed_at = std::max(state.confirmed_at, event.asked);
+  if (event.configuration.revision == known) return;
+  state.configuration.emplace(event.configuration);
+  state.effects.emplace_back(ApplyLimits{.limits = event.configuration.limits});
+  Log(state, "configuration",
+      {{"revision", std::to_string(event.configuration.revision)},
+       {"version", std::to_string(event.configuration.version)},
+       {"routes", std::to_string(event.configuration.routes.size())},
+       {"accounts", std::to_string(event.configuration.accounts.size())},
+       {"asked_ms_ago", Millis(state.now - event.asked)}});
+  state.changed = true;
+}
+
+void OnConfirmed(State& state, const ConfigurationConfirmed& event) {
+  if (!state.configuration) return;
+  if (state.configuration->configuration().revision != event.revision) return;
+  const bool was_fresh = IsFresh(state);
+  state.confirmed_at = std::max(state.confirmed_at, event.asked);
+  if (!was_fresh && IsFresh(state)) state.changed = true;
+}
+
+}  // namespace internal
+
+bool IsServing(const State& state) {
+  return internal::IsFresh(state) && !state.stop_at;
+}
+
+LookUpAnswer LookUp(const State& state) {
+  // Short, so that a daemon that is gone is soon forgotten; some clients keep
+  // an answer for three times as long, which a planned stop waits for.
+  constexpr Duration kKeep = seconds(2);
+  LookUpAnswer answer{.addresses = {}, .keep = kKeep};
+  if (IsServing(state)) answer.addresses.push_back(state.options.instance);
+  for (const auto& [address, member] : state.members) {
+    if (internal::IsHeard(state, member) && member.snapshot.serving) {
+      answer.addresses.push_back(member.snapshot.instance);
+    }
+  }
+  if (!answer.addresses.empty()) return answer;
+  // Nobody is known to serve: any may come back first.
+  answer.addresses.push_back(state.options.instance);
+  for (const auto& [address, member] : state.members) {
+    answer.addresses.push_back(member.snapshot.instance);
+  }
+  return answer;
+}
+
+}  // namespace scaleshed::serving
--- /dev/null
+++ b/serving/src/placement.cc
@@ -0,0 +1,327 @@
+#include "scaleshed/serving/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <optional>
+
+namespace scaleshed::serving {
+namespace {
+
+// Requests that an engine gets before the next one in the order is used, as a
+// part of its slots. Fuller engines make new requests wait for a slot when
+// several daemons choose at the same moment.
+constexpr double kFillPart = 0.8;
+// Reading before a short prompt that still keeps the pauses of those who write
+// there: the sites' shortest allowed pause is 200 ms, a pass without reading
+// takes about 45.
+constexpr Duration kMostShortBacklog = milliseconds(120);
+// Reading before a long prompt. More waits at the daemons, where the order can
+// still be changed and no pass grows by it.
+constexpr Duration kMostLongBacklog = milliseconds(150);
+// Engines that have more than this before them are not waited for.
+constexpr Duration kBusyBacklog = milliseconds(800);
+// Part of the engines that a long prompt is to be read by that must have room
+// before it starts: on few, it would stand in the way of others for long.
+constexpr double kLeastGang = 0.6;
+// The smallest part of a prompt worth a helper: below it, the pass in which it
+// is read costs more than the reading.
+constexpr Duration kLeastPart = milliseconds(40);
+// Helpers that one request may name.
+constexpr std::size_t kMostHelpers = 16;
+// Memory left free, as answers may run longer than the whole blocks counted.
+constexpr double kMemoryPart = 0.97;
+// Memory is handed out in blocks of so many tokens.
+constexpr std::int64_t kBlockTokens = 16;
+// Engines that long prompts leave alone, however few short ones there are.
+constexpr std::size_t kLeastShortEngines = 1;
+// Engines that stay open to long prompts under any number of short ones.
+constexpr std::size_t kLeastLongEngines = 4;
+
+Duration FromMs(double ms) {
+  return Duration(static_cast<Duration::rep>(ms * 1000));
+}
+
+std::int64_t MostMemory(const EngineTiming& timing) {
+  return static_cast<std::int64_t>(static_cast<double>(timing.memory_tokens) *
+                                   kMemoryPart);
+}
+
+std::int64_t FillLimit(const EngineTiming& timing) {
+  return static_cast<std::int64_t>(static_cast<double>(timing.slots) *
+                                   kFillPart);
+}
+
+// A part of a prompt that an engine has to read.
+struct Part {
+  Time started{};
+  Duration length{};
+};
+
+// Parts are read one after another in the order in which they came. One that
+// should be read but is not is taken to be nearly done.
+Duration BacklogOf(std::vector<Part> parts, Time now) {
+  constexpr Duration kOverdue = milliseconds(20);
+  std::sort(parts.begin(), parts.end(),
+            [](const Part& a, const Part& b) { return a.started < b.started; });
+  Time free{};
+  Duration overdue{};
+  for (const Part& it : parts) {
+    free = std::max(free, it.started) + it.length;
+    if (free <= now) overdue += kOverdue;
+  }
+  return std::max(free > now ? free - now : Duration::zero(), overdue);
+}
+
+// The number of engines at the start of the order that are kept for short
+// prompts, from those that are there now.
+std::size_t ShortEngines(const EngineTiming& timing,
+                         const std::vector<EngineView>& pool) {
+  std::int64_t running = 0;
+  for (const EngineView& it : pool) running += it.short_running;
+  const auto limit = std::max<std::int64_t>(FillLimit(timing), 1);
+  const auto wanted = static_cast<std::size_t>((running + limit / 2) / limit);
+  const std::size_t most =
+      pool.size() > kLeastLongEngines ? pool.size() - kLeastLongEngines : 0;
+  return std::min(std::max(wanted + 1, kLeastShortEngines), most);
+}
+
+Placing PlaceShort(const EngineTiming& timing,
+                   const std::vector<EngineView>& pool,
+                   const PlacementQuery& query) {
+  const Duration read = ReadTime(timing, query.prompt_tokens);
+  const std::int64_t memory = query.prompt_tokens + query.answer_tokens;
+  const EngineView* best = nullptr;
+  const auto wait = [&](const EngineView& it) {
+    // Without a free slot the next writer to end decides; a full pass each.
+    const std::int64_t over =
+        std::max<std::int64_t>(it.running - FillLimit(timing) + 1, 0);
+    return it.backlog + over * PassTime(timing, it.running, it.context_tokens);
+  };
+  for (const EngineView& it : pool) {
+    if (it.suspect) continue;
+    const bool fits = it.memory_used + memory <= MostMemory(timing);
+    const bool room = it.running < FillLimit(timing) &&
+                      it.backlog + read <= std::max(kMostShortBacklog, read);
+    if (fits && room) {
+      best = &it;
+      break;
+    }
+    if (best == nullptr || wait(it) < wait(*best)) best = &it;
+  }
+  if (best == nullptr) return NoRoomNow{Shortage::kBackends};
+  return Placed{
+      .backend = best->id,
+      .helpers = {},
+      .helper_tokens = {},
+      .first_token = wait(*best) + read +
+                     2 * PassTime(timing, best->running, best->context_tokens)};
+}
+
+// The engines that a long prompt may use, the soonest free first.
+std::vector<const EngineView*> LongEngines(
+    const EngineTiming& timing, const std::vector<EngineView>& pool) {
+  const std::size_t kept = ShortEngines(timing, pool);
+  std::vector<const EngineView*> open;
+  for (std::size_t i = 0; i < pool.size(); ++i) {
+    const bool free_of_short = i >= kept && pool[i].short_running == 0;
+    const bool may_help =
+        pool[i].running < timing.slots && pool[i].helping < timing.slots;
+    if (free_of_short && may_help && !pool[i].suspect) open.push_back(&pool[i]);
+  }
+  if (open.empty()) {
+    // Short prompts are everywhere: the last engines have the fewest.
+    for (auto it = pool.rbegin();
+         it != pool.rend() && open.size() < kLeastLongEngines; ++it) {
+      const bool room = it->running < FillLimit(timing);
+      if (room && !it->suspect) open.push_back(&*it);
+    }
+  }
+  std::stable_sort(open.begin(), open.end(),
+                   [](const EngineView* a, const EngineView* b) {
+                     return a->backlog < b->backlog;
+                   });
+  return open;
+}
+
+// Shares a prompt's memory out: the rest after the tickets stays at `first`.
+// False where there is not enough.
+bool ShareMemory(const EngineTiming& timing, std::int64_t needed,
+                 const EngineView& first,
+                 const std::vector<const EngineView*>& helpers,
+                 std::vector<std::int64_t>& tokens) {
+  const auto free = [&](const EngineView& it) {
+    return std::max<std::int64_t>(MostMemory(timing) - it.memory_used, 0);
+  };
+  std::int64_t rest = needed - free(first);
+  if (rest <= 0) return true;
+  tokens.assign(helpers.size(), 0);
+  for (std::size_t i = 0; i < helpers.size() && rest > 0; ++i) {
+    const std::int64_t most = free(*helpers[i]) / kBlockTokens * kBlockTokens;
+    const std::int64_t whole =
+        (rest + kBlockTokens - 1) / kBlockTokens * kBlockTokens;
+    tokens[i] = std::min(most, whole);
+    rest -= tokens[i];
+  }
+  return rest <= 0;
+}
+
+// How many engines a prompt is to be read by, of those that have room soon.
+std::size_t WantedEngines(const std::vector<const EngineView*>& open,
+                          Duration read) {
+  std::size_t soon = 0;
+  for (const EngineView* it : open) {
+    if (it->backlog < kBusyBacklog) ++soon;
+  }
+  const auto parts = static_cast<std::size_t>(read / kLeastPart);
+  return std::max<std::size_t>(std::min({soon, parts, kMostHelpers + 1}), 1);
+}
+
+// The engine that writes the answer: the fullest one that has memory for it, so
+// that as few engines as possible have writers, who pause for every part that
+// is read there. Where none has, the one with the most.
+const EngineView* PickWriter(const EngineTiming& timing,
+                             const std::vector<const EngineView*>& free,
+                             std::int64_t needed) {
+  const EngineView* best = nullptr;
+  for (const EngineView* it : free) {
+    if (it->running >= FillLimit(timing)) continue;
+    if (it->memory_used + needed > MostMemory(timing)) continue;
+    if (best == nullptr || it->memory_used > best->memory_used) best = it;
+  }
+  if (best != nullptr || needed <= MostMemory(timing)) return best;
+  for (const EngineView* it : free) {
+    if (best == nullptr || it->memory_used < best->memory_used) best = it;
+  }
+  return best;
+}
+
+Placing PlaceLong(const EngineTiming& timing,
+                  const std::vector<EngineView>& pool,
+                  const PlacementQuery& query) {
+  const std::int64_t needed = query.prompt_tokens + query.answer_tokens;
+  const auto most_engines =
+      static_cast<std::int64_t>(std::min(pool.size(), kMostHelpers + 1));
+  if (needed > most_engines * MostMemory(timing)) return TooLarge{};
+  const auto open = LongEngines(timing, pool);
+  const Duration read = ReadTime(timing, query.prompt_tokens);
+  std::vector<const EngineView*> free;
+  for (const EngineView* it : open) {
+    // An engine reads parts for others before its own requests: one that has a
+    // prompt of its own to read is left alone until it has.
+    if (it->backlog <= kMostLongBacklog && it->reading == 0) {
+      free.push_back(it);
+    }
+  }
+  const std::size_t wanted = WantedEngines(open, read);
+  const auto least = static_cast<std::size_t>(
+      std::ceil(kLeastGang * static_cast<double>(wanted)));
+  if (free.size() < least) return NoRoomNow{Shortage::kEngines};
+  const EngineView* writer = PickWriter(timing, free, needed);
+  if (writer == nullptr) return NoRoomNow{Shortage::kMemory};
+  std::vector<const EngineView*> others;
+  for (const EngineView* it : free) {
+    if (it != writer) others.push_back(it);
+  }
+  // Those without writers first; then those with the most memory, for tickets.
+  std::stable_sort(others.begin(), others.end(),
+                   [](const EngineView* a, const EngineView* b) {
+                     if (a->writers != b->writers) {
+                       return a->writers < b->writers;
+                     }
+                     return a->memory_used < b->memory_used;
+                   });
+  others.resize(std::min(others.size(), wanted - 1));
+  Placed placed{.backend = writer->id,
+                .helpers = {},
+                .helper_tokens = {},
+                .first_token = {}};
+  Duration backlog = writer->backlog;
+  for (const EngineView* it : others) {
+    placed.helpers.push_back(it->id);
+    backlog = std::max(backlog, it->backlog);
+  }
+  if (!ShareMemory(timing, needed, *writer, others, placed.helper_tokens)) {
+    return NoRoomNow{Shortage::kTickets};
+  }
+  placed.first_token =
+      backlog + read / static_cast<Duration::rep>(others.size() + 1) +
+      2 * PassTime(timing, writer->running, needed + writer->context_tokens);
+  return placed;
+}
+
+}  // namespace
+
+Duration ReadTime(const EngineTiming& timing, std::int64_t prompt_tokens) {
+  const auto n = static_cast<double>(prompt_tokens);
+  const double pairs = n * n / 2 / 1e6;
+  return FromMs(n / timing.read_tokens_per_ms +
+                pairs * timing.pairs_ms_per_million);
+}
+
+Duration PassTime(const EngineTiming& timing, std::int64_t writers,
+                  std::int64_t context_tokens) {
+  const double step =
+      timing.step_ms + static_cast<double>(writers) * timing.writer_ms +
+      static_cast<double>(context_tokens) / 1000 * timing.context_ms_per_1000;
+  return FromMs(step * static_cast<double>(timing.tokens_per_event));
+}
+
+std::vector<EngineView> ViewPool(const EngineTiming& timing,
+                                 std::vector<EngineView> engines,
+                                 const std::vector<const Work*>& works,
+                                 Time now) {
+  std::vector<std::vector<Part>> parts(engines.size());
+  const auto find = [&](BackendId id) -> std::optional<std::size_t> {
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+      if (engines[i].id == id) return i;
+    }
+    return std::nullopt;
+  };
+  for (const Work* it : works) {
+    const Duration read = ReadTime(timing, it->prompt_tokens);
+    const Part part{
+        .started = it->started,
+        .length = read / static_cast<Duration::rep>(it->helpers.size() + 1)};
+    std::int64_t elsewhere = 0;
+    for (std::size_t i = 0; i < it->helpers.size(); ++i) {
+      const auto at = find(it->helpers[i]);
+      const std::int64_t tokens =
+          i < it->helper_tokens.size() ? it->helper_tokens[i] : 0;
+      elsewhere += tokens;
+      if (!at) continue;
+      engines[*at].memory_used += tokens;
+      if (it->writing) continue;
+      ++engines[*at].helping;
+      parts[*at].push_back(part);
+    }
+    const auto at = find(it->backend);
+    if (!at) continue;
+    EngineView& engine = engines[*at];
+    ++engine.running;
+    if (read <= kShortRead) ++engine.short_running;
+    const std::int64_t here = it->prompt_tokens + it->answer_tokens - elsewhere;
+    engine.memory_used += here;
+    if (it->writing) {
+      ++engine.writers;
+      engine.context_tokens += here;
+    } else {
+      ++engine.reading;
+      parts[*at].push_back(part);
+    }
+  }
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    engines[i].backlog = BacklogOf(std::move(parts[i]), now);
+  }
+  return engines;
+}
+
+Placing Place(const EngineTiming& timing, const std::vector<EngineView>& pool,
+              const PlacementQuery& query) {
+  if (ReadTime(timing, query.prompt_tokens) <= kShortRead) {
+    return PlaceShort(timing, pool, query);
+  }
+  return PlaceLong(timing, pool, query);
+}
+
+}  // namespace scaleshed::serving
--- /dev/null
+++ b/serving/src/reducer.cc
@@ -0,0 +1,105 @@
+#include "scaleshed/serving/reducer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "internal/steps.h"
+
+namespace scaleshed::serving {
+namespace internal {
+namespace {
+
+// While requests are in work, their time limits are looked at so often.
+constexpr Duration kBusyTick = milliseconds(20);
+constexpr Duration kIdleTick = milliseconds(200);
+// A stopping daemon still takes requests for so long of its grace, as clients
+// keep addresses for a while; then it ends with its last answer.
+constexpr double kTakingPart = 0.8;
+constexpr double kLastPart = 0.96;
+
+void OnStop(State& state) {
+  if (state.stop_at) return;
+  state.stop_at = state.now;
+  state.changed = true;
+  Log(state, "stopping", {{"requests", std::to_string(state.requests.size())}});
+}
+
+Duration PartOf(Duration whole, double part) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(whole.count()) * part));
+}
+
+void FinishStop(State& state) {
+  if (!state.stop_at || state.exited) return;
+  const Duration since = state.now - *state.stop_at;
+  const bool last = since >= PartOf(state.options.grace, kLastPart);
+  const bool quiet = since >= PartOf(state.options.grace, kTakingPart) &&
+                     state.requests.empty();
+  if (!last && !quiet) return;
+  while (!state.requests.empty()) {
+    Request& request = state.requests.begin()->second;
+    request.may_have_run =
+        request.may_have_run || request.phase == Phase::kRunning;
+    RefuseRequest(state, request, Refusal::kStopping, milliseconds(50));
+  }
+  state.exited = true;
+  state.effects.emplace_back(Exit{});
+}
+
+void OnTick(State& state) {
+  state.ticked_at = state.now;
+  ExpireAttempts(state);
+  StartWaiting(state);
+  DropLapsed(state);
+  FinishStop(state);
+}
+
+void Apply(State& state, const EventBody& body) {
+  std::visit(
+      Overloaded{
+          [&](const RequestArrived& it) { Admit(state, it); },
+          [&](const ClientGone& it) { OnClientGone(state, it); },
+          [&](const StreamEvent& it) { OnStreamEvent(state, it); },
+          [&](const AttemptAnswered& it) { OnAnswered(state, it); },
+          [&](const AttemptFailed& it) { OnFailed(state, it); },
+          [&](const MemoryAnswered& it) { OnMemoryAnswered(state, it); },
+          [&](const ConfigurationSeen& it) { OnConfiguration(state, it); },
+          [&](const ConfigurationConfirmed& it) { OnConfirmed(state, it); },
+          [&](const BackendListed& it) { OnListed(state, it.backend); },
+          [&](const BackendUnlisted& it) { OnUnlisted(state, it); },
+          [&](const BackendsListed& it) { OnAllListed(state, it); },
+          [&](const PeersListed& it) { OnPeersListed(state, it); },
+          [&](const SnapshotReceived& it) { OnSnapshot(state, it); },
+          [&](const Tick&) { OnTick(state); },
+          [&](const StopRequested&) { OnStop(state); }},
+      body);
+}
+
+}  // namespace
+
+void Log(State& state, std::string what,
+         std::vector<std::pair<std::string, std::string>> fields) {
+  state.effects.emplace_back(
+      LogDecision{.what = std::move(what), .fields = std::move(fields)});
+}
+
+std::string Millis(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+}  // namespace internal
+
+Effects Reduce(State& state, const Event& event) {
+  state.now = std::max(state.now, event.now);
+  internal::Apply(state, event.body);
+  internal::Publish(state);
+  return std::exchange(state.effects, {});
+}
+
+Time NextWake(const State& state) {
+  const bool busy = !state.requests.empty() || state.stop_at.has_value();
+  return state.ticked_at + (busy ? internal::kBusyTick : internal::kIdleTick);
+}
+
+}  // namespace scaleshed::serving
--- /dev/null
+++ b/serving/src/starting.cc
@@ -0,0 +1,365 @@
+#include <algorithm>
+#include <utility>
+
+#include "internal/steps.h"
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed::serving::internal {
+namespace {
+
+// Tries at a request that did not run each time.
+constexpr int kMostRefusals = 3;
+// Between two looks at a pool that had no room.
+constexpr Duration kLookAgain = milliseconds(10);
+// After memory was refused: about the time in which an answer ends.
+constexpr Duration kMemoryAgain = milliseconds(200);
+// Memory is set aside for so short a time, and again and again, that what a
+// daemon leaves behind when it dies lapses before it counts as lost (4 s).
+constexpr Duration kHold = milliseconds(3500);
+constexpr Duration kRenewAfter = milliseconds(900);
+// Orders are answered within milliseconds, or not at all.
+constexpr Duration kReserveWithin = milliseconds(400);
+// A prompt gives way to those that came later by what reading it takes: what
+// is earned for a prompt grows more slowly than its reading, so short ones
+// first earns most for the engines' time. One that has missed its objective
+// earns about a quarter, and gives way by so many times as much.
+constexpr int kLateFactor = 4;
+// A stream's first event may be later than expected by this and by as much as
+// was expected, before another backend server is asked. Clients give up short
+// streams after two seconds of silence.
+constexpr Duration kFirstEventGrace = milliseconds(900);
+// A repeatable request without an answer is sent elsewhere after this multiple
+// of its objective.
+constexpr int kHangObjectives = 3;
+constexpr Duration kLeastHang = milliseconds(800);
+
+struct Choice {
+  const Backend* backend = nullptr;
+  Placed placed;
+};
+
+std::size_t WorksAt(const std::vector<const Work*>& works, BackendId id) {
+  return static_cast<std::size_t>(
+      std::count_if(works.begin(), works.end(),
+                    [&](const Work* it) { return it->backend == id; }));
+}
+
+// The least busy backend server of a plain service; those in this data centre
+// first among equals.
+Placing PlacePlain(State& state, const Request& request,
+                   const std::vector<const Backend*>& open) {
+  const auto works = AllWorks(state);
+  const Backend* best = nullptr;
+  double least = 0;
+  for (const Backend* it : open) {
+    const auto slots = std::max<std::int64_t>(it->server.slots, 1);
+    double cost = static_cast<double>(WorksAt(works, it->id)) /
+                  static_cast<double>(slots);
+    constexpr double kAvoid = 100;
+    constexpr double kElsewhereCost = 0.05;
+    constexpr double kTieBreak = 1e-4;
+    if (IsSuspect(state, *it)) cost += kAvoid;
+    if (request.tried.contains(it->id)) cost += kAvoid / 2;
+    if (it->server.data_centre != state.options.data_centre) {
+      cost += kElsewhereCost;
+    }
+    cost += kTieBreak * static_cast<double>(state.random() % 100);
+    if (best == nullptr || cost < least) {
+      best = it;
+      least = cost;
+    }
+  }
+  if (best == nullptr) return NoRoomNow{Shortage::kBackends};
+  return Placed{.backend = best->id, .first_token = request.route.objective};
+}
+
+Placing PlacePrompt(const State& state, const Request& request,
+                    const EngineTiming& timing,
+                    const std::vector<const Backend*>& open) {
+  std::vector<EngineView> engines;
+  for (const Backend* it : open) {
+    engines.push_back(
+        {.id = it->id,
+         .suspect = IsSuspect(state, *it) || request.tried.contains(it->id)});
+  }
+  const bool all_suspect =
+      std::all_of(engines.begin(), engines.end(),
+                  [](const EngineView& it) { return it.suspect; });
+  if (all_suspect) {
+    for (EngineView& it : engines) it.suspect = false;
+  }
+  const auto pool =
+      ViewPool(timing, std::move(engines), AllWorks(state), state.now);
+  return Place(timing, pool,
+               {.prompt_tokens = request.facts.prompt_tokens,
+                .answer_tokens = request.facts.answer_tokens,
+                .longest_pause = request.route.longest_pause});
+}
+
+const EngineTiming* TimingOf(const State& state, const std::string& service) {
+  const Service* found = state.configuration->FindService(service);
+  return found != nullptr && found->engine ? &*found->engine : nullptr;
+}
+
+// Waiting requests of all daemons that come before this one, and what their
+// prompts take.
+struct Ahead {
+  std::size_t requests = 0;
+  Duration read{};
+};
+Ahead AheadOf(const State& state, const Request& request) {
+  const Time turn = TurnOf(state, request);
+  Ahead ahead;
+  for (const auto& [key, it] : state.requests) {
+    const bool before = it.phase == Phase::kWaiting && key != request.key &&
+                        it.service == request.service && it.read > kShortRead &&
+                        TurnOf(state, it) < turn;
+    if (before) ahead = {ahead.requests + 1, ahead.read + it.read};
+  }
+  for (const auto& [address, member] : state.members) {
+    if (!IsHeard(state, member)) continue;
+    for (const Waiting& it : member.snapshot.waiting) {
+      const bool before = it.service == request.service &&
+                          it.read > kShortRead && it.turn < turn;
+      if (before) ahead = {ahead.requests + 1, ahead.read + it.read};
+    }
+  }
+  return ahead;
+}
+
+void Send(State& state, Request& request) {
+  Backend* backend = FindBackend(state, request.backend);
+  if (backend == nullptr || backend->server.leaving) {
+    DropAttempt(state, request, false);
+    request.phase = Phase::kWaiting;
+    request.retry_at = state.now + kLookAgain;
+    return;
+  }
+  request.phase = Phase::kRunning;
+  request.sent_at = state.now;
+  ++request.runs;
+  StartAttempt effect{.attempt = request.attempt,
+                      .key = request.key,
+                      .address = backend->server.address,
+                      .instance = backend->server.id,
+                      .account = request.account,
+                      .time_left = request.deadline - state.now,
+                      .stream = IsStream(request.route.kind)};
+  if (request.begun) effect.resume_after = request.last_event_id;
+  for (std::size_t i = 0; i < request.work.helpers.size(); ++i) {
+    const Backend* helper = FindBackend(state, request.work.helpers[i]);
+    if (helper == nullptr) continue;
+    const std::string ticket =
+        i < request.memory.size() ? request.memory[i].ticket : "";
+    effect.helpers.push_back(
+        {.address = helper->server.address, .ticket = ticket});
+  }
+  state.effects.emplace_back(Count{Counter::kSends});
+  if (!effect.helpers.empty()) {
+    state.effects.emplace_back(Count{Counter::kHelped});
+  }
+  Log(state, "sent",
+      {{"request", request.facts.id},
+       {"attempt", std::to_string(request.attempt)},
+       {"backend", backend->server.id},
+       {"address", backend->server.address},
+       {"helpers", std::to_string(effect.helpers.size())},
+       {"prompt", std::to_string(request.facts.prompt_tokens)},
+       {"waited_ms", Millis(state.now - request.arrived)},
+       {"expected_ms", Millis(request.expected_first)},
+       {"resume_after", effect.resume_after}});
+  state.effects.emplace_back(std::move(effect));
+}
+
+void Reserve(State& state, Request& request, const Placed& placed) {
+  request.phase = Phase::kReserving;
+  request.progress_by = state.now + kReserveWithin;
+  request.memory.assign(placed.helpers.size(), {});
+  for (std::size_t i = 0; i < placed.helpers.size(); ++i) {
+    Memory& memory = request.memory[i];
+    memory.tokens = placed.helper_tokens[i];
+    const Backend* helper = FindBackend(state, placed.helpers[i]);
+    if (memory.tokens == 0 || helper == nullptr) {
+      memory.granted = true;
+      continue;
+    }
+    memory.address = helper->server.address;
+    memory.ticket = std::to_string(state.options.life) + "-" +
+                    std::to_string(request.attempt) + "-" + std::to_string(i);
+    memory.renew_at = state.now + kRenewAfter;
+    state.effects.emplace_back(Count{Counter::kTickets});
+    state.effects.emplace_back(ReserveMemory{.attempt = request.attempt,
+                                             .index = i,
+                                             .address = memory.address,
+                                             .ticket = memory.ticket,
+                                             .tokens = memory.tokens,
+                                             .hold = kHold});
+  }
+}
+
+Duration ProgressWithin(const Request& request, const Placed& placed) {
+  if (request.route.kind == RequestKind::kRepeatable) {
+    return std::max(kHangObjectives * request.route.objective, kLeastHang);
+  }
+  const Duration slack =
+      std::max(kFirstEventGrace, request.route.objective / 2);
+  return 2 * placed.first_token + slack;
+}
+
+void Start(State& state, Request& request, const Placed& placed) {
+  request.attempt = ++state.last_id;
+  state.attempts[request.attempt] = request.key;
+  request.backend = placed.backend;
+  const Backend* backend = FindBackend(state, placed.backend);
+  request.backend_name = backend == nullptr ? "" : backend->server.id;
+  request.work = {.id = request.key,
+                  .backend = placed.backend,
+                  .helpers = placed.helpers,
+                  .prompt_tokens = request.facts.prompt_tokens,
+                  .answer_tokens = request.facts.answer_tokens,
+                  .started = state.now,
+                  .writing = false,
+                  .longest_pause = request.route.longest_pause,
+                  .helper_tokens = placed.helper_tokens};
+  request.expected_first = placed.first_token;
+  state.changed = true;
+  const bool tickets =
+      std::any_of(placed.helper_tokens.begin(), placed.helper_tokens.end(),
+                  [](std::int64_t it) { return it > 0; });
+  if (tickets) {
+    Reserve(state, request, placed);
+    return;
+  }
+  request.memory.clear();
+  request.progress_by = state.now + ProgressWithin(request, placed);
+  Send(state, request);
+}
+
+// Whether a request that has to wait can still be served in time, from what is
+// before it. Otherwise it is refused at once.
+bool CanWait(const State& state, const Request& request,
+             const EngineTiming& timing, std::size_t engines) {
+  (void)timing;
+  const Ahead ahead = AheadOf(state, request);
+  const auto n = static_cast<Duration::rep>(std::max<std::size_t>(engines, 1));
+  const Duration start = ahead.read / n;
+  return state.now + start + request.read / n < request.deadline;
+}
+
+void Wait(State& state, Request& request, Duration pause, Shortage of) {
+  if (request.waits_for != of) {
+    request.waits_for = of;
+    Log(state, "waits",
+        {{"request", request.facts.id},
+         {"for", std::string(NameIn(kShortageNames, of))},
+         {"prompt", std::to_string(request.facts.prompt_tokens)},
+         {"after_ms", Millis(state.now - request.arrived)}});
+  }
+  request.phase = Phase::kWaiting;
+  request.retry_at = state.now + pause;
+  state.changed = true;
+}
+
+}  // namespace
+
+Time TurnOf(const State& state, const Request& request) {
+  const bool late = state.now > request.due;
+  return request.arrived + request.read * (late ? kLateFactor : 1);
+}
+
+void TryStart(State& state, Request& request) {
+  // After waiting and failing the configuration may be another one; the
+  // backend servers of the chosen service are still those that may run it.
+  const auto open = OpenBackends(state, request.service);
+  if (open.empty() || request.refusals > kMostRefusals) {
+    const Duration again = milliseconds(200);
+    RefuseRequest(state, request,
+                  open.empty() ? Refusal::kNoBackend : Refusal::kNotRun, again);
+    return;
+  }
+  const EngineTiming* timing = TimingOf(state, request.service);
+  const bool is_long = timing != nullptr && request.read > kShortRead;
+  if (is_long && AheadOf(state, request).requests > 0) {
+    if (!CanWait(state, request, *timing, open.size())) {
+      RefuseRequest(state, request, Refusal::kOverload, seconds(1));
+      return;
+    }
+    Wait(state, request, kLookAgain, Shortage::kTurn);
+    return;
+  }
+  const Placing placing = timing == nullptr
+                              ? PlacePlain(state, request, open)
+                              : PlacePrompt(state, request, *timing, open);
+  std::visit(Overloaded{[&](const Placed& it) { Start(state, request, it); },
+                        [&](const NoRoomNow& it) {
+                          Wait(state, request, kLookAgain, it.of);
+                        },
+                        [&](const TooLarge&) {
+                          RefuseRequest(state, request, Refusal::kInvalid, {});
+                        }},
+             placing);
+}
+
+void StartWaiting(State& state) {
+  std::vector<std::pair<Time, RequestKey>> waiting;
+  for (const auto& [key, request] : state.requests) {
+    if (request.phase == Phase::kWaiting && request.retry_at <= state.now) {
+      waiting.emplace_back(TurnOf(state, request), key);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto& [turn, key] : waiting) {
+    const auto it = state.requests.find(key);
+    if (it != state.requests.end()) TryStart(state, it->second);
+  }
+}
+
+void OnMemoryAnswered(State& state, const MemoryAnswered& event) {
+  const auto found = state.attempts.find(event.attempt);
+  if (found == state.attempts.end()) return;
+  Request& request = state.requests.at(found->second);
+  if (event.index >= request.memory.size()) return;
+  if (request.phase != Phase::kReserving) return;
+  if (!event.granted) {
+    Log(state, "memory_refused",
+        {{"request", request.facts.id},
+         {"address", request.memory[event.index].address},
+         {"tokens", std::to_string(request.memory[event.index].tokens)}});
+    DropAttempt(state, request, false);
+    Wait(state, request, kMemoryAgain, Shortage::kTickets);
+    return;
+  }
+  request.memory[event.index].granted = true;
+  const bool all = std::all_of(request.memory.begin(), request.memory.end(),
+                               [](const Memory& it) { return it.granted; });
+  if (!all) return;
+  request.work.started = state.now;
+  request.progress_by = state.now + 2 * request.read +
+                        std::max(kFirstEventGrace, request.route.objective / 2);
+  Send(state, request);
+}
+
+void RenewMemory(State& state, Request& request) {
+  for (std::size_t i = 0; i < request.memory.size(); ++i) {
+    Memory& memory = request.memory[i];
+    if (memory.ticket.empty() || memory.renew_at > state.now) continue;
+    memory.renew_at = state.now + kRenewAfter;
+    state.effects.emplace_back(ReserveMemory{.attempt = request.attempt,
+                                             .index = i,
+                                             .address = memory.address,
+                                             .ticket = memory.ticket,
+                                             .tokens = memory.tokens,
+                                             .hold = kHold});
+  }
+}
+
+void ReleaseMemoryOf(State& state, Request& request) {
+  for (const Memory& it : request.memory) {
+    if (it.ticket.empty()) continue;
+    state.effects.emplace_back(
+        ReleaseMemory{.address = it.address, .ticket = it.ticket});
+  }
+  request.memory.clear();
+}
+
+}  // namespace scaleshed::serving::internal
