Writers on few engines, short prompts kept off some; a run more than the route allows

One run more was allowed after a lost one. Dossiers and reviews lost their aim by pauses: parts of other prompts were read where they were written. Change: never more runs than the route's. The engine that writes helps nobody; writers are gathered; four engines stay free of short prompts while others have room; pauses that a part would break are avoided.

--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -31,7 +31,8 @@
   std::int64_t writers = 0;        // of these, those past their first token
   std::int64_t reading = 0;        // of these, those before it
   std::int64_t helping = 0;        // parts of other engines' prompts
-  Duration backlog{};              // of reading that it has before it
+  Duration least_pause = Duration::max();  // that keeps one of them in time
+  Duration backlog{};                      // of reading that it has before it
   std::int64_t memory_used = 0;
   std::int64_t context_tokens = 0;  // of those that write
 };
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -90,7 +90,7 @@
        {"begun", request.begun ? "true" : "false"},
        {"last_event", request.last_event_id}});
   const bool again = MayRunAgain(request.route.kind) &&
-                     request.runs < std::max(request.route.max_sends, 1) + 1 &&
+                     request.runs < std::max(request.route.max_sends, 1) &&
                      MaySendAgain(state, request);
   if (again) {
     SendAgain(state, request);
--- a/serving/src/placement.cc
+++ b/serving/src/placement.cc
@@ -11,11 +11,11 @@
 // Requests that an engine gets before the next one in the order is used, as a
 // part of its slots. Fuller engines make new requests wait for a slot when
 // several daemons choose at the same moment.
-constexpr double kFillPart = 0.8;
+constexpr double kFillPart = 0.6;
 // Reading before a short prompt that still keeps the pauses of those who write
 // there: the sites' shortest allowed pause is 200 ms, a pass without reading
 // takes about 45.
-constexpr Duration kMostShortBacklog = milliseconds(120);
+constexpr Duration kMostShortBacklog = milliseconds(90);
 // Reading before a long prompt. More waits at the daemons, where the order can
 // still be changed and no pass grows by it.
 constexpr Duration kMostLongBacklog = milliseconds(150);
@@ -86,29 +86,46 @@
   return std::min(std::max(wanted + 1, kLeastShortEngines), most);
 }
 
+// The number of engines from the start of the order that short prompts use
+// while there is any room on them.
+std::size_t OpenToShort(const std::vector<EngineView>& pool) {
+  return pool.size() > 2 * kLeastLongEngines ? pool.size() - kLeastLongEngines
+                                             : pool.size();
+}
+
 Placing PlaceShort(const EngineTiming& timing,
                    const std::vector<EngineView>& pool,
                    const PlacementQuery& query) {
   const Duration read = ReadTime(timing, query.prompt_tokens);
   const std::int64_t memory = query.prompt_tokens + query.answer_tokens;
-  const EngineView* best = nullptr;
   const auto wait = [&](const EngineView& it) {
     // Without a free slot the next writer to end decides; a full pass each.
     const std::int64_t over =
-        std::max<std::int64_t>(it.running - FillLimit(timing) + 1, 0);
+        std::max<std::int64_t>(it.running - timing.slots + 1, 0);
     return it.backlog + over * PassTime(timing, it.running, it.context_tokens);
   };
-  for (const EngineView& it : pool) {
-    if (it.suspect) continue;
-    const bool fits = it.memory_used + memory <= MostMemory(timing);
-    const bool room = it.running < FillLimit(timing) &&
-                      it.backlog + read <= std::max(kMostShortBacklog, read);
-    if (fits && room) {
-      best = &it;
-      break;
-    }
-    if (best == nullptr || wait(it) < wait(*best)) best = &it;
+  const auto fits = [&](const EngineView& it, std::int64_t most_running) {
+    return !it.suspect && it.running < most_running &&
+           it.memory_used + memory <= MostMemory(timing);
+  };
+  const EngineView* best = nullptr;
+  // In order, while it costs nobody's pauses; then the least busy one of the
+  // same engines; then any.
+  const std::size_t open = OpenToShort(pool);
+  for (std::size_t i = 0; i < open && best == nullptr; ++i) {
+    const bool quiet =
+        pool[i].backlog + read <= std::max(kMostShortBacklog, read);
+    if (quiet && fits(pool[i], FillLimit(timing))) best = &pool[i];
   }
+  const auto least_busy = [&](std::size_t n, std::int64_t most_running) {
+    for (std::size_t i = 0; i < n; ++i) {
+      if (!fits(pool[i], most_running)) continue;
+      if (best == nullptr || wait(pool[i]) < wait(*best)) best = &pool[i];
+    }
+  };
+  if (best == nullptr) least_busy(open, timing.slots);
+  if (best == nullptr) least_busy(pool.size(), timing.slots);
+  if (best == nullptr) least_busy(pool.size(), 2 * timing.slots);
   if (best == nullptr) return NoRoomNow{Shortage::kBackends};
   return Placed{
       .backend = best->id,
@@ -133,7 +150,7 @@
     // Short prompts are everywhere: the last engines have the fewest.
     for (auto it = pool.rbegin();
          it != pool.rend() && open.size() < kLeastLongEngines; ++it) {
-      const bool room = it->running < FillLimit(timing);
+      const bool room = it->running < timing.slots;
       if (room && !it->suspect) open.push_back(&*it);
     }
   }
@@ -169,28 +186,45 @@
 // How many engines a prompt is to be read by, of those that have room soon.
 std::size_t WantedEngines(const std::vector<const EngineView*>& open,
                           Duration read) {
-  std::size_t soon = 0;
+  std::size_t soon = 1;
   for (const EngineView* it : open) {
-    if (it->backlog < kBusyBacklog) ++soon;
+    if (it->running == 0 && it->backlog < kBusyBacklog) ++soon;
   }
   const auto parts = static_cast<std::size_t>(read / kLeastPart);
   return std::max<std::size_t>(std::min({soon, parts, kMostHelpers + 1}), 1);
 }
 
-// The engine that writes the answer: the fullest one that has memory for it, so
-// that as few engines as possible have writers, who pause for every part that
-// is read there. Where none has, the one with the most.
+// Whether a part that is read on this engine keeps the pauses of those who
+// write there in time.
+bool KeepsPauses(const EngineTiming& timing, const EngineView& engine,
+                 Duration part) {
+  if (engine.running == 0) return true;
+  const Duration pass = PassTime(timing, engine.running, engine.context_tokens);
+  return engine.backlog + part + pass <= engine.least_pause;
+}
+
+// The engine that reads the first part and writes the answer. One that has
+// requests of its own is taken before an empty one, so that few engines have
+// writers, who pause for every part that is read there. Where none has the
+// memory for all of a prompt that no engine could hold, the one with the most.
 const EngineView* PickWriter(const EngineTiming& timing,
-                             const std::vector<const EngineView*>& free,
-                             std::int64_t needed) {
+                             const std::vector<const EngineView*>& open,
+                             std::int64_t needed, Duration part) {
   const EngineView* best = nullptr;
-  for (const EngineView* it : free) {
+  const auto better = [&](const EngineView& a, const EngineView& b) {
+    const bool keeps_a = KeepsPauses(timing, a, part);
+    const bool keeps_b = KeepsPauses(timing, b, part);
+    if (keeps_a != keeps_b) return keeps_a;
+    return a.memory_used > b.memory_used;
+  };
+  for (const EngineView* it : open) {
     if (it->running >= FillLimit(timing)) continue;
+    if (it->backlog > kMostLongBacklog) continue;
     if (it->memory_used + needed > MostMemory(timing)) continue;
-    if (best == nullptr || it->memory_used > best->memory_used) best = it;
+    if (best == nullptr || better(*it, *best)) best = it;
   }
   if (best != nullptr || needed <= MostMemory(timing)) return best;
-  for (const EngineView* it : free) {
+  for (const EngineView* it : open) {
     if (best == nullptr || it->memory_used < best->memory_used) best = it;
   }
   return best;
@@ -205,30 +239,23 @@
   if (needed > most_engines * MostMemory(timing)) return TooLarge{};
   const auto open = LongEngines(timing, pool);
   const Duration read = ReadTime(timing, query.prompt_tokens);
-  std::vector<const EngineView*> free;
-  for (const EngineView* it : open) {
-    // An engine reads parts for others before its own requests: one that has a
-    // prompt of its own to read is left alone until it has.
-    if (it->backlog <= kMostLongBacklog && it->reading == 0) {
-      free.push_back(it);
-    }
-  }
   const std::size_t wanted = WantedEngines(open, read);
-  const auto least = static_cast<std::size_t>(
-      std::ceil(kLeastGang * static_cast<double>(wanted)));
-  if (free.size() < least) return NoRoomNow{Shortage::kEngines};
-  const EngineView* writer = PickWriter(timing, free, needed);
+  const Duration part = read / static_cast<Duration::rep>(wanted);
+  const EngineView* writer = PickWriter(timing, open, needed, part);
   if (writer == nullptr) return NoRoomNow{Shortage::kMemory};
+  // Engines read parts for others before prompts of their own, so one that has
+  // requests is no helper, unless there are no others.
   std::vector<const EngineView*> others;
-  for (const EngineView* it : free) {
-    if (it != writer) others.push_back(it);
+  for (const EngineView* it : open) {
+    const bool helps = it->running == 0 && it->backlog <= kMostLongBacklog;
+    if (helps && it != writer) others.push_back(it);
   }
-  // Those without writers first; then those with the most memory, for tickets.
+  const auto least = static_cast<std::size_t>(
+      std::ceil(kLeastGang * static_cast<double>(wanted)));
+  if (others.size() + 1 < least) return NoRoomNow{Shortage::kEngines};
+  // Those with the most memory first, for tickets.
   std::stable_sort(others.begin(), others.end(),
                    [](const EngineView* a, const EngineView* b) {
-                     if (a->writers != b->writers) {
-                       return a->writers < b->writers;
-                     }
                      return a->memory_used < b->memory_used;
                    });
   others.resize(std::min(others.size(), wanted - 1));
@@ -299,6 +326,9 @@
     if (!at) continue;
     EngineView& engine = engines[*at];
     ++engine.running;
+    if (it->longest_pause > Duration::zero()) {
+      engine.least_pause = std::min(engine.least_pause, it->longest_pause);
+    }
     if (read <= kShortRead) ++engine.short_running;
     const std::int64_t here = it->prompt_tokens + it->answer_tokens - elsewhere;
     engine.memory_used += here;
