No part of a long prompt is begun where another is not read yet

Cause: long prompts took three to five times what was expected once two were in work at a time. Change: prompts wait at the daemons until the parts before them are read; all engines read, where the pause of those who write allows it; short prompts fill engines tighter while long reading waits.

--- a/serving/src/placement.cc
+++ b/serving/src/placement.cc
@@ -9,18 +9,23 @@
 namespace {
 
 // Requests that an engine gets before the next one in the order is used, as a
-// part of its slots. Fuller engines make new requests wait for a slot when
-// several daemons choose at the same moment.
-constexpr double kFillPart = 0.6;
+// part of its slots: few while there are engines to spare, as every prompt that
+// is read makes all who write there pause; many while long prompts need them.
+// Full engines would make new requests wait for a slot when several daemons
+// choose at the same moment.
+constexpr double kLooseFill = 0.6;
+constexpr double kTightFill = 0.85;
+// Reading of long prompts that is to be done, over which engines are short.
+constexpr Duration kMuchLongReading = seconds(2);
 // Reading before a short prompt that still keeps the pauses of those who write
 // there: the sites' shortest allowed pause is 200 ms, a pass without reading
 // takes about 45.
 constexpr Duration kMostShortBacklog = milliseconds(90);
-// Reading before a long prompt. More waits at the daemons, where the order can
-// still be changed and no pass grows by it.
-constexpr Duration kMostLongBacklog = milliseconds(150);
-// Engines that have more than this before them are not waited for.
-constexpr Duration kBusyBacklog = milliseconds(800);
+// Reading that an engine may have before it when it gets a part of a long
+// prompt. Engines read the newest part first, and parts for others before
+// prompts of their own: whatever is begun before the last part is done delays
+// that one. So prompts wait at the daemons, where their order can be chosen.
+constexpr Duration kMostLongBacklog = milliseconds(30);
 // Part of the engines that a long prompt is to be read by that must have room
 // before it starts: on few, it would stand in the way of others for long.
 constexpr double kLeastGang = 0.6;
@@ -47,9 +52,11 @@
                                    kMemoryPart);
 }
 
-std::int64_t FillLimit(const EngineTiming& timing) {
+std::int64_t FillLimit(const EngineTiming& timing,
+                       const PlacementQuery& query) {
+  const bool tight = query.long_reading > kMuchLongReading;
   return static_cast<std::int64_t>(static_cast<double>(timing.slots) *
-                                   kFillPart);
+                                   (tight ? kTightFill : kLooseFill));
 }
 
 // A part of a prompt that an engine has to read.
@@ -58,17 +65,18 @@
   Duration length{};
 };
 
-// Parts are read one after another in the order in which they came. One that
-// should be read but is not is taken to be nearly done.
+// Parts are taken to be read one after another. One that should be read but is
+// not is taken to be nearly done, and after a while to wait for another engine.
 Duration BacklogOf(std::vector<Part> parts, Time now) {
-  constexpr Duration kOverdue = milliseconds(20);
+  constexpr Duration kOverdue = milliseconds(50);
+  constexpr Duration kOverdueFor = milliseconds(300);
   std::sort(parts.begin(), parts.end(),
             [](const Part& a, const Part& b) { return a.started < b.started; });
   Time free{};
   Duration overdue{};
   for (const Part& it : parts) {
     free = std::max(free, it.started) + it.length;
-    if (free <= now) overdue += kOverdue;
+    if (free <= now && now < free + kOverdueFor) overdue = kOverdue;
   }
   return std::max(free > now ? free - now : Duration::zero(), overdue);
 }
@@ -76,10 +84,11 @@
 // The number of engines at the start of the order that are kept for short
 // prompts, from those that are there now.
 std::size_t ShortEngines(const EngineTiming& timing,
-                         const std::vector<EngineView>& pool) {
+                         const std::vector<EngineView>& pool,
+                         const PlacementQuery& query) {
   std::int64_t running = 0;
   for (const EngineView& it : pool) running += it.short_running;
-  const auto limit = std::max<std::int64_t>(FillLimit(timing), 1);
+  const auto limit = std::max<std::int64_t>(FillLimit(timing, query), 1);
   const auto wanted = static_cast<std::size_t>((running + limit / 2) / limit);
   const std::size_t most =
       pool.size() > kLeastLongEngines ? pool.size() - kLeastLongEngines : 0;
@@ -115,7 +124,7 @@
   for (std::size_t i = 0; i < open && best == nullptr; ++i) {
     const bool quiet =
         pool[i].backlog + read <= std::max(kMostShortBacklog, read);
-    if (quiet && fits(pool[i], FillLimit(timing))) best = &pool[i];
+    if (quiet && fits(pool[i], FillLimit(timing, query))) best = &pool[i];
   }
   const auto least_busy = [&](std::size_t n, std::int64_t most_running) {
     for (std::size_t i = 0; i < n; ++i) {
@@ -136,9 +145,10 @@
 }
 
 // The engines that a long prompt may use, the soonest free first.
-std::vector<const EngineView*> LongEngines(
-    const EngineTiming& timing, const std::vector<EngineView>& pool) {
-  const std::size_t kept = ShortEngines(timing, pool);
+std::vector<const EngineView*> LongEngines(const EngineTiming& timing,
+                                           const std::vector<EngineView>& pool,
+                                           const PlacementQuery& query) {
+  const std::size_t kept = ShortEngines(timing, pool, query);
   std::vector<const EngineView*> open;
   for (std::size_t i = 0; i < pool.size(); ++i) {
     const bool free_of_short = i >= kept && pool[i].short_running == 0;
@@ -186,12 +196,9 @@
 // How many engines a prompt is to be read by, of those that have room soon.
 std::size_t WantedEngines(const std::vector<const EngineView*>& open,
                           Duration read) {
-  std::size_t soon = 1;
-  for (const EngineView* it : open) {
-    if (it->running == 0 && it->backlog < kBusyBacklog) ++soon;
-  }
   const auto parts = static_cast<std::size_t>(read / kLeastPart);
-  return std::max<std::size_t>(std::min({soon, parts, kMostHelpers + 1}), 1);
+  return std::max<std::size_t>(std::min({open.size(), parts, kMostHelpers + 1}),
+                               1);
 }
 
 // Whether a part that is read on this engine keeps the pauses of those who
@@ -209,7 +216,8 @@
 // memory for all of a prompt that no engine could hold, the one with the most.
 const EngineView* PickWriter(const EngineTiming& timing,
                              const std::vector<const EngineView*>& open,
-                             std::int64_t needed, Duration part) {
+                             const PlacementQuery& query, Duration part) {
+  const std::int64_t needed = query.prompt_tokens + query.answer_tokens;
   const EngineView* best = nullptr;
   const auto better = [&](const EngineView& a, const EngineView& b) {
     const bool keeps_a = KeepsPauses(timing, a, part);
@@ -218,7 +226,7 @@
     return a.memory_used > b.memory_used;
   };
   for (const EngineView* it : open) {
-    if (it->running >= FillLimit(timing)) continue;
+    if (it->running >= FillLimit(timing, query)) continue;
     if (it->backlog > kMostLongBacklog) continue;
     if (it->memory_used + needed > MostMemory(timing)) continue;
     if (best == nullptr || better(*it, *best)) best = it;
@@ -237,25 +245,27 @@
   const auto most_engines =
       static_cast<std::int64_t>(std::min(pool.size(), kMostHelpers + 1));
   if (needed > most_engines * MostMemory(timing)) return TooLarge{};
-  const auto open = LongEngines(timing, pool);
+  const auto open = LongEngines(timing, pool, query);
   const Duration read = ReadTime(timing, query.prompt_tokens);
   const std::size_t wanted = WantedEngines(open, read);
   const Duration part = read / static_cast<Duration::rep>(wanted);
-  const EngineView* writer = PickWriter(timing, open, needed, part);
+  const EngineView* writer = PickWriter(timing, open, query, part);
   if (writer == nullptr) return NoRoomNow{Shortage::kMemory};
-  // Engines read parts for others before prompts of their own, so one that has
-  // requests is no helper, unless there are no others.
   std::vector<const EngineView*> others;
   for (const EngineView* it : open) {
-    const bool helps = it->running == 0 && it->backlog <= kMostLongBacklog;
+    const bool helps = it->backlog <= kMostLongBacklog && it->reading == 0 &&
+                       KeepsPauses(timing, *it, part);
     if (helps && it != writer) others.push_back(it);
   }
   const auto least = static_cast<std::size_t>(
       std::ceil(kLeastGang * static_cast<double>(wanted)));
   if (others.size() + 1 < least) return NoRoomNow{Shortage::kEngines};
-  // Those with the most memory first, for tickets.
+  // Those without requests of their own first, then those with the most memory.
   std::stable_sort(others.begin(), others.end(),
                    [](const EngineView* a, const EngineView* b) {
+                     if (a->running != b->running) {
+                       return a->running < b->running;
+                     }
                      return a->memory_used < b->memory_used;
                    });
   others.resize(std::min(others.size(), wanted - 1));
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -73,6 +73,28 @@
   return Placed{.backend = best->id, .first_token = request.route.objective};
 }
 
+// What reading the long prompts of all daemons takes that wait or are in work.
+Duration LongReading(const State& state, const std::string& service,
+                     const EngineTiming& timing,
+                     const std::vector<const Work*>& works) {
+  Duration sum{};
+  for (const Work* it : works) {
+    const Duration read = ReadTime(timing, it->prompt_tokens);
+    if (!it->writing && read > kShortRead) sum += read;
+  }
+  for (const auto& [key, it] : state.requests) {
+    const bool waits = it.phase == Phase::kWaiting && it.service == service;
+    if (waits && it.read > kShortRead) sum += it.read;
+  }
+  for (const auto& [address, member] : state.members) {
+    if (!IsHeard(state, member)) continue;
+    for (const Waiting& it : member.snapshot.waiting) {
+      if (it.service == service && it.read > kShortRead) sum += it.read;
+    }
+  }
+  return sum;
+}
+
 Placing PlacePrompt(const State& state, const Request& request,
                     const EngineTiming& timing,
                     const std::vector<const Backend*>& open) {
@@ -88,12 +110,13 @@
   if (all_suspect) {
     for (EngineView& it : engines) it.suspect = false;
   }
-  const auto pool =
-      ViewPool(timing, std::move(engines), AllWorks(state), state.now);
-  return Place(timing, pool,
-               {.prompt_tokens = request.facts.prompt_tokens,
-                .answer_tokens = request.facts.answer_tokens,
-                .longest_pause = request.route.longest_pause});
+  const auto works = AllWorks(state);
+  const auto pool = ViewPool(timing, std::move(engines), works, state.now);
+  return Place(
+      timing, pool,
+      {.prompt_tokens = request.facts.prompt_tokens,
+       .answer_tokens = request.facts.answer_tokens,
+       .long_reading = LongReading(state, request.service, timing, works)});
 }
 
 const EngineTiming* TimingOf(const State& state, const std::string& service) {
@@ -146,6 +169,7 @@
                       .time_left = request.deadline - state.now,
                       .stream = IsStream(request.route.kind)};
   if (request.begun) effect.resume_after = request.last_event_id;
+  std::string names;
   for (std::size_t i = 0; i < request.work.helpers.size(); ++i) {
     const Backend* helper = FindBackend(state, request.work.helpers[i]);
     if (helper == nullptr) continue;
@@ -153,6 +177,7 @@
         i < request.memory.size() ? request.memory[i].ticket : "";
     effect.helpers.push_back(
         {.address = helper->server.address, .ticket = ticket});
+    names += (names.empty() ? "" : ",") + helper->server.id;
   }
   state.effects.emplace_back(Count{Counter::kSends});
   if (!effect.helpers.empty()) {
@@ -164,6 +189,7 @@
        {"backend", backend->server.id},
        {"address", backend->server.address},
        {"helpers", std::to_string(effect.helpers.size())},
+       {"helped_by", names},
        {"prompt", std::to_string(request.facts.prompt_tokens)},
        {"waited_ms", Millis(state.now - request.arrived)},
        {"expected_ms", Millis(request.expected_first)},
