Refuse long prompts early, with a time to come back, by one outlook

Change: queue.cc holds the order over all daemons and one outlook (what waits before it, what is in work, engines left beside the short prompts). A first try that would miss its objective is refused within a quarter of it, with the time until room; one that can't make its deadline is refused whenever that shows.

--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -22,6 +22,10 @@
 // engine with others of its kind. Half of the shortest objective of the sites.
 inline constexpr Duration kShortRead = milliseconds(150);
 
+// How many of a pool's engines long prompts get beside so many short ones.
+std::size_t EnginesForLong(const EngineTiming& timing, std::size_t engines,
+                           std::size_t short_prompts);
+
 // What is known of one engine of a pool.
 struct EngineView {
   BackendId id = 0;
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -23,12 +23,31 @@
 // starting.cc: where and when requests go.
 void TryStart(State& state, Request& request);
 void StartWaiting(State& state);
-// When it is a waiting request's turn, among those of all daemons.
-Time TurnOf(const State& state, const Request& request);
 void OnMemoryAnswered(State& state, const MemoryAnswered& event);
 void RenewMemory(State& state, Request& request);
 void ReleaseMemoryOf(State& state, Request& request);
 
+// queue.cc: the order of long prompts that wait, over all daemons.
+// When it is a request's turn.
+Time TurnOf(const State& state, const Request& request);
+// This daemon's requests that wait in that order.
+std::vector<Waiting> WaitingOf(const State& state);
+// What reading the long prompts of all daemons takes that are not read yet.
+Duration LongReading(const State& state, const std::string& service,
+                     const EngineTiming& timing,
+                     const std::vector<const Work*>& works);
+// What a request may expect from now on.
+struct Outlook {
+  std::size_t ahead = 0;  // waiting requests whose turn is before it
+  Duration start{};
+  Duration first_token{};
+};
+Outlook OutlookOf(const State& state, const Request& request,
+                  const EngineTiming& timing, std::size_t engines);
+// Refuses a request that can't be served in time, or that a new try a little
+// later serves better than waiting. True if it did; the request is gone then.
+bool GivesUp(State& state, Request& request, const Outlook& outlook);
+
 // attempts.cc: what backend servers answer.
 void OnStreamEvent(State& state, const StreamEvent& event);
 void OnAnswered(State& state, const AttemptAnswered& event);
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -101,13 +101,9 @@
   for (const auto& [key, request] : state.requests) {
     if (request.phase != Phase::kWaiting) {
       snapshot.works.push_back(request.work);
-    } else {
-      snapshot.waiting.push_back({.id = request.key,
-                                  .service = request.service,
-                                  .turn = TurnOf(state, request),
-                                  .read = request.read});
     }
   }
+  snapshot.waiting = WaitingOf(state);
   for (const auto& [name, backend] : state.backends) {
     if (backend.suspect_until > state.now) {
       snapshot.suspicions.push_back(
--- a/serving/src/placement.cc
+++ b/serving/src/placement.cc
@@ -304,6 +304,15 @@
   return FromMs(step * static_cast<double>(timing.tokens_per_event));
 }
 
+std::size_t EnginesForLong(const EngineTiming& timing, std::size_t engines,
+                           std::size_t short_prompts) {
+  const auto limit = static_cast<double>(timing.slots) * kTightFill;
+  const auto kept = static_cast<std::size_t>(
+      static_cast<double>(short_prompts) / std::max(limit, 1.0));
+  const std::size_t rest = engines > kept + 1 ? engines - kept - 1 : 1;
+  return std::max(rest, std::min(engines, kLeastLongEngines));
+}
+
 std::vector<EngineView> ViewPool(const EngineTiming& timing,
                                  std::vector<EngineView> engines,
                                  const std::vector<const Work*>& works,
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -19,11 +19,6 @@
 constexpr Duration kRenewAfter = milliseconds(900);
 // Orders are answered within milliseconds, or not at all.
 constexpr Duration kReserveWithin = milliseconds(400);
-// A prompt gives way to those that came later by what reading it takes: what
-// is earned for a prompt grows more slowly than its reading, so short ones
-// first earns most for the engines' time. One that has missed its objective
-// earns about a quarter, and gives way by so many times as much.
-constexpr int kLateFactor = 4;
 // A stream's first event may be later than expected by this and by as much as
 // was expected, before another backend server is asked. Clients give up short
 // streams after two seconds of silence.
@@ -33,11 +28,6 @@
 constexpr int kHangObjectives = 3;
 constexpr Duration kLeastHang = milliseconds(800);
 
-struct Choice {
-  const Backend* backend = nullptr;
-  Placed placed;
-};
-
 std::size_t WorksAt(const std::vector<const Work*>& works, BackendId id) {
   return static_cast<std::size_t>(
       std::count_if(works.begin(), works.end(),
@@ -73,28 +63,6 @@
   return Placed{.backend = best->id, .first_token = request.route.objective};
 }
 
-// What reading the long prompts of all daemons takes that wait or are in work.
-Duration LongReading(const State& state, const std::string& service,
-                     const EngineTiming& timing,
-                     const std::vector<const Work*>& works) {
-  Duration sum{};
-  for (const Work* it : works) {
-    const Duration read = ReadTime(timing, it->prompt_tokens);
-    if (!it->writing && read > kShortRead) sum += read;
-  }
-  for (const auto& [key, it] : state.requests) {
-    const bool waits = it.phase == Phase::kWaiting && it.service == service;
-    if (waits && it.read > kShortRead) sum += it.read;
-  }
-  for (const auto& [address, member] : state.members) {
-    if (!IsHeard(state, member)) continue;
-    for (const Waiting& it : member.snapshot.waiting) {
-      if (it.service == service && it.read > kShortRead) sum += it.read;
-    }
-  }
-  return sum;
-}
-
 Placing PlacePrompt(const State& state, const Request& request,
                     const EngineTiming& timing,
                     const std::vector<const Backend*>& open) {
@@ -124,32 +92,6 @@
   return found != nullptr && found->engine ? &*found->engine : nullptr;
 }
 
-// Waiting requests of all daemons that come before this one, and what their
-// prompts take.
-struct Ahead {
-  std::size_t requests = 0;
-  Duration read{};
-};
-Ahead AheadOf(const State& state, const Request& request) {
-  const Time turn = TurnOf(state, request);
-  Ahead ahead;
-  for (const auto& [key, it] : state.requests) {
-    const bool before = it.phase == Phase::kWaiting && key != request.key &&
-                        it.service == request.service && it.read > kShortRead &&
-                        TurnOf(state, it) < turn;
-    if (before) ahead = {ahead.requests + 1, ahead.read + it.read};
-  }
-  for (const auto& [address, member] : state.members) {
-    if (!IsHeard(state, member)) continue;
-    for (const Waiting& it : member.snapshot.waiting) {
-      const bool before = it.service == request.service &&
-                          it.read > kShortRead && it.turn < turn;
-      if (before) ahead = {ahead.requests + 1, ahead.read + it.read};
-    }
-  }
-  return ahead;
-}
-
 void Send(State& state, Request& request) {
   Backend* backend = FindBackend(state, request.backend);
   if (backend == nullptr || backend->server.leaving) {
@@ -261,17 +203,6 @@
   Send(state, request);
 }
 
-// Whether a request that has to wait can still be served in time, from what is
-// before it. Otherwise it is refused at once.
-bool CanWait(const State& state, const Request& request,
-             const EngineTiming& timing, std::size_t engines) {
-  (void)timing;
-  const Ahead ahead = AheadOf(state, request);
-  const auto n = static_cast<Duration::rep>(std::max<std::size_t>(engines, 1));
-  const Duration start = ahead.read / n;
-  return state.now + start + request.read / n < request.deadline;
-}
-
 void Wait(State& state, Request& request, Duration pause, Shortage of) {
   if (request.waits_for != of) {
     request.waits_for = of;
@@ -288,11 +219,6 @@
 
 }  // namespace
 
-Time TurnOf(const State& state, const Request& request) {
-  const bool late = state.now > request.due;
-  return request.arrived + request.read * (late ? kLateFactor : 1);
-}
-
 void TryStart(State& state, Request& request) {
   // After waiting and failing the configuration may be another one; the
   // backend servers of the chosen service are still those that may run it.
@@ -305,13 +231,13 @@
   }
   const EngineTiming* timing = TimingOf(state, request.service);
   const bool is_long = timing != nullptr && request.read > kShortRead;
-  if (is_long && AheadOf(state, request).requests > 0) {
-    if (!CanWait(state, request, *timing, open.size())) {
-      RefuseRequest(state, request, Refusal::kOverload, seconds(1));
+  if (is_long) {
+    const Outlook outlook = OutlookOf(state, request, *timing, open.size());
+    if (GivesUp(state, request, outlook)) return;
+    if (outlook.ahead > 0) {
+      Wait(state, request, kLookAgain, Shortage::kTurn);
       return;
     }
-    Wait(state, request, kLookAgain, Shortage::kTurn);
-    return;
   }
   const Placing placing = timing == nullptr
                               ? PlacePlain(state, request, open)
