Answers of streams are freed when they end

Cause: found on reading the change: BackendCalls forgot an attempt only when a whole answer was delivered or it was cancelled, so that every stream that ended well stayed in memory. Ruled out: a second call to Forget beside EndStream (the same special case again). Change: an attempt is freed where its end has been told, and Forget is gone. The daemon tells how many answers it keeps. Before: the first case of fleet_test fails (1 == 0 open attempts).

--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -35,6 +35,8 @@
   ~FleetDaemon();
 
   void Stop();
+  // Attempts whose answers are kept.
+  std::size_t open_attempts() const;
 
  private:
   void Feed(serving::EventBody body);
--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -116,6 +116,8 @@
                                  .kind = head.kind,
                                  .status = status,
                                  .at_fault = head.at_fault});
+  // What is to be passed on of the answer has been.
+  attempts_.erase(attempt);
 }
 
 void BackendCalls::Reserve(const serving::ReserveMemory& order) {
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -80,6 +80,8 @@
   Feed(serving::StopRequested{});
 }
 
+std::size_t FleetDaemon::open_attempts() const { return backends_->open(); }
+
 void FleetDaemon::Feed(serving::EventBody body) {
   pending_.push_back(std::move(body));
   if (!draining_) Drain();
@@ -153,7 +155,6 @@
     exchange->Reply(answer->status, platform::ClientHeaders(*answer),
                     answer->body, answer->reason);
   }
-  backends_->Forget(effect.attempt);
 }
 
 void FleetDaemon::Begin(const serving::BeginStream& effect) {
--- a/daemon/src/internal/backend_calls.h
+++ b/daemon/src/internal/backend_calls.h
@@ -31,8 +31,7 @@
   // The whole answer of an attempt, or the head of its stream; nullptr where
   // there is none.
   const HttpResponse* AnswerOf(AttemptId attempt) const;
-  // The attempt's answer is not needed any more.
-  void Forget(AttemptId attempt) { attempts_.erase(attempt); }
+  std::size_t open() const { return attempts_.size(); }
 
  private:
   struct Attempt {
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -33,6 +33,7 @@
   CHECK(asked->status() == 200);
   CHECK(asked->body() == Pieces(1, 5));
   CHECK(asked->header("X-Response-Seal") == "seal-of-" + worker.id());
+  CHECK(fleet.daemon(0).open_attempts() == 0);
   const HttpRequest& got = worker.last_request();
   CHECK(got.method == "POST");
   CHECK(got.target == "/chat/a?b=c%20d");
