--- a/serving/test/placement_test.cc
+++ b/serving/test/placement_test.cc
@@ -99,6 +99,27 @@
   for (const BackendId it : placed->helpers) CHECK(it != 5);
 }
 
+TEST_CASE("Fewer engines, whose parts are larger, keep the pauses too") {
+  // Nine of the engines are free. A ninth of this prompt takes 496 ms to read,
+  // a fourteenth would take 319.
+  std::vector<Work> works{Reading(2, {3, 4, 5, 6}, 600'000)};
+  works.push_back(Writing(15, 45'000, milliseconds(500)));
+  const auto placing = Place(kTiming, View(15, works), Prompt(272'000));
+  CHECK(std::holds_alternative<NoRoomNow>(placing));
+}
+
+TEST_CASE("Small parts are read beside short prompts, large ones are not") {
+  std::vector<Work> works;
+  for (BackendId it = 1; it <= 18; ++it) {
+    works.push_back(Writing(it, 2000, milliseconds(200)));
+  }
+  // 18 ms on each of many, 300 ms on few.
+  const auto small = Place(kTiming, View(18, works), Prompt(60'000));
+  CHECK(std::holds_alternative<Placed>(small));
+  const auto large = Place(kTiming, View(18, works), Prompt(400'000));
+  CHECK(std::holds_alternative<NoRoomNow>(large));
+}
+
 TEST_CASE("An engine's memory is never promised twice") {
   std::vector<Work> works;
   for (BackendId it = 1; it <= 6; ++it) works.push_back(Writing(it, 300'000));
