Engines that turned slow are told by their reports, asked by one daemon for all

Change: the daemons that serve agree by rendezvous hash on one asker for each engine; it asks every 1.4 s. As for all suspicions, never more than a third of a service is kept out.

--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -157,4 +157,24 @@
   orders_.Start(std::move(call));
 }
 
+void BackendCalls::AskReport(const serving::AskReport& question) {
+  HttpCall call = platform::ReportCall(question);
+  call.on_done = [this, question](const HttpResult& result) {
+    const auto* response = ValueOf(result);
+    const auto report = response == nullptr
+                            ? std::nullopt
+                            : platform::ReadReport(*response, question.backend);
+    if (report) {
+      feed_(*report);
+      return;
+    }
+    LogInfo("no_report",
+            {{"address", question.address},
+             {"why", response == nullptr
+                         ? std::string(NameIn(kHttpErrorNames, ErrorOf(result)))
+                         : std::to_string(response->status)}});
+  };
+  orders_.Start(std::move(call));
+}
+
 }  // namespace scaleshed
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -125,6 +125,7 @@
           [&](const serving::Refuse& it) { Answer(it); },
           [&](const serving::ReserveMemory& it) { backends_->Reserve(it); },
           [&](const serving::ReleaseMemory& it) { backends_->Release(it); },
+          [&](const serving::AskReport& it) { backends_->AskReport(it); },
           [&](const serving::PublishSnapshot& it) {
             const std::string bytes = EncodeSnapshot(it.snapshot, state_.now);
             for (const std::string& to : it.to) peers_.Send(to, bytes);
--- a/daemon/src/internal/backend_calls.h
+++ b/daemon/src/internal/backend_calls.h
@@ -27,6 +27,7 @@
   void Cancel(AttemptId attempt);
   void Reserve(const serving::ReserveMemory& order);
   void Release(const serving::ReleaseMemory& order);
+  void AskReport(const serving::AskReport& question);
 
   // The whole answer of an attempt, or the head of its stream; nullptr where
   // there is none.
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -111,6 +111,12 @@
   std::string ticket;
 };
 
+// Asks an engine how it does. No answer is told to nobody.
+struct AskReport {
+  BackendId backend = 0;
+  std::string address;
+};
+
 // Tells other daemons; each message may be lost.
 struct PublishSnapshot {
   std::vector<std::string> to;
@@ -173,7 +179,7 @@
 using Effect =
     std::variant<StartAttempt, CancelAttempt, DeliverAnswer, BeginStream,
                  PassEvent, EndStream, BreakAnswer, Refuse, ReserveMemory,
-                 ReleaseMemory, PublishSnapshot, LogDecision, Count,
+                 ReleaseMemory, AskReport, PublishSnapshot, LogDecision, Count,
                  ObserveLatency, ApplyLimits, Exit>;
 using Effects = std::vector<Effect>;
 
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -88,6 +88,12 @@
   bool granted = false;
 };
 
+// What an engine says of itself, a little late.
+struct ReportSeen {
+  BackendId backend = 0;
+  double pace = 1;  // its passes take so many times as long as they should
+};
+
 // A configuration that is stored. `asked` is when the question was put whose
 // answer it is: then it was the newest.
 struct ConfigurationSeen {
@@ -142,7 +148,7 @@
 
 using EventBody =
     std::variant<RequestArrived, ClientGone, StreamEvent, AttemptAnswered,
-                 AttemptFailed, MemoryAnswered, ConfigurationSeen,
+                 AttemptFailed, MemoryAnswered, ReportSeen, ConfigurationSeen,
                  ConfigurationConfirmed, BackendListed, BackendUnlisted,
                  BackendsListed, PeersListed, SnapshotReceived, Tick,
                  StopRequested>;
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -40,7 +40,9 @@
   // Set when its entry may have lapsed only because the store was away.
   std::optional<Time> gone_at;
   Time suspect_until{};
-  int failures = 0;  // one after another
+  int failures = 0;   // one after another
+  Time report_due{};  // an engine's, whoever asks for it
+  bool slow = false;  // as its last report told this daemon
   // Of recent answers, falling with each new one: how many, and how many were
   // failures.
   double answers = 0;
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -35,6 +35,8 @@
   return n;
 }
 
+}  // namespace
+
 void Suspect(State& state, Backend& backend, Duration length,
              const std::string& why) {
   std::size_t all = 0;
@@ -52,8 +54,6 @@
        {"for_ms", Millis(length)}});
 }
 
-}  // namespace
-
 BackendId IdOf(const std::string& instance) { return HashBytes(instance); }
 
 Backend* FindBackend(State& state, BackendId id) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -66,11 +66,19 @@
 void NoteFailure(State& state, BackendId id, const std::string& why);
 void NoteBadAnswer(State& state, BackendId id);
 void NoteGone(State& state, BackendId id, const std::string& why);
+// Keeps new work away for `length`, unless too many are kept out already.
+void Suspect(State& state, Backend& backend, Duration length,
+             const std::string& why);
 bool IsSuspect(const State& state, const Backend& backend);
 // Those of a service that take new work.
 std::vector<const Backend*> OpenBackends(const State& state,
                                          const std::string& service);
 
+// reports.cc: engines that turned slow.
+// Asks those engines whose reports are due and this daemon's to fetch.
+void AskReports(State& state);
+void OnReport(State& state, const ReportSeen& event);
+
 // members.cc: the other daemons and the configuration.
 void OnSnapshot(State& state, const SnapshotReceived& event);
 void OnPeersListed(State& state, const PeersListed& event);
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -51,6 +51,7 @@
   ExpireAttempts(state);
   StartWaiting(state);
   DropLapsed(state);
+  AskReports(state);
   FinishStop(state);
 }
 
@@ -63,6 +64,7 @@
           [&](const AttemptAnswered& it) { OnAnswered(state, it); },
           [&](const AttemptFailed& it) { OnFailed(state, it); },
           [&](const MemoryAnswered& it) { OnMemoryAnswered(state, it); },
+          [&](const ReportSeen& it) { OnReport(state, it); },
           [&](const ConfigurationSeen& it) { OnConfiguration(state, it); },
           [&](const ConfigurationConfirmed& it) { OnConfirmed(state, it); },
           [&](const BackendListed& it) { OnListed(state, it.backend); },
--- /dev/null
+++ b/serving/src/reports.cc
@@ -0,0 +1,69 @@
+#include <algorithm>
+
+#include "internal/steps.h"
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed::serving::internal {
+namespace {
+
+// Each engine is asked so often, by one daemon for all. A report costs as much
+// as a health check; engines turn slow for some seconds.
+constexpr Duration kReportEvery = milliseconds(1400);
+// An engine whose passes take so many times as long gets no new work: pauses of
+// short prompts keep in time up to about three times, first tokens and gangs
+// that wait for their slowest engine do not.
+constexpr double kSlowPace = 1.5;
+// Longer than two reports are apart, so that one lost report changes nothing.
+constexpr Duration kSlowFor = milliseconds(3100);
+
+// Whether an engine's reports are this daemon's to fetch: the daemons that
+// serve agree on one without a word, and on another one when that is gone.
+bool IsAsker(const State& state, const Backend& backend) {
+  const std::uint64_t own = HashBytes(state.options.peer_address, backend.id);
+  return std::none_of(
+      state.members.begin(), state.members.end(), [&](const auto& it) {
+        const auto& [address, member] = it;
+        return IsHeard(state, member) && member.snapshot.serving &&
+               HashBytes(address, backend.id) > own;
+      });
+}
+
+bool IsEngine(const State& state, const Backend& backend) {
+  const Service* service =
+      state.configuration->FindService(backend.server.service);
+  return service != nullptr && service->engine;
+}
+
+}  // namespace
+
+void AskReports(State& state) {
+  if (!IsServing(state)) return;
+  for (auto& [name, backend] : state.backends) {
+    if (backend.report_due > state.now || backend.server.leaving) continue;
+    backend.report_due = state.now + kReportEvery;
+    if (!IsEngine(state, backend) || !IsAsker(state, backend)) continue;
+    state.effects.emplace_back(
+        AskReport{.backend = backend.id, .address = backend.server.address});
+  }
+}
+
+void OnReport(State& state, const ReportSeen& event) {
+  Backend* backend = FindBackend(state, event.backend);
+  if (backend == nullptr) return;
+  const bool was_slow = backend->slow;
+  backend->slow = event.pace >= kSlowPace;
+  if (backend->slow) {
+    Suspect(state, *backend, kSlowFor, "slow");
+  } else if (was_slow) {
+    backend->suspect_until = state.now;
+    state.changed = true;
+  }
+  if (backend->slow == was_slow) return;
+  Log(state, "pace",
+      {{"backend", backend->server.id},
+       {"pace_percent",
+        std::to_string(static_cast<std::int64_t>(event.pace * 100))},
+       {"slow", backend->slow ? "true" : "false"}});
+}
+
+}  // namespace scaleshed::serving::internal
--- a/serving/test/drawn_failures_test.cc
+++ b/serving/test/drawn_failures_test.cc
@@ -29,7 +29,7 @@
 
 rc::Gen<DrawnStep> AnyStep() {
   return rc::gen::build<DrawnStep>(
-      rc::gen::set(&DrawnStep::kind, rc::gen::inRange(0, 12)),
+      rc::gen::set(&DrawnStep::kind, rc::gen::inRange(0, 13)),
       rc::gen::set(&DrawnStep::first, rc::gen::inRange(0, 1000)),
       rc::gen::set(&DrawnStep::second, rc::gen::inRange(0, 1000)));
 }
@@ -67,6 +67,9 @@
       case 7:
         Peer(step);
         return;
+      case 9:
+        Report(step);
+        return;
       case 8:
         if (!open_.empty()) {
           const RequestKey key = Pick(step.first);
@@ -105,6 +108,16 @@
     if (!ended_.contains(key)) open_.insert(key);
   }
 
+  // Some engine says how it does.
+  void Report(const DrawnStep& step) {
+    const auto& backends = daemon_.state().backends;
+    if (backends.empty()) return;
+    auto it = backends.begin();
+    std::advance(it, step.first % static_cast<int>(backends.size()));
+    daemon_.Feed(
+        ReportSeen{.backend = it->second.id, .pace = 1.0 + step.second % 4});
+  }
+
   RequestKey Pick(int draw) const {
     auto it = open_.begin();
     std::advance(it, draw % static_cast<int>(open_.size()));
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -1,6 +1,8 @@
 // The reducer of the users' platform, rule by rule.
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
 
 #include "serving_harness.h"
 
@@ -60,6 +62,81 @@
   CHECK_FALSE(daemon.state().backends.contains("app1"));
 }
 
+std::set<std::string> AskedOf(const Effects& effects) {
+  std::set<std::string> addresses;
+  for (const Effect& it : effects) {
+    if (const auto* question = std::get_if<AskReport>(&it)) {
+      addresses.insert(question->address);
+    }
+  }
+  return addresses;
+}
+
+TEST_CASE("Each engine is asked how it does, by one daemon of all") {
+  Daemon daemon;
+  daemon.Pass(milliseconds(1700));
+  CHECK(AskedOf(daemon.effects()).size() == 6);
+  daemon.Confirm();
+  // Two others serve: each engine is one daemon's to ask.
+  for (const std::string peer : {"1.1.1.2:2", "1.1.1.3:2"}) {
+    daemon.Feed(SnapshotReceived{
+        {.peer_address = peer, .life = 1, .sequence = 1, .serving = true}});
+  }
+  daemon.Pass(milliseconds(1700));
+  const std::size_t own = AskedOf(daemon.effects()).size();
+  CHECK(own < 6);
+  // One of them falls silent, and its engines are asked by the others.
+  for (std::uint64_t i = 2; i < 40; ++i) {
+    daemon.Pass(milliseconds(100));
+    daemon.Feed(SnapshotReceived{{.peer_address = "1.1.1.2:2",
+                                  .life = 1,
+                                  .sequence = i,
+                                  .serving = true}});
+  }
+  daemon.Confirm();
+  daemon.Pass(milliseconds(1700));
+  CHECK(AskedOf(daemon.effects()).size() >= own);
+}
+
+TEST_CASE("An engine that says it is slow gets nothing until it is not") {
+  Daemon daemon;
+  daemon.Ask("stream");
+  const std::string first = daemon.First<StartAttempt>()->instance;
+  daemon.Feed(
+      ReportSeen{.backend = daemon.state().backends.at(first).id, .pace = 4});
+  for (int i = 0; i < 10; ++i) {
+    daemon.Ask("stream");
+    CHECK(daemon.First<StartAttempt>()->instance != first);
+    daemon.Ask("stream", 210'000);
+    if (const auto* sent = daemon.First<StartAttempt>()) {
+      CHECK(sent->instance != first);
+      for (const Helper& it : sent->helpers) CHECK(it.address != first + ":1");
+    }
+  }
+  daemon.Feed(ReportSeen{.backend = daemon.state().backends.at(first).id});
+  bool used = false;
+  for (int i = 0; i < 40 && !used; ++i) {
+    daemon.Ask("stream");
+    const auto* sent = daemon.First<StartAttempt>();
+    used = sent != nullptr && sent->instance == first;
+  }
+  CHECK(used);
+}
+
+TEST_CASE("Slow engines are kept out only while most others are not") {
+  Daemon daemon;
+  std::size_t slow = 0;
+  for (const auto& [name, backend] : daemon.state().backends) {
+    if (backend.server.service == "llm") {
+      daemon.Feed(ReportSeen{.backend = backend.id, .pace = 4});
+    }
+  }
+  for (const auto& [name, backend] : daemon.state().backends) {
+    if (backend.suspect_until > daemon.now()) ++slow;
+  }
+  CHECK(slow == 2);
+}
+
 TEST_CASE("A word of leaving is never taken back") {
   Daemon daemon;
   daemon.List("app", 0, /*leaving=*/true);
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -125,6 +125,8 @@
   const std::map<std::string, std::int64_t>& tickets() const {
     return tickets_;
   }
+  // Tells in its reports that its passes take so many times as long.
+  void SetPace(double pace) { pace_ = pace; }
   void RefuseMemory(bool refuse) { refuse_memory_ = refuse; }
 
  private:
@@ -140,6 +142,7 @@
   bool hold_ = false;
   bool client_left_ = false;
   bool refuse_memory_ = false;
+  double pace_ = 1;
   int runs_ = 0;
   HttpRequest last_request_;
   std::map<std::string, int> runs_by_id_;
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -38,6 +38,11 @@
 
 void FakeWorker::Handle(const std::shared_ptr<HttpExchange>& exchange) {
   if (exchange->path() == "/v1/order") return OnOrder(*exchange);
+  if (exchange->path() == "/v1/report") {
+    exchange->Reply(200, {{"Content-Type", "application/json"}},
+                    Json{{"running", 0}, {"pace", pace_}}.dump());
+    return;
+  }
   last_request_ = exchange->request();
   if (exchange->Header("X-Expect-Instance") != id_) {
     exchange->Reply(421, {{"X-Instance-Id", id_}}, "");
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -367,5 +367,21 @@
   CHECK(fleet.Until([&] { return !fleet.store().Has(key); }));
 }
 
+TEST_CASE("An engine that turned slow is found by its report") {
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& first = fleet.AddWorker("llm");
+  FakeWorker& second = fleet.AddWorker("llm");
+  FakeWorker& third = fleet.AddWorker("llm");
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  fleet.Ask("/chat/a");
+  FakeWorker& used = first.runs() > 0    ? first
+                     : second.runs() > 0 ? second
+                                         : third;
+  used.SetPace(4);
+  CHECK(fleet.StopsGetting(used, "/chat/a"));
+}
+
 }  // namespace
 }  // namespace scaleshed::testing
