--- a/config/src/settings.cc
+++ b/config/src/settings.cc
@@ -30,6 +30,9 @@
   FleetSettings fleet;
   fleet.ready_listen = reader.Address("ready_listen");
   fleet.look_up_listen = reader.Address("look_up_listen");
+  if (reader.Child("metrics_listen").IsDefined()) {
+    fleet.metrics_listen = reader.Address("metrics_listen");
+  }
   fleet.key_freshness = reader.Millis("key_freshness_ms", {500, kOneHourMillis},
                                       fleet.key_freshness);
   fleet.keys_fail_closed =
--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -1,7 +1,6 @@
 #ifndef SCALESHED_DAEMON_FLEET_DAEMON_H_
 #define SCALESHED_DAEMON_FLEET_DAEMON_H_
 
-#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -17,6 +16,7 @@
 namespace scaleshed {
 
 class BackendCalls;
+class FleetMetrics;
 class StoreFollower;
 
 // One entry instance on the users' platform: takes clients' requests, answers
@@ -48,6 +48,7 @@
   void OnRequest(const std::shared_ptr<HttpExchange>& exchange);
   void OnLookUp(HttpExchange& exchange);
   void OnReadyCheck(HttpExchange& exchange);
+  void OnMetrics(HttpExchange& exchange);
   void ApplyLimits(const serving::RequestLimits& limits);
   void Exit();
   // The client's exchange, which is forgotten; nullptr if it has gone.
@@ -62,11 +63,12 @@
   HttpServer front_;
   HttpServer ready_;
   HttpServer look_ups_;
+  std::unique_ptr<FleetMetrics> metrics_;
+  std::unique_ptr<HttpServer> metrics_server_;  // where it has an address
   std::map<RequestKey, std::shared_ptr<HttpExchange>> exchanges_;
   RequestKey last_key_ = 0;
   std::deque<serving::EventBody> pending_;
   bool draining_ = false;
-  std::array<std::uint64_t, serving::kCounterNames.size()> counters_{};
   Timer tick_;
   Timer exit_;
 };
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "internal/backend_calls.h"
+#include "internal/fleet_metrics.h"
 #include "internal/store_follower.h"
 #include "scaleshed/platform/messages.h"
 #include "scaleshed/runtime/log.h"
@@ -60,11 +61,18 @@
              [this](const auto& exchange) { OnReadyCheck(*exchange); }),
       look_ups_(loop, {.address = settings.fleet->look_up_listen},
                 [this](const auto& exchange) { OnLookUp(*exchange); }),
+      metrics_(std::make_unique<FleetMetrics>()),
       tick_(loop, [this] { Feed(serving::Tick{}); }),
       exit_(loop, [this] { loop_.Stop(); }) {
+  if (!settings.fleet->metrics_listen.empty()) {
+    metrics_server_ = std::make_unique<HttpServer>(
+        loop, HttpServerOptions{.address = settings.fleet->metrics_listen},
+        [this](const auto& exchange) { OnMetrics(*exchange); });
+  }
   LogInfo("started", {{"listen", settings.listen},
                       {"ready_listen", settings.fleet->ready_listen},
                       {"look_up_listen", settings.fleet->look_up_listen},
+                      {"metrics_listen", settings.fleet->metrics_listen},
                       {"peer_listen", settings.peer_listen},
                       {"platform", settings.platform},
                       {"life", std::to_string(state_.options.life)}});
@@ -130,11 +138,12 @@
             const std::string bytes = EncodeSnapshot(it.snapshot, state_.now);
             for (const std::string& to : it.to) peers_.Send(to, bytes);
           },
-          [&](const serving::LogDecision& it) { LogInfo(it.what, it.fields); },
-          [&](const serving::Count& it) {
-            ++counters_[static_cast<std::size_t>(it.counter)];
+          [&](const serving::LogDecision& it) {
+            it.routine ? LogRoutine(it.what, it.fields)
+                       : LogInfo(it.what, it.fields);
           },
-          [&](const serving::ObserveLatency&) {},
+          [&](const serving::Count& it) { metrics_->Add(it.counter); },
+          [&](const serving::ObserveLatency& it) { metrics_->Observe(it); },
           [&](const serving::ApplyLimits& it) { ApplyLimits(it.limits); },
           [&](const serving::Exit&) { Exit(); }},
       effect);
@@ -203,6 +212,15 @@
   exchange.Reply(serving::IsServing(state_) ? kOk : kUnavailable, {}, "");
 }
 
+void FleetDaemon::OnMetrics(HttpExchange& exchange) {
+  if (exchange.path() != "/metrics") {
+    exchange.Reply(kNotFound, {}, "");
+    return;
+  }
+  exchange.Reply(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+                 metrics_->Render(state_));
+}
+
 void FleetDaemon::ApplyLimits(const serving::RequestLimits& limits) {
   HttpServerOptions options;
   const auto set = [](auto value, auto& to) {
--- /dev/null
+++ b/daemon/src/fleet_metrics.cc
@@ -0,0 +1,85 @@
+#include "internal/fleet_metrics.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed {
+namespace {
+
+void RenderGauge(std::ostream& out, const std::string& name, double value) {
+  out << "# TYPE scaleshed_" << name << " gauge\n";
+  out << "scaleshed_" << name << " " << value << "\n";
+}
+
+double SecondsOf(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+void RenderBackends(std::ostream& out, const serving::State& state) {
+  double open = 0;
+  double leaving = 0;
+  double suspect = 0;
+  for (const auto& [name, backend] : state.backends) {
+    (backend.server.leaving ? leaving : open) += 1;
+    if (backend.suspect_until > state.now) suspect += 1;
+  }
+  RenderGauge(out, "backends_open", open);
+  RenderGauge(out, "backends_leaving", leaving);
+  RenderGauge(out, "backends_suspect", suspect);
+}
+
+void RenderRequests(std::ostream& out, const serving::State& state) {
+  std::array<double, serving::kPhaseNames.size()> by_phase{};
+  for (const auto& [key, request] : state.requests) {
+    by_phase[static_cast<std::size_t>(request.phase)] += 1;
+  }
+  out << "# TYPE scaleshed_requests_in_work gauge\n";
+  for (const auto& [phase, name] : serving::kPhaseNames) {
+    out << "scaleshed_requests_in_work{phase=\"" << name << "\"} "
+        << by_phase[static_cast<std::size_t>(phase)] << "\n";
+  }
+}
+
+}  // namespace
+
+void FleetMetrics::Add(serving::Counter counter) {
+  ++counters_[static_cast<std::size_t>(counter)];
+}
+
+void FleetMetrics::Observe(const serving::ObserveLatency& observed) {
+  latencies_[{observed.account, observed.route}].Add(observed.elapsed);
+}
+
+std::string FleetMetrics::Render(const serving::State& state) const {
+  std::ostringstream out;
+  for (const auto& [counter, name] : serving::kCounterNames) {
+    out << "# TYPE scaleshed_" << name << "_total counter\n";
+    out << "scaleshed_" << name << "_total "
+        << counters_[static_cast<std::size_t>(counter)] << "\n";
+  }
+  RenderGauge(out, "serving", serving::IsServing(state) ? 1 : 0);
+  if (state.configuration) {
+    const auto& configuration = state.configuration->configuration();
+    RenderGauge(out, "configuration_revision",
+                static_cast<double>(configuration.revision));
+    RenderGauge(out, "configuration_proof_age_seconds",
+                SecondsOf(state.now - state.confirmed_at));
+  }
+  RenderBackends(out, state);
+  const auto daemons =
+      std::count_if(state.members.begin(), state.members.end(),
+                    [](const auto& it) { return it.second.snapshot.serving; });
+  RenderGauge(out, "other_daemons_serving", static_cast<double>(daemons));
+  RenderRequests(out, state);
+  out << "# TYPE scaleshed_latency_seconds histogram\n";
+  for (const auto& [key, histogram] : latencies_) {
+    const std::string labels =
+        "account=\"" + key.first + "\",route=\"" + key.second + "\"";
+    RenderHistogram(out, "scaleshed_latency", labels, histogram);
+  }
+  return out.str();
+}
+
+}  // namespace scaleshed
--- a/runtime/include/scaleshed/runtime/metrics.h
+++ b/runtime/include/scaleshed/runtime/metrics.h
@@ -63,6 +63,12 @@
   std::array<std::uint64_t, kBoundsSeconds.size()> at_most_{};
 };
 
+// Writes `histogram` as `name`_seconds, with its quantiles beside it. `labels`
+// are those of the text form, without braces.
+void RenderHistogram(std::ostream& out, const std::string& name,
+                     const std::string& labels,
+                     const LatencyHistogram& histogram);
+
 // All counters and histograms of a daemon. Not thread safe.
 class Metrics {
  public:
--- a/runtime/src/metrics.cc
+++ b/runtime/src/metrics.cc
@@ -14,24 +14,6 @@
          std::string(NameIn(kLengthBucketNames, bucket)) + "\"";
 }
 
-void RenderHistogram(std::ostream& out, const std::string& labels,
-                     const LatencyHistogram& histogram) {
-  constexpr std::string_view kName = "scaleshed_first_token_seconds";
-  for (std::size_t it = 0; it < LatencyHistogram::kBoundsSeconds.size(); ++it) {
-    out << kName << "_bucket{" << labels << ",le=\""
-        << LatencyHistogram::kBoundsSeconds[it] << "\"} "
-        << histogram.AtMost(it) << "\n";
-  }
-  out << kName << "_bucket{" << labels << ",le=\"+Inf\"} " << histogram.count()
-      << "\n";
-  out << kName << "_sum{" << labels << "} " << histogram.sum_seconds() << "\n";
-  out << kName << "_count{" << labels << "} " << histogram.count() << "\n";
-  for (const double it : kQuantiles) {
-    out << "scaleshed_first_token_quantile_seconds{" << labels << ",quantile=\""
-        << it << "\"} " << histogram.QuantileSeconds(it) << "\n";
-  }
-}
-
 }  // namespace
 
 LengthBucket BucketOf(std::int64_t prompt_tokens) {
@@ -69,6 +51,27 @@
   return acc::quantile(accumulator_, acc::quantile_probability = probability);
 }
 
+void RenderHistogram(std::ostream& out, const std::string& name,
+                     const std::string& labels,
+                     const LatencyHistogram& histogram) {
+  const std::string seconds_name = name + "_seconds";
+  for (std::size_t it = 0; it < LatencyHistogram::kBoundsSeconds.size(); ++it) {
+    out << seconds_name << "_bucket{" << labels << ",le=\""
+        << LatencyHistogram::kBoundsSeconds[it] << "\"} "
+        << histogram.AtMost(it) << "\n";
+  }
+  out << seconds_name << "_bucket{" << labels << ",le=\"+Inf\"} "
+      << histogram.count() << "\n";
+  out << seconds_name << "_sum{" << labels << "} " << histogram.sum_seconds()
+      << "\n";
+  out << seconds_name << "_count{" << labels << "} " << histogram.count()
+      << "\n";
+  for (const double it : kQuantiles) {
+    out << name << "_quantile_seconds{" << labels << ",quantile=\"" << it
+        << "\"} " << histogram.QuantileSeconds(it) << "\n";
+  }
+}
+
 void Metrics::ObserveFirstToken(const struct ObserveFirstToken& observed) {
   const Key key(observed.account, observed.priority,
                 BucketOf(observed.prompt_tokens));
@@ -93,7 +96,8 @@
   out << "# TYPE scaleshed_first_token_seconds histogram\n";
   for (const auto& [key, histogram] : first_token_) {
     const auto& [account, priority, bucket] = key;
-    RenderHistogram(out, Labels(account, priority, bucket), histogram);
+    RenderHistogram(out, "scaleshed_first_token",
+                    Labels(account, priority, bucket), histogram);
   }
   return out.str();
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -31,7 +31,7 @@
   return 1
 }
 stand_in_address() { sed -n 's/.* listening //p' "$work/$1.log"; }
-daemon_field() { sed -n "s/.*event=listening.* $2=\"\([^\"]*\)\".*/\1/p" "$work/$1.log"; }
+daemon_field() { sed -n "s/.*\"event\":\"listening\".*\"$2\":\"\([^\"]*\)\".*/\1/p" "$work/$1.log"; }
 
 # start_fleet MODEL SERVICE ENGINES DAEMONS: the platform, engines, a service and
 # daemons, listed; the daemons' data centres are taken in turn from `centres`.
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -126,6 +126,8 @@
 struct LogDecision {
   std::string what;
   std::vector<std::pair<std::string, std::string>> fields;
+  // Goes as it should: may be left out where there are too many.
+  bool routine = false;
 };
 
 enum class Counter {
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -41,7 +41,8 @@
        {"expected_ms", Millis(request.expected_first)},
        {"first_ms", Millis(request.first_after)},
        {"pause_ms", Millis(request.longest_seen)},
-       {"after_ms", Millis(state.now - request.arrived)}});
+       {"after_ms", Millis(state.now - request.arrived)}},
+      /*routine=*/request.runs == 1 && request.refusals == 0);
   state.effects.emplace_back(Count{Counter::kDelivered});
   DropAttempt(state, request, false);
   Forget(state, request.key);
@@ -54,20 +55,40 @@
                      .elapsed = state.now - request.arrived});
 }
 
-// Whether a request may be sent to one more backend server. Spends the budget.
-bool MaySendAgain(State& state, Request& request) {
-  if (state.now + kLeastTimeLeft >= request.deadline) return false;
-  if (request.arrivals == 0) return true;
+// What forbids one more send of a request.
+enum class NoRepeat { kNothing, kKind, kRuns, kTime, kBudget };
+constexpr NameTable<NoRepeat, 5> kNoRepeatNames{{
+    {NoRepeat::kNothing, "nothing"},
+    {NoRepeat::kKind, "kind"},
+    {NoRepeat::kRuns, "runs"},
+    {NoRepeat::kTime, "time"},
+    {NoRepeat::kBudget, "budget"},
+}};
+
+// What forbids it to send a request to one more backend server. Spends the
+// budget where nothing does.
+NoRepeat ForbidsRepeat(State& state, Request& request) {
+  if (state.now + kLeastTimeLeft >= request.deadline) return NoRepeat::kTime;
+  if (request.arrivals == 0) return NoRepeat::kNothing;
   RepeatBudget& budget =
       state.budgets
           .try_emplace(request.service, RepeatBudget(state.options.repeats))
           .first->second;
   if (budget.Spend(state.now, LiveDaemons(state))) {
     state.effects.emplace_back(Count{Counter::kRepeats});
-    return true;
+    return NoRepeat::kNothing;
   }
   state.effects.emplace_back(Count{Counter::kRepeatsDenied});
-  return false;
+  return NoRepeat::kBudget;
+}
+
+// The same for a request that may have run.
+NoRepeat ForbidsRerun(State& state, Request& request) {
+  if (!MayRunAgain(request.route.kind)) return NoRepeat::kKind;
+  if (request.runs >= std::max(request.route.max_sends, 1)) {
+    return NoRepeat::kRuns;
+  }
+  return ForbidsRepeat(state, request);
 }
 
 void SendAgain(State& state, Request& request) {
@@ -82,17 +103,16 @@
 // The send may have run and brought no whole answer.
 void Lost(State& state, Request& request, const std::string& why) {
   request.may_have_run = true;
+  const NoRepeat forbids = ForbidsRerun(state, request);
   Log(state, "lost",
       {{"request", request.facts.id},
        {"attempt", std::to_string(request.attempt)},
        {"backend", request.backend_name},
        {"why", why},
        {"begun", request.begun ? "true" : "false"},
-       {"last_event", request.last_event_id}});
-  const bool again = MayRunAgain(request.route.kind) &&
-                     request.runs < std::max(request.route.max_sends, 1) &&
-                     MaySendAgain(state, request);
-  if (again) {
+       {"last_event", request.last_event_id},
+       {"no_repeat_for", std::string(NameIn(kNoRepeatNames, forbids))}});
+  if (forbids == NoRepeat::kNothing) {
     SendAgain(state, request);
     return;
   }
@@ -103,7 +123,7 @@
 void Declined(State& state, Request& request) {
   --request.runs;
   ++request.refusals;
-  if (MaySendAgain(state, request)) {
+  if (ForbidsRepeat(state, request) == NoRepeat::kNothing) {
     SendAgain(state, request);
     return;
   }
@@ -114,9 +134,9 @@
                      const AttemptAnswered& event) {
   NoteBadAnswer(state, request.backend);
   request.may_have_run = true;
-  const bool again = MayRunAgain(request.route.kind) &&
-                     request.runs < std::max(request.route.max_sends, 1) &&
-                     event.status >= 500 && MaySendAgain(state, request);
+  constexpr int kFirstServerError = 500;
+  const bool again = event.status >= kFirstServerError &&
+                     ForbidsRerun(state, request) == NoRepeat::kNothing;
   if (again) {
     SendAgain(state, request);
     return;
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -88,7 +88,8 @@
 bool IsFresh(const State& state);
 
 void Log(State& state, std::string what,
-         std::vector<std::pair<std::string, std::string>> fields);
+         std::vector<std::pair<std::string, std::string>> fields,
+         bool routine = false);
 std::string Millis(Duration duration);
 
 }  // namespace scaleshed::serving::internal
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -134,7 +134,9 @@
        {"version", std::to_string(event.configuration.version)},
        {"routes", std::to_string(event.configuration.routes.size())},
        {"accounts", std::to_string(event.configuration.accounts.size())},
-       {"asked_ms_ago", Millis(state.now - event.asked)}});
+       // A watch brings a change without proof that it is the newest.
+       {"proved_ms_ago",
+        event.asked == Time{} ? "" : Millis(state.now - event.asked)}});
   state.changed = true;
 }
 
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -80,9 +80,11 @@
 }  // namespace
 
 void Log(State& state, std::string what,
-         std::vector<std::pair<std::string, std::string>> fields) {
-  state.effects.emplace_back(
-      LogDecision{.what = std::move(what), .fields = std::move(fields)});
+         std::vector<std::pair<std::string, std::string>> fields,
+         bool routine) {
+  state.effects.emplace_back(LogDecision{.what = std::move(what),
+                                         .fields = std::move(fields),
+                                         .routine = routine});
 }
 
 std::string Millis(Duration duration) {
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -134,7 +134,12 @@
        {"prompt", std::to_string(request.facts.prompt_tokens)},
        {"waited_ms", Millis(state.now - request.arrived)},
        {"expected_ms", Millis(request.expected_first)},
-       {"resume_after", effect.resume_after}});
+       {"time_left_ms", Millis(effect.time_left)},
+       {"revision",
+        std::to_string(state.configuration->configuration().revision)},
+       {"confirmed_ms_ago", Millis(state.now - state.confirmed_at)},
+       {"resume_after", effect.resume_after}},
+      /*routine=*/request.arrivals + request.refusals == 0);
   state.effects.emplace_back(std::move(effect));
 }
 
--- a/testing/src/cluster.cc
+++ b/testing/src/cluster.cc
@@ -163,11 +163,11 @@
   const bool is_daemon = member.kind == Kind::kDaemon;
   const bool listens = WaitFor([&] {
     const std::string text = member.process->Output();
-    member.address = is_daemon
-                         ? Find(text, "event=listening address=\"([^\"]+)\"")
-                         : Find(text, "listening ([0-9.:]+)\n");
-    member.peer_address = Find(text, "peer_address=\"([^\"]+)\"");
-    member.incarnation = Find(text, "incarnation=\"([^\"]+)\"");
+    member.address =
+        is_daemon ? Find(text, R"re("event":"listening","address":"([^"]+)")re")
+                  : Find(text, "listening ([0-9.:]+)\n");
+    member.peer_address = Find(text, R"re("peer_address":"([^"]+)")re");
+    member.incarnation = Find(text, R"re("incarnation":"([^"]+)")re");
     return !member.address.empty() &&
            (!is_daemon || !member.incarnation.empty());
   });
--- a/testing/test/fleet_harness.h
+++ b/testing/test/fleet_harness.h
@@ -85,6 +85,7 @@
          .platform = store_.address(),
          .fleet = FleetSettings{.ready_listen = FreeAddress(),
                                 .look_up_listen = FreeAddress(),
+                                .metrics_listen = FreeAddress(),
                                 .key_freshness = key_freshness,
                                 .repeat_slack = 100,
                                 .grace = milliseconds(500)}});
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -383,5 +383,28 @@
   CHECK(fleet.StopsGetting(used, "/chat/a"));
 }
 
+TEST_CASE("The metrics tell what was served and what is believed") {
+  Fleet fleet;
+  fleet.Configure();
+  fleet.AddWorker("llm");
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  fleet.Ask("/chat/a");
+  const std::string& address = fleet.settings(0).fleet->metrics_listen;
+  const auto shown = fleet.Get(address, "/metrics");
+  CHECK(shown->status() == 200);
+  const std::string text = shown->body();
+  for (const std::string it :
+       {"scaleshed_requests_total 1\n", "scaleshed_delivered_total 1\n",
+        "scaleshed_serving 1\n", "scaleshed_backends_open 1\n",
+        "scaleshed_requests_in_work{phase=\"running\"} 0\n",
+        "scaleshed_latency_seconds_count{account=\"acme\",route=\"r/chat/\"} "
+        "1\n"}) {
+    INFO(text);
+    CHECK(text.find(it) != std::string::npos);
+  }
+  CHECK(fleet.Get(address, "/other")->status() == 404);
+}
+
 }  // namespace
 }  // namespace scaleshed::testing
