--- a/cli/src/main.cc
+++ b/cli/src/main.cc
@@ -44,6 +44,9 @@
     Command{"load",
             "--daemon --profile      puts a load on daemons and measures",
             RunLoad},
+    Command{"trace",
+            "LOGFILE... --request    what became of a request, and why",
+            RunTrace},
 };
 
 std::string Usage() {
--- /dev/null
+++ b/cli/src/trace.cc
@@ -0,0 +1,144 @@
+#include "scaleshed/cli/trace.h"
+
+#include <algorithm>
+#include <array>
+#include <istream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace scaleshed {
+namespace {
+
+using Json = nlohmann::json;
+
+std::optional<TraceLine> ReadLine(const std::string& text) {
+  // The line may stand behind a prefix of whoever collected it.
+  const std::size_t from = text.find('{');
+  if (from == std::string::npos) return std::nullopt;
+  const Json json = Json::parse(text.substr(from), nullptr, false);
+  if (!json.is_object()) return std::nullopt;
+  TraceLine line;
+  for (const auto& [name, value] : json.items()) {
+    if (!value.is_string()) return std::nullopt;
+    const auto word = value.get<std::string>();
+    if (name == "time") {
+      line.time = word;
+    } else if (name == "instance") {
+      line.instance = word;
+    } else if (name == "event") {
+      line.event = word;
+    } else if (name != "level") {
+      line.fields[name] = word;
+    }
+  }
+  if (line.event.empty()) return std::nullopt;
+  return line;
+}
+
+std::string Field(const TraceLine& line, const std::string& name) {
+  const auto it = line.fields.find(name);
+  return it == line.fields.end() ? "?" : it->second;
+}
+
+std::string ExplainSent(const TraceLine& line) {
+  std::string text = "sent to " + Field(line, "backend") + " after " +
+                     Field(line, "waited_ms") + " ms";
+  const std::string helpers = Field(line, "helpers");
+  if (helpers != "0" && helpers != "?")
+    text += ", read by " + helpers + " more";
+  const std::string after = Field(line, "resume_after");
+  if (!after.empty() && after != "?") text += ", goes on after event " + after;
+  return text;
+}
+
+std::string ExplainLost(const TraceLine& line) {
+  std::string text =
+      "lost at " + Field(line, "backend") + " (" + Field(line, "why") + ")";
+  const std::string forbids = Field(line, "no_repeat_for");
+  if (forbids == "nothing") return text + ", sent again";
+  static constexpr std::array<std::pair<std::string_view, std::string_view>, 4>
+      kReasons{{{"kind", "it may run only once"},
+                {"runs", "its route allows no further run"},
+                {"time", "too little time was left"},
+                {"budget", "the repeat budget was used up"}}};
+  for (const auto& [name, reason] : kReasons) {
+    if (name == forbids) text += ", not sent again: " + std::string(reason);
+  }
+  return text;
+}
+
+std::string ExplainRefused(const TraceLine& line) {
+  std::string text = "answered " + Field(line, "status") + " by us (" +
+                     Field(line, "why") + ") after " + Field(line, "after_ms") +
+                     " ms, ";
+  const bool ran = Field(line, "may_have_run") == "true";
+  return text + (ran ? "it may have run" : "it has not run");
+}
+
+std::string ExplainGivesUp(const TraceLine& line) {
+  return "given up for load: " + Field(line, "ahead") +
+         " before it, start in " + Field(line, "expected_start_ms") +
+         " ms, first token in " + Field(line, "expected_first_ms") + " ms";
+}
+
+std::string Explain(const TraceLine& line) {
+  if (line.event == "sent") return ExplainSent(line);
+  if (line.event == "lost") return ExplainLost(line);
+  if (line.event == "refused") return ExplainRefused(line);
+  if (line.event == "gives_up") return ExplainGivesUp(line);
+  if (line.event == "waits") return "waits for " + Field(line, "for");
+  if (line.event == "answered") {
+    return "answered whole after " + Field(line, "after_ms") + " ms, runs " +
+           Field(line, "runs") + ", first token " + Field(line, "first_ms") +
+           " ms after it was sent, longest pause " + Field(line, "pause_ms") +
+           " ms";
+  }
+  if (line.event == "declined" || line.event == "not_sent") {
+    return "not run by " + Field(line, "backend");
+  }
+  if (line.event == "broken") {
+    return "the client's connection was broken, so that the part it has can't "
+           "be taken for the whole";
+  }
+  if (line.event == "client_gone") {
+    return "the client left while it was " + Field(line, "phase") + ", after " +
+           Field(line, "after_ms") + " ms";
+  }
+  return line.event;
+}
+
+}  // namespace
+
+std::vector<TraceLine> ReadTrace(std::istream& log,
+                                 const std::string& request) {
+  std::vector<TraceLine> lines;
+  std::string text;
+  while (std::getline(log, text)) {
+    // Cheap before the parser: logs are long, a request's lines are few.
+    if (text.find(request) == std::string::npos) continue;
+    auto line = ReadLine(text);
+    if (line && Field(*line, "request") == request) {
+      lines.push_back(std::move(*line));
+    }
+  }
+  return lines;
+}
+
+void SortTrace(std::vector<TraceLine>& lines) {
+  std::stable_sort(
+      lines.begin(), lines.end(),
+      [](const TraceLine& a, const TraceLine& b) { return a.time < b.time; });
+}
+
+std::string ExplainTrace(const std::vector<TraceLine>& lines) {
+  if (lines.empty()) return "no line of this request\n";
+  std::string text;
+  for (const TraceLine& it : lines) {
+    text += it.time + "  " + it.instance + "  " + Explain(it) + "\n";
+  }
+  return text;
+}
+
+}  // namespace scaleshed
--- /dev/null
+++ b/cli/test/trace_test.cc
@@ -0,0 +1,66 @@
+#include "scaleshed/cli/trace.h"
+
+#include <catch2/catch.hpp>
+#include <sstream>
+
+namespace scaleshed {
+namespace {
+
+std::string Line(const std::string& time, const std::string& instance,
+                 const std::string& rest) {
+  return R"({"time":")" + time + R"(","level":"INFO","instance":")" + instance +
+         R"(",)" + rest + "}\n";
+}
+
+TEST_CASE("A request's lines are found among others and what is no line") {
+  std::istringstream log(
+      Line("1", "a", R"("event":"sent","request":"r1","backend":"w1")") +
+      "not a line, though it names r1\n" + R"({"event":7,"request":"r1"})" +
+      "\n" + Line("2", "a", R"("event":"sent","request":"r12")") + "  7.0 a " +
+      Line("3", "a", R"("event":"answered","request":"r1","runs":"1")"));
+  const auto lines = ReadTrace(log, "r1");
+  REQUIRE(lines.size() == 2);
+  CHECK(lines[0].event == "sent");
+  CHECK(lines[0].fields.at("backend") == "w1");
+  CHECK(lines[1].instance == "a");
+  CHECK(lines[1].event == "answered");
+}
+
+TEST_CASE("Lines of several daemons come in the order of their times") {
+  std::vector<TraceLine> lines{{.time = "2", .instance = "b", .event = "x"},
+                               {.time = "1", .instance = "a", .event = "y"},
+                               {.time = "2", .instance = "b", .event = "z"}};
+  SortTrace(lines);
+  CHECK(lines[0].event == "y");
+  CHECK(lines[1].event == "x");
+  CHECK(lines[2].event == "z");
+}
+
+TEST_CASE("The outcome is told with its reason") {
+  const auto explain = [](const std::string& event,
+                          std::map<std::string, std::string> fields) {
+    return ExplainTrace({{.time = "1",
+                          .instance = "a",
+                          .event = event,
+                          .fields = std::move(fields)}});
+  };
+  CHECK(explain(
+            "lost",
+            {{"backend", "w"}, {"why", "cut"}, {"no_repeat_for", "budget"}}) ==
+        "1  a  lost at w (cut), not sent again: the repeat budget was used "
+        "up\n");
+  CHECK(explain("refused", {{"status", "502"},
+                            {"why", "unknown"},
+                            {"after_ms", "40"},
+                            {"may_have_run", "true"}}) ==
+        "1  a  answered 502 by us (unknown) after 40 ms, it may have run\n");
+  CHECK(explain("sent", {{"backend", "w"},
+                         {"waited_ms", "3"},
+                         {"helpers", "5"},
+                         {"resume_after", "4"}}) ==
+        "1  a  sent to w after 3 ms, read by 5 more, goes on after event 4\n");
+  CHECK(ExplainTrace({}) == "no line of this request\n");
+}
+
+}  // namespace
+}  // namespace scaleshed
