--- a/serving/src/queue.cc
+++ b/serving/src/queue.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "internal/durations.h"
 #include "internal/steps.h"
 #include "scaleshed/serving/reducer.h"
 
@@ -93,10 +94,7 @@
   }
   const double capacity = kReadingPart * static_cast<double>(EnginesForLong(
                                              timing, engines, short_prompts));
-  const auto spread = [&](Duration work) {
-    return Duration(static_cast<Duration::rep>(
-        static_cast<double>(work.count()) / capacity));
-  };
+  const auto spread = [&](Duration work) { return PartOf(work, 1 / capacity); };
   outlook.start = spread(before);
   outlook.first_token = outlook.start + spread(request.read);
   return outlook;
@@ -111,8 +109,7 @@
       early && IsFirstTry(request) && expected > request.due;
   if (!hopeless && !better_later) return false;
   const Duration left = request.deadline - state.now;
-  const auto most = Duration(static_cast<Duration::rep>(
-      static_cast<double>(left.count()) * kMostRetryPart));
+  const Duration most = PartOf(left, kMostRetryPart);
   const Duration again = std::clamp(outlook.start, kLeastRetryAfter,
                                     std::max(most, kLeastRetryAfter));
   Log(state, "gives_up",
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "internal/durations.h"
 #include "internal/steps.h"
 
 namespace scaleshed::serving {
@@ -24,11 +25,6 @@
   Log(state, "stopping", {{"requests", std::to_string(state.requests.size())}});
 }
 
-Duration PartOf(Duration whole, double part) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(whole.count()) * part));
-}
-
 void FinishStop(State& state) {
   if (!state.stop_at || state.exited) return;
   const Duration since = state.now - *state.stop_at;
