Read again: one text for an order's outcome, one way to write counters and gauges

The status of an answer, or why there is none, was written out three times in BackendCalls; FleetMetrics wrote counters and gauges as Metrics did. Comments named a callback that BoundedWriter does not have, and said "no answer is told to nobody". Change: OutcomeText; RenderCounter and RenderGauge beside RenderHistogram. Behaviour is meant to stay.

--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -46,8 +46,8 @@
   std::string text = "sent to " + Field(line, "backend") + " after " +
                      Field(line, "waited_ms") + " ms";
   const std::string helpers = Field(line, "helpers");
-  if (helpers != "0" && helpers != "?")
-    text += ", read by " + helpers + " more";
+  const bool helped = helpers != "0" && helpers != "?";
+  if (helped) text += ", read by " + helpers + " more";
   const std::string after = Field(line, "resume_after");
   if (!after.empty() && after != "?") text += ", goes on after event " + after;
   return text;
--- a/config/include/scaleshed/config/settings.h
+++ b/config/include/scaleshed/config/settings.h
@@ -16,8 +16,8 @@
 struct FleetSettings {
   std::string ready_listen;    // the platform's checks, "ip:port"
   std::string look_up_listen;  // clients' questions where to go, "ip:port"
-  std::string
-      metrics_listen;  // counters and histograms, "ip:port"; may be empty
+  // Counters and histograms, "ip:port"; empty: not served.
+  std::string metrics_listen;
   // How long ago the configuration must have been the newest for a request
   // with a key to run; keys count for ever where `keys_fail_closed` is false.
   Duration key_freshness = seconds(5);
--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -26,6 +26,13 @@
   return "";
 }
 
+// The status of an answer, or why there is none.
+std::string OutcomeText(const HttpResult& result) {
+  const auto* response = ValueOf(result);
+  if (response != nullptr) return std::to_string(response->status);
+  return std::string(NameIn(kHttpErrorNames, ErrorOf(result)));
+}
+
 }  // namespace
 
 BackendCalls::BackendCalls(EventLoop& loop, Feed feed)
@@ -125,15 +132,11 @@
   call.on_done = [this, order](const HttpResult& result) {
     const auto* response = ValueOf(result);
     const bool granted = response != nullptr && platform::IsReserved(*response);
-    LogInfo(
-        "reserve",
-        {{"attempt", std::to_string(order.attempt)},
-         {"address", order.address},
-         {"ticket", order.ticket},
-         {"tokens", std::to_string(order.tokens)},
-         {"status", response == nullptr
-                        ? std::string(NameIn(kHttpErrorNames, ErrorOf(result)))
-                        : std::to_string(response->status)}});
+    LogInfo("reserve", {{"attempt", std::to_string(order.attempt)},
+                        {"address", order.address},
+                        {"ticket", order.ticket},
+                        {"tokens", std::to_string(order.tokens)},
+                        {"status", OutcomeText(result)}});
     // No answer is no refusal: the order may still be carried out.
     if (response == nullptr) return;
     feed_(serving::MemoryAnswered{
@@ -145,14 +148,9 @@
 void BackendCalls::Release(const serving::ReleaseMemory& order) {
   HttpCall call = platform::ReleaseOrder(order);
   call.on_done = [order](const HttpResult& result) {
-    const auto* response = ValueOf(result);
-    LogInfo(
-        "release",
-        {{"address", order.address},
-         {"ticket", order.ticket},
-         {"status", response == nullptr
-                        ? std::string(NameIn(kHttpErrorNames, ErrorOf(result)))
-                        : std::to_string(response->status)}});
+    LogInfo("release", {{"address", order.address},
+                        {"ticket", order.ticket},
+                        {"status", OutcomeText(result)}});
   };
   orders_.Start(std::move(call));
 }
@@ -169,10 +167,7 @@
       return;
     }
     LogInfo("no_report",
-            {{"address", question.address},
-             {"why", response == nullptr
-                         ? std::string(NameIn(kHttpErrorNames, ErrorOf(result)))
-                         : std::to_string(response->status)}});
+            {{"address", question.address}, {"why", OutcomeText(result)}});
   };
   orders_.Start(std::move(call));
 }
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -8,11 +8,6 @@
 namespace scaleshed {
 namespace {
 
-void RenderGauge(std::ostream& out, const std::string& name, double value) {
-  out << "# TYPE scaleshed_" << name << " gauge\n";
-  out << "scaleshed_" << name << " " << value << "\n";
-}
-
 double SecondsOf(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -55,9 +50,7 @@
 std::string FleetMetrics::Render(const serving::State& state) const {
   std::ostringstream out;
   for (const auto& [counter, name] : serving::kCounterNames) {
-    out << "# TYPE scaleshed_" << name << "_total counter\n";
-    out << "scaleshed_" << name << "_total "
-        << counters_[static_cast<std::size_t>(counter)] << "\n";
+    RenderCounter(out, name, counters_[static_cast<std::size_t>(counter)]);
   }
   RenderGauge(out, "serving", serving::IsServing(state) ? 1 : 0);
   if (state.configuration) {
--- a/runtime/include/scaleshed/runtime/bounded_writer.h
+++ b/runtime/include/scaleshed/runtime/bounded_writer.h
@@ -11,8 +11,7 @@
 
 // Writes lines to a descriptor without ever waiting for its reader. What the
 // reader does not take yet is kept, up to a limit; lines beyond it are left out
-// and counted, and `note` is asked for a line that says how many once there is
-// room again.
+// and counted, for the caller to tell once there is room again.
 //
 // The descriptor stays the caller's; a pipe or socket is made non-blocking.
 class BoundedWriter {
--- a/runtime/include/scaleshed/runtime/metrics.h
+++ b/runtime/include/scaleshed/runtime/metrics.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 #include "scaleshed/core/effects.h"
@@ -63,6 +64,11 @@
   std::array<std::uint64_t, kBoundsSeconds.size()> at_most_{};
 };
 
+// Write one value in the text form. `name` is without prefix and suffix.
+void RenderCounter(std::ostream& out, std::string_view name,
+                   std::uint64_t value);
+void RenderGauge(std::ostream& out, std::string_view name, double value);
+
 // Writes `histogram` as `name`_seconds, with its quantiles beside it. `labels`
 // are those of the text form, without braces.
 void RenderHistogram(std::ostream& out, const std::string& name,
--- a/runtime/src/metrics.cc
+++ b/runtime/src/metrics.cc
@@ -51,6 +51,17 @@
   return acc::quantile(accumulator_, acc::quantile_probability = probability);
 }
 
+void RenderCounter(std::ostream& out, std::string_view name,
+                   std::uint64_t value) {
+  out << "# TYPE scaleshed_" << name << "_total counter\n";
+  out << "scaleshed_" << name << "_total " << value << "\n";
+}
+
+void RenderGauge(std::ostream& out, std::string_view name, double value) {
+  out << "# TYPE scaleshed_" << name << " gauge\n";
+  out << "scaleshed_" << name << " " << value << "\n";
+}
+
 void RenderHistogram(std::ostream& out, const std::string& name,
                      const std::string& labels,
                      const LatencyHistogram& histogram) {
@@ -86,12 +97,10 @@
 std::string Metrics::Render() const {
   std::ostringstream out;
   for (const auto& [counter, name] : kCounterNames) {
-    out << "# TYPE scaleshed_" << name << "_total counter\n";
-    out << "scaleshed_" << name << "_total " << Get(counter) << "\n";
+    RenderCounter(out, name, Get(counter));
   }
   for (const auto& [name, value] : gauges_) {
-    out << "# TYPE scaleshed_" << name << " gauge\n";
-    out << "scaleshed_" << name << " " << value << "\n";
+    RenderGauge(out, name, value);
   }
   out << "# TYPE scaleshed_first_token_seconds histogram\n";
   for (const auto& [key, histogram] : first_token_) {
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -111,7 +111,7 @@
   std::string ticket;
 };
 
-// Asks an engine how it does. No answer is told to nobody.
+// Asks an engine how it does. ReportSeen follows only where it answers.
 struct AskReport {
   BackendId backend = 0;
   std::string address;
--- a/serving/src/placement.cc
+++ b/serving/src/placement.cc
@@ -43,6 +43,7 @@
 // there: the sites' shortest allowed pause is 200 ms, a pass without reading
 // takes about 45.
 constexpr Duration kMostShortBacklog = milliseconds(90);
+
 // A part of a prompt that an engine has to read.
 struct Part {
   Time started{};
