Two daemons of a data centre ask the store; the others hear of it

Ruled out: longer leases alone (three quarters of the calls stay); a watch of each daemon's own (every change wakes all); gossip without the store (one that starts knows nobody). Questions over more than 31 backend servers are put as one list.

--- a/config/include/scaleshed/config/settings.h
+++ b/config/include/scaleshed/config/settings.h
@@ -22,6 +22,10 @@
   // with a key to run; keys count for ever where `keys_fail_closed` is false.
   Duration key_freshness = seconds(5);
   bool keys_fail_closed = true;
+  // What the platform's store has taken is in force within this: a new
+  // configuration, a backend server's word that it leaves. The shorter of the
+  // two bounds that operators give.
+  Duration news_within = seconds(2);
   // Of all daemons together, for each service and window.
   double repeat_ratio = 0.2;
   double repeat_slack = 0;
--- a/config/src/settings.cc
+++ b/config/src/settings.cc
@@ -1,5 +1,7 @@
 #include "scaleshed/config/settings.h"
 
+#include <algorithm>
+
 #include "scaleshed/config/field_reader.h"
 #include "scaleshed/config/read_file.h"
 
@@ -37,6 +39,11 @@
                                       fleet.key_freshness);
   fleet.keys_fail_closed =
       reader.Flag("keys_fail_closed", fleet.keys_fail_closed);
+  const Duration configuration = reader.Millis(
+      "configuration_within_ms", {200, kOneHourMillis}, fleet.news_within);
+  const Duration leaving = reader.Millis(
+      "leaving_within_ms", {200, kOneHourMillis}, fleet.news_within);
+  fleet.news_within = std::min(configuration, leaving);
   fleet.repeat_ratio =
       reader.Number("repeat_ratio", {0, 10}, fleet.repeat_ratio);
   fleet.repeat_slack =
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -8,7 +8,7 @@
 #include "internal/store_follower.h"
 #include "scaleshed/platform/messages.h"
 #include "scaleshed/runtime/log.h"
-#include "scaleshed/wire/snapshot_codec.h"
+#include "scaleshed/wire/datagram_codec.h"
 
 namespace scaleshed {
 namespace {
@@ -29,6 +29,7 @@
           .seed = HashBytes(settings.instance, life),
           .key_freshness = fleet.keys_fail_closed ? fleet.key_freshness
                                                   : Duration::max() / 4,
+          .news_within = fleet.news_within,
           .grace = fleet.grace,
           .repeats = {.ratio = fleet.repeat_ratio,
                       .slack = fleet.repeat_slack,
@@ -51,9 +52,8 @@
           [this](auto body) { Feed(std::move(body)); })),
       peers_(loop, settings.peer_listen,
              [this](const std::string& bytes) {
-               auto snapshot = DecodeSnapshot(bytes, loop_.Now());
-               if (!snapshot) return;
-               Feed(serving::SnapshotReceived{std::move(*snapshot)});
+               auto body = DecodeDatagram(bytes, loop_.Now());
+               if (body) Feed(std::move(*body));
              }),
       front_(loop, {.address = settings.listen},
              [this](const auto& exchange) { OnRequest(exchange); }),
@@ -135,9 +135,20 @@
           [&](const serving::ReleaseMemory& it) { backends_->Release(it); },
           [&](const serving::AskReport& it) { backends_->AskReport(it); },
           [&](const serving::PublishSnapshot& it) {
-            const std::string bytes = EncodeSnapshot(it.snapshot, state_.now);
+            const std::string bytes = EncodeDatagram(it.snapshot, state_.now);
             for (const std::string& to : it.to) peers_.Send(to, bytes);
           },
+          [&](const serving::AskStore& it) { store_->Ask(it); },
+          [&](const serving::ReadConfiguration&) {
+            store_->ReadConfiguration();
+          },
+          [&](const serving::ListStore&) { store_->List(); },
+          [&](const serving::WatchStore& it) { store_->SetWatch(it.on); },
+          [&](const serving::RelayStore& it) {
+            for (const auto& [to, relay] : it.messages) {
+              peers_.Send(to, EncodeDatagram(relay));
+            }
+          },
           [&](const serving::LogDecision& it) {
             it.routine ? LogRoutine(it.what, it.fields)
                        : LogInfo(it.what, it.fields);
--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -2,15 +2,14 @@
 #define SCALESHED_DAEMON_INTERNAL_STORE_FOLLOWER_H_
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
-#include <vector>
 
 #include "scaleshed/platform/store_client.h"
 #include "scaleshed/runtime/event_loop.h"
+#include "scaleshed/serving/effects.h"
 #include "scaleshed/serving/events.h"
 
 namespace scaleshed {
@@ -21,10 +20,10 @@
   std::uint64_t seed = 1;
 };
 
-// Keeps the reducer told of what lies in the platform's store: lists it once,
-// watches it, asks again and again whether what is known is still the newest,
-// and lists this daemon there. A silent watch proves nothing; only the answers
-// to those questions count as proof.
+// Calls the platform's store for the reducer, and tells it what lies there: all
+// of it once at the start, then what the reducer asks for, and what a watch
+// brings while it wants one. A silent watch proves nothing; only the answers to
+// questions count as proof. Lists this daemon there by itself.
 class StoreFollower {
  public:
   using Feed = std::function<void(serving::EventBody)>;
@@ -36,16 +35,23 @@
   void Start();
   // Takes this daemon out of the list.
   void Leave();
+
+  void Ask(const serving::AskStore& question);
+  void ReadConfiguration();
+  // All that there is, again and again until it is told.
+  void List();
+  void SetWatch(bool on);
+
   std::uint64_t calls() const { return store_.calls(); }
 
  private:
-  void List();
   void OnList(platform::StoreResult<platform::StoredItems> result, Time asked);
   void Watch();
   void OnWatch(platform::StoreResult<platform::StoredItems> result);
-  void Confirm();
-  void OnConfirmed(platform::StoreResult<platform::Confirmation> result,
-                   Time asked);
+  void OnAsked(platform::StoreResult<platform::Confirmation> result,
+               const std::vector<platform::KnownRevision>& known,
+               const serving::AskStore& question, Time asked);
+  void ListBackends(Time asked);
   void Take(const platform::StoredItem& item, Time asked);
   void Register();
   void WriteMember();
@@ -61,23 +67,22 @@
   Feed feed_;
   platform::StoreClient store_;
   std::mt19937_64 random_;
-  // What is known: revisions by key, and where the watch goes on.
-  std::uint64_t configuration_revision_ = 0;
-  std::map<std::string, std::uint64_t> backends_;
   std::set<std::string> peers_;
-  std::uint64_t at_ = 0;
+  std::uint64_t at_ = 0;  // where the watch goes on
   std::uint64_t lease_ = 0;
   bool registered_ = false;
   bool listing_ = false;
+  bool listed_ = false;  // after this daemon was registered
+  bool wants_watch_ = false;
   bool watching_ = false;
-  bool confirming_ = false;
+  bool asking_ = false;
+  bool listing_backends_ = false;
   bool leaving_ = false;
   int failures_ = 0;
   bool lost_ = false;
   Time trouble_at_{};
   Timer list_timer_;
   Timer watch_timer_;
-  Timer confirm_timer_;
   Timer lease_timer_;
 };
 
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -12,17 +12,22 @@
 
 // A watch that brings nothing is asked anew; a wait counts as one call.
 constexpr Duration kWatchWait = seconds(10);
-// Between two questions whether what is known is the newest. Shorter than a
-// configuration's bound (2 s) and a leaving backend server's (2 s), so that
-// both hold when the watch is silent.
-constexpr Duration kConfirmEvery = milliseconds(900);
+// After a watch that brought only daemons that came or went, which come many at
+// a time when all start and are no hurry.
+constexpr Duration kWatchPause = milliseconds(200);
+// A daemon lists the store once it is registered itself, so that of two that
+// start at the same moment one at least sees the other; it waits no longer for
+// that than this.
+constexpr Duration kRegisterWithin = milliseconds(300);
 // Conditions that the store takes in one transaction.
 constexpr std::size_t kMostConditions = 32;
 // Entries of backend servers may lapse while the store is away; so long after
 // its return they may still be missing.
 constexpr Duration kAwayFor = milliseconds(2500);
-constexpr Duration kLeaseTtl = seconds(6);
-constexpr Duration kRenewEvery = seconds(2);
+// Who lives is heard from the daemons themselves; an entry serves those that
+// start, and may outlive its daemon for a while.
+constexpr Duration kLeaseTtl = seconds(20);
+constexpr Duration kRenewEvery = seconds(6);
 constexpr Duration kFirstBackoff = milliseconds(100);
 constexpr int kMostDoublings = 3;
 
@@ -37,13 +42,11 @@
       random_(options_.seed),
       list_timer_(loop, [this] { List(); }),
       watch_timer_(loop, [this] { Watch(); }),
-      confirm_timer_(loop, [this] { Confirm(); }),
       lease_timer_(loop, [this] { Renew(); }) {}
 
 void StoreFollower::Start() {
-  List();
   Register();
-  confirm_timer_.Once(kConfirmEvery);
+  list_timer_.Once(kRegisterWithin);
 }
 
 void StoreFollower::Leave() {
@@ -109,18 +112,19 @@
     list_timer_.Once(Backoff());
     return;
   }
-  serving::BackendsListed all{.backends = {}, .certain = !StoreWasAway()};
-  std::map<std::string, std::uint64_t> backends;
+  listed_ = registered_;
+  serving::BackendsListed all{.backends = {},
+                              .certain = !StoreWasAway(),
+                              .revision = items->at,
+                              .asked = asked};
   peers_.clear();
   for (const auto& it : items->items) {
     if (const auto* backend = std::get_if<platform::StoredBackend>(&it)) {
       all.backends.push_back(backend->backend);
-      backends[backend->backend.id] = backend->backend.revision;
     } else {
       Take(it, asked);
     }
   }
-  backends_ = std::move(backends);
   feed_(std::move(all));
   TellPeers();
   at_ = std::max(at_, items->at);
@@ -134,19 +138,16 @@
 void StoreFollower::Take(const platform::StoredItem& item, Time asked) {
   std::visit(
       Overloaded{[&](const platform::StoredConfiguration& it) {
-                   configuration_revision_ = std::max(
-                       configuration_revision_, it.configuration.revision);
                    feed_(serving::ConfigurationSeen{
                        .configuration = it.configuration, .asked = asked});
                  },
                  [&](const platform::StoredBackend& it) {
-                   backends_[it.backend.id] = it.backend.revision;
                    feed_(serving::BackendListed{.backend = it.backend});
                  },
                  [&](const platform::BackendGone& it) {
-                   backends_.erase(it.id);
                    feed_(serving::BackendUnlisted{.id = it.id,
-                                                  .certain = !StoreWasAway()});
+                                                  .certain = !StoreWasAway(),
+                                                  .revision = it.revision});
                  },
                  [&](const platform::StoredMember& it) {
                    peers_.insert(it.peer_address);
@@ -161,8 +162,15 @@
       item);
 }
 
+void StoreFollower::SetWatch(bool on) {
+  wants_watch_ = on;
+  if (on) Watch();
+}
+
 void StoreFollower::Watch() {
   watch_timer_.Cancel();
+  // Where to go on is known from the first list.
+  if (!wants_watch_ || at_ == 0) return;
   if (std::exchange(watching_, true)) return;
   store_.Watch(at_, kWatchWait,
                [this](auto result) { OnWatch(std::move(result)); });
@@ -186,46 +194,102 @@
   at_ = changes->at;
   // What a watch brings may be old; it proves nothing.
   for (const auto& it : changes->items) Take(it, Time{});
+  feed_(serving::BackendsComplete{.revision = at_});
+  const auto peers_only = std::all_of(
+      changes->items.begin(), changes->items.end(), [](const auto& it) {
+        return std::holds_alternative<platform::StoredMember>(it) ||
+               std::holds_alternative<platform::MemberGone>(it);
+      });
   if (!changes->items.empty()) TellPeers();
-  Watch();
+  if (peers_only && !changes->items.empty()) {
+    watch_timer_.Once(kWatchPause);
+  } else {
+    Watch();
+  }
 }
 
-void StoreFollower::Confirm() {
-  confirm_timer_.Once(kConfirmEvery);
-  if (configuration_revision_ == 0 || std::exchange(confirming_, true)) return;
+void StoreFollower::Ask(const serving::AskStore& question) {
+  if (std::exchange(asking_, true)) return;
   std::vector<platform::KnownRevision> known{
-      {platform::ConfigurationKey(), configuration_revision_}};
-  for (const auto& [id, revision] : backends_) {
-    if (known.size() == kMostConditions) break;
-    known.push_back({platform::BackendKey(id), revision});
-  }
+      {platform::ConfigurationKey(), question.configuration}};
   const Time asked = loop_.Now();
-  store_.Confirm(known, [this, asked](auto result) {
-    OnConfirmed(std::move(result), asked);
+  if (question.backends.size() < kMostConditions) {
+    for (const auto& [id, revision] : question.backends) {
+      known.push_back({platform::BackendKey(id), revision});
+    }
+  } else {
+    // A list takes one call for 500 entries, conditions one for 31.
+    ListBackends(asked);
+  }
+  store_.Confirm(known, [this, known, question, asked](auto result) {
+    OnAsked(std::move(result), known, question, asked);
   });
 }
 
-void StoreFollower::OnConfirmed(
-    platform::StoreResult<platform::Confirmation> result, Time asked) {
-  confirming_ = false;
+void StoreFollower::OnAsked(
+    platform::StoreResult<platform::Confirmation> result,
+    const std::vector<platform::KnownRevision>& known,
+    const serving::AskStore& question, Time asked) {
+  asking_ = false;
   const auto* confirmation = ValueOf(result);
   if (!Noted("confirm", confirmation != nullptr
                             ? std::nullopt
                             : std::optional(ErrorOf(result)))) {
-    confirm_timer_.Once(Backoff());
+    feed_(serving::StoreUnreachable{});
     return;
   }
+  const bool all_asked = known.size() == question.backends.size() + 1;
   if (std::holds_alternative<platform::Unchanged>(*confirmation)) {
-    feed_(serving::ConfigurationConfirmed{.revision = configuration_revision_,
+    feed_(serving::ConfigurationConfirmed{.revision = question.configuration,
                                           .asked = asked});
+    if (all_asked) feed_(serving::BackendsConfirmed{.asked = asked});
     return;
   }
-  const std::size_t known = backends_.size();
-  for (const auto& it : std::get<platform::StoredItems>(*confirmation).items) {
-    Take(it, asked);
+  const auto& items = std::get<platform::StoredItems>(*confirmation).items;
+  for (const auto& it : items) Take(it, asked);
+  // An entry that is not there at all is missing from the answer.
+  if (items.size() < known.size()) {
+    List();
+  } else if (all_asked) {
+    feed_(serving::BackendsConfirmed{.asked = asked});
   }
-  // An entry that is not there at all may be missing from the answer.
-  if (backends_.size() != known || known > 0) List();
+}
+
+void StoreFollower::ListBackends(Time asked) {
+  if (std::exchange(listing_backends_, true)) return;
+  store_.ListBackends([this, asked](auto result) {
+    listing_backends_ = false;
+    const auto* items = ValueOf(result);
+    if (!Noted("list_backends", items != nullptr
+                                    ? std::nullopt
+                                    : std::optional(ErrorOf(result)))) {
+      feed_(serving::StoreUnreachable{});
+      return;
+    }
+    serving::BackendsListed all{.backends = {},
+                                .certain = !StoreWasAway(),
+                                .revision = items->at,
+                                .asked = asked};
+    for (const auto& it : items->items) {
+      const auto* backend = std::get_if<platform::StoredBackend>(&it);
+      if (backend != nullptr) all.backends.push_back(backend->backend);
+    }
+    feed_(std::move(all));
+  });
+}
+
+void StoreFollower::ReadConfiguration() {
+  const Time asked = loop_.Now();
+  store_.ReadConfiguration([this, asked](auto result) {
+    const auto* items = ValueOf(result);
+    if (!Noted("read_configuration", items != nullptr
+                                         ? std::nullopt
+                                         : std::optional(ErrorOf(result)))) {
+      feed_(serving::StoreUnreachable{});
+      return;
+    }
+    for (const auto& it : items->items) Take(it, asked);
+  });
 }
 
 void StoreFollower::Register() {
@@ -253,6 +317,7 @@
               done != nullptr ? std::nullopt : std::optional(ErrorOf(result)));
     if (leaving_) return;
     lease_timer_.Once(registered_ ? kRenewEvery : Backoff());
+    if (registered_ && !listed_) List();
   });
 }
 
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -9,6 +9,7 @@
 
 #include "scaleshed/core/types.h"
 #include "scaleshed/serving/configuration.h"
+#include "scaleshed/serving/store_relay.h"
 #include "scaleshed/serving/work.h"
 
 namespace scaleshed::serving {
@@ -123,6 +124,27 @@
   LoadSnapshot snapshot;
 };
 
+// Asks the store whether what is known is the newest: of the configuration and
+// of all entries of backend servers. What is not comes as events of its own.
+struct AskStore {
+  std::uint64_t configuration = 0;
+  // Ids and revisions of their entries.
+  std::vector<std::pair<std::string, std::uint64_t>> backends;
+};
+// Reads the configuration, which is known to have changed.
+struct ReadConfiguration {};
+// Reads all that the store holds.
+struct ListStore {};
+// Whether to be told by the store of what changes there.
+struct WatchStore {
+  bool on = false;
+};
+
+// One message to each; any may be lost.
+struct RelayStore {
+  std::vector<std::pair<std::string, StoreRelay>> messages;  // by receiver
+};
+
 struct LogDecision {
   std::string what;
   std::vector<std::pair<std::string, std::string>> fields;
@@ -181,8 +203,9 @@
 using Effect =
     std::variant<StartAttempt, CancelAttempt, DeliverAnswer, BeginStream,
                  PassEvent, EndStream, BreakAnswer, Refuse, ReserveMemory,
-                 ReleaseMemory, AskReport, PublishSnapshot, LogDecision, Count,
-                 ObserveLatency, ApplyLimits, Exit>;
+                 ReleaseMemory, AskReport, PublishSnapshot, AskStore,
+                 ReadConfiguration, ListStore, WatchStore, RelayStore,
+                 LogDecision, Count, ObserveLatency, ApplyLimits, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace scaleshed::serving
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -9,6 +9,7 @@
 
 #include "scaleshed/core/types.h"
 #include "scaleshed/serving/configuration.h"
+#include "scaleshed/serving/store_relay.h"
 #include "scaleshed/serving/work.h"
 
 namespace scaleshed::serving {
@@ -107,14 +108,21 @@
   Time asked{};
 };
 
-struct BackendServer {
-  std::string id;  // of this life
-  std::string service;
-  std::string address;
-  std::string data_centre;
-  std::int64_t slots = 1;
-  bool leaving = false;
-  std::uint64_t revision = 0;  // of its entry
+// All entries of backend servers that were there at `asked` have been told.
+struct BackendsConfirmed {
+  Time asked{};
+};
+
+// All changes up to that revision of the store have been told.
+struct BackendsComplete {
+  std::uint64_t revision = 0;
+};
+
+// This daemon's own question to the store brought no answer.
+struct StoreUnreachable {};
+
+struct StoreRelayReceived {
+  StoreRelay relay;
 };
 
 struct BackendListed {
@@ -126,12 +134,15 @@
 struct BackendUnlisted {
   std::string id;
   bool certain = true;
+  std::uint64_t revision = 0;  // of the store when the entry was gone
 };
 
 // All entries there are; others are gone.
 struct BackendsListed {
   std::vector<BackendServer> backends;
   bool certain = true;
+  std::uint64_t revision = 0;  // of the store
+  Time asked{};                // when the question was put
 };
 
 // Where other daemons take snapshots, as registered at the platform.
@@ -149,9 +160,10 @@
 using EventBody =
     std::variant<RequestArrived, ClientGone, StreamEvent, AttemptAnswered,
                  AttemptFailed, MemoryAnswered, ReportSeen, ConfigurationSeen,
-                 ConfigurationConfirmed, BackendListed, BackendUnlisted,
-                 BackendsListed, PeersListed, SnapshotReceived, Tick,
-                 StopRequested>;
+                 ConfigurationConfirmed, BackendsConfirmed, BackendsComplete,
+                 StoreUnreachable, StoreRelayReceived, BackendListed,
+                 BackendUnlisted, BackendsListed, PeersListed, SnapshotReceived,
+                 Tick, StopRequested>;
 
 struct Event {
   Time now;
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -1,6 +1,7 @@
 #ifndef SCALESHED_SERVING_STATE_H_
 #define SCALESHED_SERVING_STATE_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -28,6 +29,9 @@
   // A request with a key runs only while the configuration was the newest so
   // short a time ago.
   Duration key_freshness = seconds(5);
+  // What the store has taken is in force here within this: a configuration, or
+  // a backend server's word that it leaves.
+  Duration news_within = seconds(2);
   // From the request to stop to the end of the process.
   Duration grace = seconds(8);
   RepeatBudgetOptions repeats;
@@ -55,6 +59,47 @@
   Time heard{};
 };
 
+// An entry of a backend server that changed, and when that was seen here.
+struct SeenChange {
+  BackendChange change;
+  Time seen{};
+  bool told = false;  // to those that don't ask
+};
+
+struct GoneEntry {
+  std::uint64_t revision = 0;
+  Time seen{};
+};
+
+// How this daemon keeps up with the store: by own questions, or by the relays
+// of the daemons of its data centre that put them.
+struct StoreFollowing {
+  // When all entries of backend servers were last known to be the newest.
+  Time backends_confirmed_at{};
+  bool begun = false;
+  bool has_role = false;           // it is known who else is there
+  bool watching = false;           // asks for its data centre
+  Time ask_due{};                  // not before, by this daemon itself
+  Time unreachable_at{};           // its own last question failed
+  int failures = 0;                // one after another
+  std::optional<Time> read_due;    // the configuration is known to be older
+  Time read_at{};                  // last
+  std::optional<Time> list_due;    // entries differ from an asker's
+  Time listed_at{};                // last
+  std::deque<SeenChange> changes;  // of the last seconds
+  // The store's revision up to which all changes are known: what is older and
+  // not known here had gone by then.
+  std::uint64_t complete_at = 0;
+  // Revisions at which entries went, so that older news don't bring them back.
+  std::map<std::string, GoneEntry> gone;
+  // What was last told to those that don't ask.
+  std::uint64_t told_configuration = 0;
+  Time relayed_proof{};
+  Time relayed_at{};
+  // When snapshots left, by sequence, of the last seconds.
+  std::deque<std::pair<std::uint64_t, Time>> sent_snapshots;
+};
+
 struct Memory {
   std::string address;
   std::string ticket;
@@ -121,6 +166,7 @@
   std::optional<ConfigurationIndex> configuration;
   // When the configuration in force was last known to be the newest.
   Time confirmed_at{};
+  StoreFollowing store;
 
   std::map<std::string, Backend> backends;  // by instance id
   std::map<std::string, Member> members;    // by peer address
--- /dev/null
+++ b/serving/include/scaleshed/serving/store_relay.h
@@ -0,0 +1,60 @@
+#ifndef SCALESHED_SERVING_STORE_RELAY_H_
+#define SCALESHED_SERVING_STORE_RELAY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "scaleshed/core/types.h"
+#include "scaleshed/serving/configuration.h"
+
+namespace scaleshed::serving {
+
+// A backend server as the platform's store lists it.
+struct BackendServer {
+  std::string id;  // of this life
+  std::string service;
+  std::string address;
+  std::string data_centre;
+  std::int64_t slots = 1;
+  bool leaving = false;
+  std::uint64_t revision = 0;  // of its entry
+};
+
+// All that a daemon knows of the store, to be compared with what another one
+// knows: equal digests mean equal entries.
+struct StoreDigest {
+  std::uint64_t configuration = 0;  // its revision
+  std::uint64_t backends = 0;       // a hash of ids and revisions
+  bool operator==(const StoreDigest&) const = default;
+};
+
+// An entry of a backend server that came, changed or went.
+struct BackendChange {
+  std::string id;
+  std::uint64_t revision = 0;
+  std::optional<BackendServer> server;  // nothing: the entry is gone
+  bool certain = true;                  // see BackendUnlisted
+};
+
+// What a daemon that asks the store tells those that don't. Any of these may be
+// lost, doubled or late: a change says its revision, and a proof says what the
+// asker last heard of the receiver, so that nothing gets younger on its way.
+struct StoreRelay {
+  std::string peer_address;  // who asked
+  StoreDigest digest;        // of what it knows
+  std::vector<BackendChange> changes;
+  // The store's revision up to which it has been told of every change.
+  std::uint64_t complete_at = 0;
+  // How long ago it put the question whose answer was that `digest` is the
+  // newest; nothing: no proof, news only.
+  std::optional<Duration> age;
+  // The receiver's last snapshot that the asker had when it sent this.
+  std::uint64_t heard_life = 0;
+  std::uint64_t heard_sequence = 0;
+};
+
+}  // namespace scaleshed::serving
+
+#endif  // SCALESHED_SERVING_STORE_RELAY_H_
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -55,6 +55,7 @@
   std::uint64_t life = 0;      // rises with each start
   std::uint64_t sequence = 0;  // rises within a life
   bool serving = false;        // clients may be sent to it
+  bool asks_store = false;     // may put the questions for its data centre
   std::uint64_t revision = 0;  // of its configuration
   std::vector<Work> works;
   std::vector<Waiting> waiting;
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -64,9 +64,15 @@
 }
 
 void OnListed(State& state, const BackendServer& server) {
+  if (IsGoneSince(state, server.id, server.revision)) return;
   Backend& backend = state.backends[server.id];
   if (server.revision < backend.server.revision) return;
   const bool is_new = backend.server.id.empty();
+  if (is_new || backend.gone_at || server.revision > backend.server.revision) {
+    NoteChange(
+        state,
+        {.id = server.id, .revision = server.revision, .server = server});
+  }
   const bool was_leaving = backend.server.leaving;
   backend.server = server;
   // A word of leaving is never taken back within one life.
@@ -84,7 +90,21 @@
 
 void OnUnlisted(State& state, const BackendUnlisted& event) {
   const auto it = state.backends.find(event.id);
-  if (it == state.backends.end()) return;
+  if (it == state.backends.end()) {
+    NoteGoneAt(state, event.id, event.revision);
+    return;
+  }
+  // Told late: it has come back since.
+  if (event.revision != 0 && event.revision < it->second.server.revision) {
+    return;
+  }
+  NoteGoneAt(state, event.id, event.revision);
+  if (!it->second.gone_at) {
+    NoteChange(state, {.id = event.id,
+                       .revision = event.revision,
+                       .server = {},
+                       .certain = event.certain});
+  }
   if (!event.certain) {
     if (!it->second.gone_at) it->second.gone_at = state.now + kLapseWait;
     return;
@@ -108,8 +128,12 @@
     if (!there.contains(name)) gone.push_back(name);
   }
   for (const std::string& it : gone) {
-    OnUnlisted(state, {.id = it, .certain = event.certain});
+    OnUnlisted(
+        state,
+        {.id = it, .certain = event.certain, .revision = event.revision});
   }
+  NoteComplete(state, event.revision);
+  if (event.asked != Time{}) OnBackendsConfirmed(state, {.asked = event.asked});
 }
 
 void DropLapsed(State& state) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -87,6 +87,31 @@
 void OnConfirmed(State& state, const ConfigurationConfirmed& event);
 bool IsFresh(const State& state);
 
+// store_following.cc: who asks the store, and what the others hear of it.
+// Asks, watches, reads and relays as is due.
+void FollowStore(State& state);
+// When FollowStore() has something to do at the latest.
+Time StoreDue(const State& state);
+// Whether this daemon may put the questions for its data centre.
+bool ReachesStore(const State& state);
+// The configuration in force was the newest at `asked`.
+void ConfirmConfiguration(State& state, Time asked);
+// This daemon's own question was answered.
+void NoteStoreReached(State& state);
+void OnBackendsConfirmed(State& state, const BackendsConfirmed& event);
+void OnStoreUnreachable(State& state);
+void OnStoreRelay(State& state, const StoreRelay& relay);
+// Notes what changed, to be told to those that don't ask.
+void NoteChange(State& state, BackendChange change);
+// All changes up to that revision are known.
+void NoteComplete(State& state, std::uint64_t revision);
+// That entry went at that revision; zero: not told.
+void NoteGoneAt(State& state, const std::string& id, std::uint64_t revision);
+// An entry that is known to have gone at that revision or later.
+bool IsGoneSince(const State& state, const std::string& id,
+                 std::uint64_t revision);
+void NoteSnapshotSent(State& state);
+
 void Log(State& state, std::string what,
          std::vector<std::pair<std::string, std::string>> fields,
          bool routine = false);
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -95,6 +95,7 @@
   snapshot.life = state.options.life;
   snapshot.sequence = ++state.sequence;
   snapshot.serving = IsServing(state);
+  snapshot.asks_store = ReachesStore(state);
   if (state.configuration) {
     snapshot.revision = state.configuration->configuration().revision;
   }
@@ -110,6 +111,7 @@
           {.backend = backend.id, .until = backend.suspect_until});
     }
   }
+  NoteSnapshotSent(state);
   if (!effect.to.empty()) state.effects.emplace_back(std::move(effect));
 }
 
@@ -125,6 +127,7 @@
   if (event.configuration.revision < known) return;
   // Whatever was the newest at that time is at least as new as this one; that
   // it still was is what `asked` says of the newest that is known.
+  if (event.asked != Time{}) NoteStoreReached(state);
   state.confirmed_at = std::max(state.confirmed_at, event.asked);
   if (event.configuration.revision == known) return;
   state.configuration.emplace(event.configuration);
@@ -141,11 +144,10 @@
 }
 
 void OnConfirmed(State& state, const ConfigurationConfirmed& event) {
+  NoteStoreReached(state);
   if (!state.configuration) return;
   if (state.configuration->configuration().revision != event.revision) return;
-  const bool was_fresh = IsFresh(state);
-  state.confirmed_at = std::max(state.confirmed_at, event.asked);
-  if (!was_fresh && IsFresh(state)) state.changed = true;
+  ConfirmConfiguration(state, event.asked);
 }
 
 }  // namespace internal
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -48,6 +48,7 @@
   StartWaiting(state);
   DropLapsed(state);
   AskReports(state);
+  FollowStore(state);
   FinishStop(state);
 }
 
@@ -63,6 +64,10 @@
           [&](const ReportSeen& it) { OnReport(state, it); },
           [&](const ConfigurationSeen& it) { OnConfiguration(state, it); },
           [&](const ConfigurationConfirmed& it) { OnConfirmed(state, it); },
+          [&](const BackendsConfirmed& it) { OnBackendsConfirmed(state, it); },
+          [&](const BackendsComplete& it) { NoteComplete(state, it.revision); },
+          [&](const StoreUnreachable&) { OnStoreUnreachable(state); },
+          [&](const StoreRelayReceived& it) { OnStoreRelay(state, it.relay); },
           [&](const BackendListed& it) { OnListed(state, it.backend); },
           [&](const BackendUnlisted& it) { OnUnlisted(state, it); },
           [&](const BackendsListed& it) { OnAllListed(state, it); },
@@ -99,7 +104,9 @@
 
 Time NextWake(const State& state) {
   const bool busy = !state.requests.empty() || state.stop_at.has_value();
-  return state.ticked_at + (busy ? internal::kBusyTick : internal::kIdleTick);
+  const Time tick =
+      state.ticked_at + (busy ? internal::kBusyTick : internal::kIdleTick);
+  return std::min(tick, internal::StoreDue(state));
 }
 
 }  // namespace scaleshed::serving
--- /dev/null
+++ b/serving/src/store_following.cc
@@ -0,0 +1,353 @@
+#include <algorithm>
+#include <utility>
+
+#include "internal/durations.h"
+#include "internal/steps.h"
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed::serving::internal {
+namespace {
+
+// Daemons of a data centre that put the questions for all of it. Two, so that
+// the others hear on when one dies, freezes or is cut off.
+constexpr std::size_t kAskers = 2;
+// Parts of the time within which news have to be in force. Askers ask so often,
+constexpr double kRoundPart = 0.45;
+// and a daemon asks for itself when what it heard is older: later than a round
+// and two heartbeats (0.5 s), which is how old a relayed proof may have to be
+// taken for; early enough for a question and its answer.
+constexpr double kOwnPart = 0.74;
+// Drawn once for each daemon, so that those who lost their askers don't ask at
+// the same moment.
+constexpr double kOwnJitterPart = 0.1;
+// A new configuration is read by each daemon within this part of that time
+// after it heard of it, at a moment that is drawn,
+constexpr double kReadPart = 0.15;
+// and not more often than this, whatever the number of changes.
+constexpr double kReadEveryPart = 0.25;
+// Entries that differ from an asker's for longer than relays are underway.
+constexpr double kDiffersPart = 0.35;
+// A daemon whose question failed does not ask for others for so long, unless
+// one succeeds before.
+constexpr Duration kUnreachableFor = seconds(5);
+// After failed questions; doubled for each, half of it drawn.
+constexpr Duration kFirstPause = milliseconds(100);
+constexpr int kMostDoublings = 4;
+// Daemons that went while nobody told are forgotten by a list of all, so often.
+constexpr Duration kListEvery = seconds(60);
+// Changes that come together are told together.
+constexpr Duration kRelayPause = milliseconds(10);
+constexpr std::size_t kMostChanges = 64;  // in one message, of about 100 bytes
+// Longer than any relay is on its way that still proves something.
+constexpr Duration kRemember = seconds(6);
+constexpr Duration kSnapshotGrain = milliseconds(20);
+
+Duration RoundOf(const State& state) {
+  return PartOf(state.options.news_within, kRoundPart);
+}
+
+Duration Drawn(State& state, Duration most) {
+  const auto n =
+      static_cast<std::uint64_t>(std::max<Duration::rep>(most.count(), 1));
+  return Duration(static_cast<Duration::rep>(state.random() % n));
+}
+
+// By which daemons of a data centre agree on askers without a word.
+std::uint64_t RankOf(const std::string& peer_address,
+                     const std::string& data_centre) {
+  return HashBytes(peer_address, HashBytes(data_centre));
+}
+
+bool IsAsker(const State& state) {
+  if (!ReachesStore(state)) return false;
+  const std::string& here = state.options.data_centre;
+  const std::uint64_t own = RankOf(state.options.peer_address, here);
+  const auto before = std::count_if(
+      state.members.begin(), state.members.end(), [&](const auto& it) {
+        const auto& [address, member] = it;
+        return member.snapshot.asks_store &&
+               member.snapshot.data_centre == here && IsHeard(state, member) &&
+               RankOf(address, here) > own;
+      });
+  return static_cast<std::size_t>(before) < kAskers;
+}
+
+// When all that this daemon goes by was last known to be the newest.
+Time ProvedAt(const State& state) {
+  return std::min(state.confirmed_at, state.store.backends_confirmed_at);
+}
+
+std::uint64_t RevisionOf(const State& state) {
+  return state.configuration ? state.configuration->configuration().revision
+                             : 0;
+}
+
+StoreDigest DigestOf(const State& state) {
+  StoreDigest digest{.configuration = RevisionOf(state)};
+  for (const auto& [id, backend] : state.backends) {
+    if (backend.gone_at) continue;
+    digest.backends ^= HashBytes(id, backend.server.revision);
+  }
+  return digest;
+}
+
+Time OwnQuestionDue(const State& state) {
+  const double jitter =
+      static_cast<double>(HashBytes(state.options.peer_address) % 1000) / 1000;
+  const Duration limit =
+      PartOf(state.options.news_within, kOwnPart + kOwnJitterPart * jitter);
+  return std::max(state.store.ask_due, ProvedAt(state) + limit);
+}
+
+Time QuestionDue(const State& state) {
+  return state.store.watching ? state.store.ask_due : OwnQuestionDue(state);
+}
+
+bool HasNews(const State& state) {
+  const StoreFollowing& store = state.store;
+  return RevisionOf(state) != store.told_configuration ||
+         std::any_of(store.changes.begin(), store.changes.end(),
+                     [](const SeenChange& it) { return !it.told; });
+}
+
+bool HasProof(const State& state) {
+  return ProvedAt(state) > state.store.relayed_proof;
+}
+
+void TakeRole(State& state) {
+  const bool asker = IsAsker(state);
+  if (asker == state.store.watching) return;
+  state.store.watching = asker;
+  state.effects.emplace_back(WatchStore{.on = asker});
+  Log(state, "store_role",
+      {{"asks", asker ? "true" : "false"},
+       {"data_centre", state.options.data_centre},
+       {"proved_ms_ago", Millis(state.now - ProvedAt(state))}});
+}
+
+void Ask(State& state) {
+  StoreFollowing& store = state.store;
+  if (!store.watching) {
+    Log(state, "asks_for_itself",
+        {{"proved_ms_ago", Millis(state.now - ProvedAt(state))},
+         {"failures", std::to_string(store.failures)}});
+  }
+  store.ask_due = state.now + RoundOf(state);
+  AskStore question{.configuration = RevisionOf(state), .backends = {}};
+  for (const auto& [id, backend] : state.backends) {
+    if (backend.gone_at) continue;
+    question.backends.emplace_back(id, backend.server.revision);
+  }
+  state.effects.emplace_back(std::move(question));
+}
+
+void ReadWhatIsNewer(State& state) {
+  StoreFollowing& store = state.store;
+  if (store.read_due && *store.read_due <= state.now) {
+    store.read_due.reset();
+    store.read_at = state.now;
+    state.effects.emplace_back(ReadConfiguration{});
+  }
+  const bool differs = store.list_due && *store.list_due <= state.now;
+  if (!differs && state.now < store.listed_at + kListEvery) return;
+  store.list_due.reset();
+  store.listed_at = state.now + Drawn(state, kListEvery / 4);
+  Log(state, "lists_store", {{"why", differs ? "differs" : "usual"}});
+  state.effects.emplace_back(ListStore{});
+}
+
+std::vector<BackendChange> ChangesToTell(const State& state, bool all) {
+  std::vector<BackendChange> changes;
+  for (auto it = state.store.changes.rbegin(); it != state.store.changes.rend();
+       ++it) {
+    if (changes.size() == kMostChanges) break;
+    if (all || !it->told) changes.push_back(it->change);
+  }
+  std::reverse(changes.begin(), changes.end());
+  return changes;
+}
+
+void Relay(State& state) {
+  StoreFollowing& store = state.store;
+  const bool proof = HasProof(state);
+  if (!proof && state.now - store.relayed_at < kRelayPause) return;
+  StoreRelay relay{.peer_address = state.options.peer_address,
+                   .digest = DigestOf(state),
+                   .changes = ChangesToTell(state, proof),
+                   .complete_at = store.complete_at,
+                   .age = {}};
+  if (proof) relay.age = state.now - ProvedAt(state);
+  RelayStore effect;
+  for (const auto& [address, member] : state.members) {
+    const bool here = member.snapshot.data_centre == state.options.data_centre;
+    if (!here || !IsHeard(state, member)) continue;
+    relay.heard_life = member.snapshot.life;
+    relay.heard_sequence = member.snapshot.sequence;
+    effect.messages.emplace_back(address, relay);
+  }
+  store.relayed_at = state.now;
+  store.relayed_proof = ProvedAt(state);
+  store.told_configuration = RevisionOf(state);
+  for (SeenChange& it : store.changes) it.told = true;
+  if (!effect.messages.empty()) state.effects.emplace_back(std::move(effect));
+}
+
+void ForgetOld(State& state) {
+  StoreFollowing& store = state.store;
+  const Time tell_from = state.now - state.options.news_within;
+  while (!store.changes.empty() && store.changes.front().seen < tell_from) {
+    store.changes.pop_front();
+  }
+  // News of an entry are not on their way for longer than a list is apart.
+  std::erase_if(store.gone, [&](const auto& it) {
+    return it.second.seen < state.now - kListEvery;
+  });
+}
+
+// When this daemon's snapshot of that number left, or a little earlier; nothing
+// where that is not remembered.
+std::optional<Time> SentAt(const State& state, std::uint64_t life,
+                           std::uint64_t sequence) {
+  if (life != state.options.life) return std::nullopt;
+  std::optional<Time> at;
+  for (const auto& [number, time] : state.store.sent_snapshots) {
+    if (number > sequence) break;
+    at = time;
+  }
+  return at;
+}
+
+// What is proved by an asker that knows just as much.
+void TakeProof(State& state, const StoreRelay& relay, Time asked) {
+  StoreFollowing& store = state.store;
+  const StoreDigest own = DigestOf(state);
+  if (relay.digest.configuration == own.configuration) {
+    ConfirmConfiguration(state, asked);
+  }
+  if (relay.digest.backends == own.backends) {
+    store.backends_confirmed_at = std::max(store.backends_confirmed_at, asked);
+    NoteComplete(state, relay.complete_at);
+    store.list_due.reset();
+  } else if (!store.list_due) {
+    store.list_due =
+        state.now + PartOf(state.options.news_within, kDiffersPart);
+  }
+}
+
+}  // namespace
+
+bool ReachesStore(const State& state) {
+  if (state.stop_at) return false;
+  return state.store.failures == 0 ||
+         state.now - state.store.unreachable_at > kUnreachableFor;
+}
+
+void FollowStore(State& state) {
+  StoreFollowing& store = state.store;
+  if (!store.begun) {
+    // Who else is there is heard before it is decided who asks.
+    store.begun = true;
+    store.ask_due = state.now + RoundOf(state);
+    store.listed_at = state.now;
+    return;
+  }
+  const bool first = !store.has_role && state.now < store.ask_due;
+  if (first) return;
+  store.has_role = true;
+  TakeRole(state);
+  if (QuestionDue(state) <= state.now) Ask(state);
+  ReadWhatIsNewer(state);
+  if (store.watching && (HasProof(state) || HasNews(state))) Relay(state);
+  ForgetOld(state);
+}
+
+Time StoreDue(const State& state) {
+  const StoreFollowing& store = state.store;
+  if (!store.begun) return state.now;
+  if (!store.has_role) return store.ask_due;
+  Time due = std::max(QuestionDue(state), state.ticked_at);
+  if (store.read_due) due = std::min(due, *store.read_due);
+  if (store.watching && HasProof(state)) due = state.now;
+  if (store.watching && HasNews(state)) {
+    due = std::min(due, store.relayed_at + kRelayPause);
+  }
+  return due;
+}
+
+void ConfirmConfiguration(State& state, Time asked) {
+  const bool was_fresh = IsFresh(state);
+  state.confirmed_at = std::max(state.confirmed_at, asked);
+  if (!was_fresh && IsFresh(state)) state.changed = true;
+}
+
+void NoteStoreReached(State& state) { state.store.failures = 0; }
+
+void OnBackendsConfirmed(State& state, const BackendsConfirmed& event) {
+  NoteStoreReached(state);
+  state.store.backends_confirmed_at =
+      std::max(state.store.backends_confirmed_at, event.asked);
+}
+
+void OnStoreUnreachable(State& state) {
+  StoreFollowing& store = state.store;
+  store.unreachable_at = state.now;
+  const int doublings = std::min(store.failures++, kMostDoublings);
+  const Duration most = kFirstPause * (1 << doublings);
+  store.ask_due = state.now + most / 2 + Drawn(state, most / 2);
+}
+
+void OnStoreRelay(State& state, const StoreRelay& relay) {
+  StoreFollowing& store = state.store;
+  for (const BackendChange& it : relay.changes) {
+    if (it.server) {
+      OnListed(state, *it.server);
+    } else {
+      OnUnlisted(state,
+                 {.id = it.id, .certain = it.certain, .revision = it.revision});
+    }
+  }
+  if (relay.digest.configuration > RevisionOf(state) && !store.read_due) {
+    const Duration within = state.options.news_within;
+    store.read_due =
+        std::max(state.now + Drawn(state, PartOf(within, kReadPart)),
+                 store.read_at + PartOf(within, kReadEveryPart));
+  }
+  if (!relay.age) return;
+  // It was sent after that snapshot of ours had left, on our clock.
+  const auto sent = SentAt(state, relay.heard_life, relay.heard_sequence);
+  if (sent) TakeProof(state, relay, *sent - *relay.age);
+}
+
+void NoteChange(State& state, BackendChange change) {
+  // Those who listen have nobody to tell.
+  if (!state.store.watching) return;
+  state.store.changes.push_back(
+      {.change = std::move(change), .seen = state.now});
+}
+
+void NoteGoneAt(State& state, const std::string& id, std::uint64_t revision) {
+  if (revision == 0) return;
+  GoneEntry& entry = state.store.gone[id];
+  entry = {.revision = std::max(entry.revision, revision), .seen = state.now};
+}
+
+void NoteComplete(State& state, std::uint64_t revision) {
+  state.store.complete_at = std::max(state.store.complete_at, revision);
+}
+
+bool IsGoneSince(const State& state, const std::string& id,
+                 std::uint64_t revision) {
+  const bool known = state.backends.contains(id);
+  if (!known && revision < state.store.complete_at) return true;
+  const auto it = state.store.gone.find(id);
+  return it != state.store.gone.end() && revision < it->second.revision;
+}
+
+void NoteSnapshotSent(State& state) {
+  auto& sent = state.store.sent_snapshots;
+  if (!sent.empty() && state.now - sent.back().second < kSnapshotGrain) return;
+  sent.emplace_back(state.sequence, state.now);
+  while (sent.front().second < state.now - kRemember) sent.pop_front();
+}
+
+}  // namespace scaleshed::serving::internal
--- /dev/null
+++ b/serving/test/store_following_test.cc
@@ -0,0 +1,248 @@
+// Who asks the platform's store, and what the others go by.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "serving_harness.h"
+
+namespace scaleshed::serving {
+namespace {
+
+using test::Daemon;
+
+constexpr Duration kNewsWithin = seconds(2);
+
+LoadSnapshot PeerSnapshot(const std::string& address, std::uint64_t sequence) {
+  return {.instance = address,
+          .peer_address = address,
+          .life = 1,
+          .sequence = sequence,
+          .serving = true,
+          .asks_store = true};
+}
+
+// Two addresses that rank before `own` where askers are chosen.
+std::vector<std::string> AskersBefore(const std::string& own) {
+  const std::uint64_t salt = HashBytes("");
+  std::vector<std::string> found;
+  for (int i = 0; found.size() < 2; ++i) {
+    const std::string address = "2.2.2.2:" + std::to_string(i);
+    if (HashBytes(address, salt) > HashBytes(own, salt)) {
+      found.push_back(address);
+    }
+  }
+  return found;
+}
+
+// A daemon beside two others of its data centre that it hears, and that ask
+// the store for it.
+class Listener {
+ public:
+  Listener() : peers_(AskersBefore(daemon_.state().options.peer_address)) {
+    Hear();
+    daemon_.Pass(milliseconds(1000));
+    Hear();
+  }
+
+  Daemon& daemon() { return daemon_; }
+  void Hear() {
+    ++sequence_;
+    for (const std::string& it : peers_) {
+      daemon_.Feed(SnapshotReceived{PeerSnapshot(it, sequence_)});
+    }
+  }
+  // What an asker with the same knowledge would tell, having heard all that
+  // this daemon said until now.
+  StoreRelay Proof(Duration age = milliseconds(5)) {
+    return {.peer_address = peers_.front(),
+            .digest = Digest(),
+            .changes = {},
+            .age = age,
+            .heard_life = daemon_.state().options.life,
+            .heard_sequence = daemon_.state().sequence};
+  }
+  StoreDigest Digest() {
+    StoreDigest digest{.configuration = daemon_.state()
+                                            .configuration->configuration()
+                                            .revision};
+    for (const auto& [id, backend] : daemon_.state().backends) {
+      digest.backends ^= HashBytes(id, backend.server.revision);
+    }
+    return digest;
+  }
+  void Relay(const StoreRelay& relay) {
+    daemon_.Feed(StoreRelayReceived{relay});
+  }
+  // Whether it asks the store itself while `time` passes and it hears what its
+  // peers say.
+  bool AsksWithin(Duration time, bool proofs) {
+    bool asked = false;
+    for (Duration passed{}; passed < time; passed += milliseconds(100)) {
+      Hear();
+      if (proofs) Relay(Proof());
+      daemon_.Pass(milliseconds(100));
+      asked = asked || daemon_.First<AskStore>() != nullptr;
+    }
+    return asked;
+  }
+
+ private:
+  Daemon daemon_;
+  std::vector<std::string> peers_;
+  std::uint64_t sequence_ = 0;
+};
+
+TEST_CASE("A lone daemon asks and watches") {
+  Daemon daemon;
+  daemon.Pass(seconds(1));
+  const auto* watch = daemon.First<WatchStore>();
+  REQUIRE(watch != nullptr);
+  CHECK(watch->on);
+  const auto* question = daemon.First<AskStore>();
+  REQUIRE(question != nullptr);
+  CHECK(question->configuration == 1);
+  CHECK(question->backends.size() == 9);
+}
+
+TEST_CASE("Of many daemons in a data centre two ask") {
+  const std::vector<std::string> all{"a:1", "b:1", "c:1", "d:1", "e:1", "f:1"};
+  int askers = 0;
+  for (const std::string& own : all) {
+    Daemon daemon;
+    daemon.state().options.peer_address = own;
+    for (const std::string& it : all) {
+      daemon.Feed(SnapshotReceived{PeerSnapshot(it, 1)});
+    }
+    daemon.Pass(milliseconds(1000));
+    if (daemon.First<WatchStore>() != nullptr) ++askers;
+  }
+  CHECK(askers == 2);
+}
+
+TEST_CASE("A daemon that hears proofs does not ask, one that hears none does") {
+  Listener listener;
+  CHECK_FALSE(listener.AsksWithin(seconds(10), /*proofs=*/true));
+  CHECK(listener.AsksWithin(kNewsWithin, /*proofs=*/false));
+}
+
+TEST_CASE("A daemon whose question failed asks for itself only") {
+  Daemon daemon;
+  daemon.Pass(seconds(1));
+  daemon.Feed(StoreUnreachable{});
+  for (const char* it : {"a:1", "b:1"}) {
+    daemon.Feed(SnapshotReceived{PeerSnapshot(it, 1)});
+  }
+  daemon.Pass(milliseconds(600));
+  const auto* watch = daemon.First<WatchStore>();
+  REQUIRE(watch != nullptr);
+  CHECK_FALSE(watch->on);
+  const auto* told = daemon.First<PublishSnapshot>();
+  REQUIRE(told != nullptr);
+  CHECK_FALSE(told->snapshot.asks_store);
+}
+
+TEST_CASE("A relay is never taken for younger than it is") {
+  Listener listener;
+  Daemon& daemon = listener.daemon();
+  const StoreRelay relay = listener.Proof();
+  // It lies in the socket's buffer while the daemon is frozen.
+  const Time sent = daemon.now();
+  daemon.SetNow(daemon.now() + seconds(4));
+  listener.Relay(relay);
+  CHECK(daemon.state().confirmed_at <= sent);
+  CHECK(daemon.state().store.backends_confirmed_at <= sent);
+  // One that answers to nothing of this life proves nothing.
+  StoreRelay foreign = listener.Proof();
+  foreign.heard_life = daemon.state().options.life + 1;
+  const Time before = daemon.state().confirmed_at;
+  listener.Relay(foreign);
+  CHECK(daemon.state().confirmed_at == before);
+}
+
+TEST_CASE("Older news never revert newer ones") {
+  Listener listener;
+  Daemon& daemon = listener.daemon();
+  const BackendServer server = daemon.state().backends.at("app0").server;
+  StoreRelay relay = listener.Proof();
+  relay.age.reset();
+  relay.changes = {{.id = "app0", .revision = server.revision + 5}};
+  listener.Relay(relay);
+  CHECK_FALSE(daemon.state().backends.contains("app0"));
+  relay.changes = {
+      {.id = "app0", .revision = server.revision, .server = server}};
+  listener.Relay(relay);
+  CHECK_FALSE(daemon.state().backends.contains("app0"));
+  // And the other way round: gone before it came back.
+  BackendServer back = server;
+  back.revision = server.revision + 9;
+  relay.changes = {{.id = "app0", .revision = back.revision, .server = back}};
+  listener.Relay(relay);
+  REQUIRE(daemon.state().backends.contains("app0"));
+  relay.changes = {{.id = "app0", .revision = server.revision + 5}};
+  listener.Relay(relay);
+  CHECK(daemon.state().backends.contains("app0"));
+}
+
+TEST_CASE("A newer configuration is read by each, once for many changes") {
+  Listener listener;
+  Daemon& daemon = listener.daemon();
+  StoreRelay relay = listener.Proof();
+  int reads = 0;
+  for (int i = 0; i < 20; ++i) {
+    ++relay.digest.configuration;
+    listener.Relay(relay);
+    daemon.Pass(milliseconds(50));
+    if (daemon.First<ReadConfiguration>() != nullptr) ++reads;
+  }
+  CHECK(reads >= 1);
+  CHECK(reads <= 3);
+  // A proof of a configuration that this daemon lacks says nothing of its own.
+  const Time before = daemon.state().confirmed_at;
+  listener.Relay(relay);
+  CHECK(daemon.state().confirmed_at == before);
+}
+
+TEST_CASE("Entries that stay different are listed") {
+  Listener listener;
+  Daemon& daemon = listener.daemon();
+  bool listed = false;
+  for (int i = 0; i < 12; ++i) {
+    StoreRelay relay = listener.Proof();
+    relay.digest.backends ^= 1;
+    listener.Relay(relay);
+    listener.Hear();
+    daemon.Pass(milliseconds(100));
+    listed = listed || daemon.First<ListStore>() != nullptr;
+  }
+  CHECK(listed);
+}
+
+TEST_CASE("An asker tells its data centre what changed, and proofs") {
+  Daemon daemon;
+  daemon.Pass(seconds(1));
+  LoadSnapshot here = PeerSnapshot("a:1", 7);
+  here.asks_store = false;
+  LoadSnapshot elsewhere = PeerSnapshot("b:1", 1);
+  elsewhere.data_centre = "other";
+  daemon.Feed(SnapshotReceived{here});
+  daemon.Feed(SnapshotReceived{elsewhere});
+  daemon.Feed(ConfigurationConfirmed{.revision = 1, .asked = daemon.now()});
+  daemon.Feed(BackendsConfirmed{.asked = daemon.now()});
+  daemon.List("app", 0, /*leaving=*/true);
+  daemon.Pass(milliseconds(30));
+  const auto* relay = daemon.First<RelayStore>();
+  REQUIRE(relay != nullptr);
+  REQUIRE(relay->messages.size() == 1);
+  const auto& [to, message] = relay->messages.front();
+  CHECK(to == "a:1");
+  CHECK(message.heard_sequence == 7);
+  REQUIRE(message.age.has_value());
+  CHECK(*message.age <= milliseconds(30));
+  REQUIRE_FALSE(message.changes.empty());
+  CHECK(message.changes.back().id == "app0");
+  CHECK(message.changes.back().server->leaving);
+}
+
+}  // namespace
+}  // namespace scaleshed::serving
