--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -180,6 +180,8 @@
   std::uint64_t sequence = 0;  // of snapshots
   bool changed = false;        // since the last snapshot
   Time published_at{};
+  std::map<std::uint64_t, Work> told_works;  // by id, as others know them
+  std::map<std::string, Time> whole_due;     // by peer address
 
   std::optional<Time> stop_at;
   bool exited = false;
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -46,8 +46,9 @@
   bool operator==(const Suspicion&) const = default;
 };
 
-// All that a daemon tells the others about itself. Each one replaces the last,
-// so that a lost one does no harm.
+// What a daemon tells the others about itself: now and then all of it, at each
+// change only what changed. One that is lost does harm only until the next
+// whole one.
 struct LoadSnapshot {
   std::string instance;      // the daemon's address for clients
   std::string peer_address;  // and for these messages
@@ -57,7 +58,11 @@
   bool serving = false;        // clients may be sent to it
   bool asks_store = false;     // may put the questions for its data centre
   std::uint64_t revision = 0;  // of its configuration
+  // Of a partial one: `works` are those that began or changed, and `ended`
+  // those that are over since the last one; all else is whole in each.
+  bool partial = false;
   std::vector<Work> works;
+  std::vector<std::uint64_t> ended;
   std::vector<Waiting> waiting;
   std::vector<Suspicion> suspicions;
 };
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -75,10 +75,15 @@
 void AskReports(State& state);
 void OnReport(State& state, const ReportSeen& event);
 
-// members.cc: the other daemons and the configuration.
+// snapshots.cc: what daemons tell each other of themselves.
 void OnSnapshot(State& state, const SnapshotReceived& event);
+// To all that are heard, where something changed.
+void PublishChanges(State& state);
+// To those whose turn it is.
+void PublishWhole(State& state);
+
+// members.cc: the other daemons and the configuration.
 void OnPeersListed(State& state, const PeersListed& event);
-void Publish(State& state);
 bool IsHeard(const State& state, const Member& member);
 std::size_t LiveDaemons(const State& state);
 // What all daemons have at backend servers.
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -11,10 +11,6 @@
 // A daemon that has been silent so long is not named to clients, and what it
 // had is forgotten. Four heartbeats, so that lost messages do no harm.
 constexpr Duration kSilence = milliseconds(2000);
-// A waiting request of a silent daemon holds up others no longer than this.
-constexpr Duration kHeartbeat = milliseconds(500);
-// Sooner while something waits, as others order theirs by it.
-constexpr Duration kBusyHeartbeat = milliseconds(100);
 // What is needed to take a request and get it to a backend server is done well
 // within this part of the bound for keys.
 constexpr Duration kFreshnessMargin = milliseconds(200);
@@ -45,26 +41,6 @@
   return works;
 }
 
-void OnSnapshot(State& state, const SnapshotReceived& event) {
-  const LoadSnapshot& snapshot = event.snapshot;
-  if (snapshot.peer_address == state.options.peer_address) return;
-  Member& member = state.members[snapshot.peer_address];
-  const LoadSnapshot& last = member.snapshot;
-  const bool newer =
-      snapshot.life > last.life ||
-      (snapshot.life == last.life && snapshot.sequence > last.sequence);
-  if (!newer) return;
-  if (!IsHeard(state, member) || last.serving != snapshot.serving) {
-    Log(state, "member",
-        {{"peer", snapshot.peer_address},
-         {"serving", snapshot.serving ? "true" : "false"},
-         {"life", std::to_string(snapshot.life)}});
-  }
-  member.snapshot = snapshot;
-  member.heard = state.now;
-  StartWaiting(state);
-}
-
 void OnPeersListed(State& state, const PeersListed& event) {
   state.listed_peers = {event.peer_addresses.begin(),
                         event.peer_addresses.end()};
@@ -76,45 +52,6 @@
   state.changed = true;
 }
 
-void Publish(State& state) {
-  const bool waits = std::any_of(
-      state.requests.begin(), state.requests.end(),
-      [](const auto& it) { return it.second.phase == Phase::kWaiting; });
-  const Duration pause = waits ? kBusyHeartbeat : kHeartbeat;
-  if (!state.changed && state.now - state.published_at < pause) return;
-  state.changed = false;
-  state.published_at = state.now;
-  PublishSnapshot effect;
-  std::set<std::string> to = state.listed_peers;
-  for (const auto& [address, member] : state.members) to.insert(address);
-  effect.to.assign(to.begin(), to.end());
-  LoadSnapshot& snapshot = effect.snapshot;
-  snapshot.instance = state.options.instance;
-  snapshot.peer_address = state.options.peer_address;
-  snapshot.data_centre = state.options.data_centre;
-  snapshot.life = state.options.life;
-  snapshot.sequence = ++state.sequence;
-  snapshot.serving = IsServing(state);
-  snapshot.asks_store = ReachesStore(state);
-  if (state.configuration) {
-    snapshot.revision = state.configuration->configuration().revision;
-  }
-  for (const auto& [key, request] : state.requests) {
-    if (request.phase != Phase::kWaiting) {
-      snapshot.works.push_back(request.work);
-    }
-  }
-  snapshot.waiting = WaitingOf(state);
-  for (const auto& [name, backend] : state.backends) {
-    if (backend.suspect_until > state.now) {
-      snapshot.suspicions.push_back(
-          {.backend = backend.id, .until = backend.suspect_until});
-    }
-  }
-  NoteSnapshotSent(state);
-  if (!effect.to.empty()) state.effects.emplace_back(std::move(effect));
-}
-
 bool IsFresh(const State& state) {
   return state.configuration.has_value() &&
          state.now - state.confirmed_at <
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -48,6 +48,7 @@
   StartWaiting(state);
   DropLapsed(state);
   AskReports(state);
+  PublishWhole(state);
   FollowStore(state);
   FinishStop(state);
 }
@@ -98,7 +99,7 @@
 Effects Reduce(State& state, const Event& event) {
   state.now = std::max(state.now, event.now);
   internal::Apply(state, event.body);
-  internal::Publish(state);
+  internal::PublishChanges(state);
   return std::exchange(state.effects, {});
 }
 
--- /dev/null
+++ b/serving/src/snapshots.cc
@@ -0,0 +1,161 @@
+#include <algorithm>
+#include <utility>
+
+#include "internal/steps.h"
+#include "scaleshed/serving/reducer.h"
+
+namespace scaleshed::serving::internal {
+namespace {
+
+// Each daemon gets a whole snapshot so often; those that are not heard, more
+// rarely. Moments differ from daemon to daemon: 75 whole snapshots at once
+// would keep a link of 20 Mbit/s from requests for 15 ms.
+constexpr Duration kWholeEvery = milliseconds(500);
+constexpr Duration kWholeToSilent = seconds(2);
+// Changes are told at once; while something waits this often without one, as
+// others order theirs by it.
+constexpr Duration kBusyHeartbeat = milliseconds(100);
+
+bool AnyWaits(const State& state) {
+  return std::any_of(
+      state.requests.begin(), state.requests.end(),
+      [](const auto& it) { return it.second.phase == Phase::kWaiting; });
+}
+
+// All but the works.
+LoadSnapshot OwnSnapshot(State& state) {
+  LoadSnapshot snapshot{.instance = state.options.instance,
+                        .peer_address = state.options.peer_address,
+                        .data_centre = state.options.data_centre,
+                        .life = state.options.life,
+                        .sequence = ++state.sequence,
+                        .serving = IsServing(state),
+                        .asks_store = ReachesStore(state)};
+  if (state.configuration) {
+    snapshot.revision = state.configuration->configuration().revision;
+  }
+  snapshot.waiting = WaitingOf(state);
+  for (const auto& [name, backend] : state.backends) {
+    if (backend.suspect_until > state.now) {
+      snapshot.suspicions.push_back(
+          {.backend = backend.id, .until = backend.suspect_until});
+    }
+  }
+  return snapshot;
+}
+
+// Notes what the others are told, and puts what is new of it into `snapshot`.
+void TellWorks(State& state, LoadSnapshot& snapshot) {
+  snapshot.partial = true;
+  for (const auto& [key, request] : state.requests) {
+    if (request.phase == Phase::kWaiting) continue;
+    const auto told = state.told_works.find(request.work.id);
+    if (told != state.told_works.end() && told->second == request.work) {
+      continue;
+    }
+    snapshot.works.push_back(request.work);
+    state.told_works[request.work.id] = request.work;
+  }
+  std::erase_if(state.told_works, [&](const auto& it) {
+    const auto found = state.requests.find(it.first);
+    const bool over =
+        found == state.requests.end() || found->second.phase == Phase::kWaiting;
+    if (over) snapshot.ended.push_back(it.first);
+    return over;
+  });
+}
+
+void Apply(const LoadSnapshot& partial, LoadSnapshot& known) {
+  LoadSnapshot next = partial;
+  next.partial = false;
+  next.instance = known.instance;
+  next.data_centre = known.data_centre;
+  next.ended.clear();
+  next.works = std::move(known.works);
+  std::erase_if(next.works, [&](const Work& it) {
+    const auto same = [&](const Work& other) { return other.id == it.id; };
+    return std::find(partial.ended.begin(), partial.ended.end(), it.id) !=
+               partial.ended.end() ||
+           std::any_of(partial.works.begin(), partial.works.end(), same);
+  });
+  next.works.insert(next.works.end(), partial.works.begin(),
+                    partial.works.end());
+  known = std::move(next);
+}
+
+}  // namespace
+
+void OnSnapshot(State& state, const SnapshotReceived& event) {
+  const LoadSnapshot& snapshot = event.snapshot;
+  if (snapshot.peer_address == state.options.peer_address) return;
+  const auto known = state.members.find(snapshot.peer_address);
+  const bool same_life = known != state.members.end() &&
+                         known->second.snapshot.life == snapshot.life;
+  // A part of nothing says too little.
+  if (snapshot.partial && !same_life) return;
+  Member& member = state.members[snapshot.peer_address];
+  const LoadSnapshot& last = member.snapshot;
+  const bool newer = snapshot.life > last.life ||
+                     (same_life && snapshot.sequence > last.sequence);
+  if (!newer) return;
+  if (!IsHeard(state, member) || last.serving != snapshot.serving) {
+    Log(state, "member",
+        {{"peer", snapshot.peer_address},
+         {"serving", snapshot.serving ? "true" : "false"},
+         {"life", std::to_string(snapshot.life)}});
+  }
+  if (snapshot.partial) {
+    Apply(snapshot, member.snapshot);
+  } else {
+    member.snapshot = snapshot;
+  }
+  member.heard = state.now;
+  StartWaiting(state);
+}
+
+void PublishChanges(State& state) {
+  const bool due =
+      state.changed ||
+      (state.now - state.published_at >= kBusyHeartbeat && AnyWaits(state));
+  if (!due) return;
+  state.changed = false;
+  state.published_at = state.now;
+  PublishSnapshot effect{.to = {}, .snapshot = OwnSnapshot(state)};
+  TellWorks(state, effect.snapshot);
+  for (const auto& [address, member] : state.members) {
+    if (IsHeard(state, member)) effect.to.push_back(address);
+  }
+  NoteSnapshotSent(state);
+  if (!effect.to.empty()) state.effects.emplace_back(std::move(effect));
+}
+
+void PublishWhole(State& state) {
+  std::set<std::string> peers = state.listed_peers;
+  for (const auto& [address, member] : state.members) peers.insert(address);
+  std::erase_if(state.whole_due,
+                [&](const auto& it) { return !peers.contains(it.first); });
+  PublishSnapshot effect;
+  for (const std::string& it : peers) {
+    Time& due = state.whole_due[it];
+    if (due > state.now) continue;
+    const auto member = state.members.find(it);
+    const bool heard =
+        member != state.members.end() && IsHeard(state, member->second);
+    // The first pause is drawn, so that the moments differ from then on.
+    const bool first = due == Time{};
+    due = state.now + (heard || first ? kWholeEvery : kWholeToSilent);
+    if (first) due -= Duration(state.random() % kWholeEvery.count());
+    effect.to.push_back(it);
+  }
+  if (effect.to.empty()) return;
+  effect.snapshot = OwnSnapshot(state);
+  for (const auto& [key, request] : state.requests) {
+    if (request.phase != Phase::kWaiting) {
+      effect.snapshot.works.push_back(request.work);
+    }
+  }
+  NoteSnapshotSent(state);
+  state.effects.emplace_back(std::move(effect));
+}
+
+}  // namespace scaleshed::serving::internal
--- a/serving/test/serving_harness.h
+++ b/serving/test/serving_harness.h
@@ -118,6 +118,7 @@
 
   RequestKey next_key() const { return last_key_ + 1; }
   State& state() { return state_; }
+  const State& state() const { return state_; }
   Time now() const { return now_; }
   void SetNow(Time now) { now_ = now; }
   const Effects& effects() const { return effects_; }
--- /dev/null
+++ b/serving/test/snapshots_test.cc
@@ -0,0 +1,114 @@
+// What daemons tell each other of themselves.
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "serving_harness.h"
+
+namespace scaleshed::serving {
+namespace {
+
+using test::Daemon;
+
+LoadSnapshot PeerSnapshot(std::uint64_t sequence) {
+  return {.instance = "2.2.2.2:1",
+          .peer_address = "2.2.2.2:2",
+          .data_centre = "z",
+          .life = 1,
+          .sequence = sequence,
+          .serving = true};
+}
+
+std::set<std::uint64_t> WorkIds(const Daemon& daemon) {
+  std::set<std::uint64_t> ids;
+  const auto& member = daemon.state().members.at("2.2.2.2:2");
+  for (const Work& it : member.snapshot.works) ids.insert(it.id);
+  return ids;
+}
+
+std::vector<LoadSnapshot> Told(const Effects& effects, bool partial) {
+  std::vector<LoadSnapshot> told;
+  for (const Effect& it : effects) {
+    const auto* published = std::get_if<PublishSnapshot>(&it);
+    if (published != nullptr && published->snapshot.partial == partial) {
+      told.push_back(published->snapshot);
+    }
+  }
+  return told;
+}
+
+TEST_CASE("A change is told alone, at once") {
+  Daemon daemon;
+  daemon.Feed(SnapshotReceived{PeerSnapshot(1)});
+  daemon.Ask("once");
+  const auto begun = Told(daemon.effects(), /*partial=*/true);
+  REQUIRE(begun.size() == 1);
+  REQUIRE(begun[0].works.size() == 1);
+  CHECK(begun[0].ended.empty());
+  const std::uint64_t first = begun[0].works[0].id;
+  daemon.Ask("once");
+  const auto second = Told(daemon.effects(), /*partial=*/true);
+  REQUIRE(second.size() == 1);
+  REQUIRE(second[0].works.size() == 1);
+  CHECK(second[0].works[0].id != first);
+  daemon.Feed(ClientGone{.key = first});
+  const auto ended = Told(daemon.effects(), /*partial=*/true);
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].works.empty());
+  CHECK(ended[0].ended == std::vector<std::uint64_t>{first});
+}
+
+TEST_CASE("Each daemon gets a whole snapshot in each half second") {
+  Daemon daemon;
+  daemon.Feed(SnapshotReceived{PeerSnapshot(1)});
+  daemon.Ask("once");
+  daemon.Pass(milliseconds(1100));
+  const auto whole = Told(daemon.effects(), /*partial=*/false);
+  CHECK(whole.size() >= 2);
+  for (const LoadSnapshot& it : whole) CHECK(it.works.size() == 1);
+}
+
+TEST_CASE("Parts change what a whole snapshot told; the next whole one rules") {
+  Daemon daemon;
+  LoadSnapshot whole = PeerSnapshot(1);
+  whole.works = {{.id = 1}, {.id = 2}};
+  daemon.Feed(SnapshotReceived{whole});
+  LoadSnapshot part = PeerSnapshot(2);
+  part.instance.clear();
+  part.data_centre.clear();
+  part.partial = true;
+  part.works = {{.id = 2, .writing = true}, {.id = 3}};
+  part.ended = {1};
+  daemon.Feed(SnapshotReceived{part});
+  CHECK(WorkIds(daemon) == std::set<std::uint64_t>{2, 3});
+  const LoadSnapshot& known = daemon.state().members.at("2.2.2.2:2").snapshot;
+  CHECK(known.works.size() == 2);
+  CHECK(known.instance == "2.2.2.2:1");
+  CHECK(known.data_centre == "z");
+  // Of a lost part nothing stays wrong.
+  whole.sequence = 9;
+  whole.works = {{.id = 7}};
+  daemon.Feed(SnapshotReceived{whole});
+  CHECK(WorkIds(daemon) == std::set<std::uint64_t>{7});
+  // Nor does a late one change anything.
+  daemon.Feed(SnapshotReceived{part});
+  CHECK(WorkIds(daemon) == std::set<std::uint64_t>{7});
+}
+
+TEST_CASE("A part of an unknown daemon or life says nothing") {
+  Daemon daemon;
+  LoadSnapshot part = PeerSnapshot(2);
+  part.partial = true;
+  daemon.Feed(SnapshotReceived{part});
+  CHECK(daemon.state().members.empty());
+  daemon.Feed(SnapshotReceived{PeerSnapshot(1)});
+  part.life = 2;
+  part.works = {{.id = 5}};
+  daemon.Feed(SnapshotReceived{part});
+  CHECK(WorkIds(daemon).empty());
+}
+
+}  // namespace
+}  // namespace scaleshed::serving
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -32,14 +32,19 @@
 
 void WriteSnapshot(const serving::LoadSnapshot& snapshot, Time now,
                    wire::LoadSnapshot& to) {
-  to.set_instance(snapshot.instance);
+  // The last whole one has told these.
+  if (!snapshot.partial) {
+    to.set_instance(snapshot.instance);
+    to.set_data_centre(snapshot.data_centre);
+  }
   to.set_peer_address(snapshot.peer_address);
-  to.set_data_centre(snapshot.data_centre);
   to.set_life(snapshot.life);
   to.set_sequence(snapshot.sequence);
   to.set_serving(snapshot.serving);
   to.set_revision(snapshot.revision);
   to.set_asks_store(snapshot.asks_store);
+  to.set_partial(snapshot.partial);
+  for (const auto it : snapshot.ended) to.add_ended(it);
   for (const auto& it : snapshot.works) WriteWork(it, now, *to.add_works());
   for (const auto& it : snapshot.waiting) {
     wire::Waiting& waiting = *to.add_waiting();
@@ -56,17 +61,20 @@
 }
 
 serving::LoadSnapshot ReadSnapshot(const wire::LoadSnapshot& from, Time now) {
-  serving::LoadSnapshot snapshot{.instance = from.instance(),
-                                 .peer_address = from.peer_address(),
-                                 .data_centre = from.data_centre(),
-                                 .life = from.life(),
-                                 .sequence = from.sequence(),
-                                 .serving = from.serving(),
-                                 .asks_store = from.asks_store(),
-                                 .revision = from.revision(),
-                                 .works = {},
-                                 .waiting = {},
-                                 .suspicions = {}};
+  serving::LoadSnapshot snapshot{
+      .instance = from.instance(),
+      .peer_address = from.peer_address(),
+      .data_centre = from.data_centre(),
+      .life = from.life(),
+      .sequence = from.sequence(),
+      .serving = from.serving(),
+      .asks_store = from.asks_store(),
+      .revision = from.revision(),
+      .partial = from.partial(),
+      .works = {},
+      .ended = {from.ended().begin(), from.ended().end()},
+      .waiting = {},
+      .suspicions = {}};
   for (const auto& it : from.works()) {
     snapshot.works.push_back(ReadWork(it, now));
   }
