A prompt is refused only when it can't be served; lapsed entries get nothing

Cause: (1) credit counts from a caller's first try now, so that refusing a first try that would be late buys nothing; clients got 503 while engines could have served them. (2) The drawn failures found a request sent to an entry whose wait ended at that moment: entries were dropped after requests were sent. Change: refused is what can't make its deadline; what is late waits behind. Lapsed entries are dropped before anything is sent in that turn. Tests: the one for refusals says the new rule, as strictly; "An entry whose wait is over" failed first; "Of a client that has left" (a request that waits is not sent once its client has gone).

--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -40,8 +40,8 @@
 };
 Outlook OutlookOf(const State& state, const Request& request,
                   const EngineTiming& timing, std::size_t engines);
-// Refuses a request that can't be served in time, or that a new try a little
-// later serves better than waiting. True if it did; the request is gone then.
+// Refuses a request that can't be served before its deadline. True if it did;
+// the request is gone then.
 bool GivesUp(State& state, Request& request, const Outlook& outlook);
 
 // attempts.cc: what backend servers answer.
--- a/serving/src/queue.cc
+++ b/serving/src/queue.cc
@@ -19,12 +19,6 @@
 // it does not wait longer.
 constexpr double kMostRetryPart = 0.33;
 constexpr Duration kLeastRetryAfter = milliseconds(200);
-// Refusals later than this part of the objective are worth less than late
-// answers.
-constexpr int kEarlyPart = 4;
-// A first try has at least this part of its route's time left; the client's
-// second one has less, and there is no third.
-constexpr double kFirstTryPart = 0.97;
 
 // Waits for its turn, engines or one engine's memory. One that needs the memory
 // of several together lets others go on meanwhile; measured, letting all go on
@@ -34,13 +28,6 @@
          request.read > kShortRead && request.waits_for != Shortage::kTickets;
 }
 
-bool IsFirstTry(const Request& request) {
-  if (request.may_have_run || request.arrivals > 0) return false;
-  const auto whole = static_cast<double>(request.route.timeout.count());
-  return static_cast<double>(request.facts.deadline.count()) >=
-         kFirstTryPart * whole;
-}
-
 }  // namespace
 
 Time TurnOf(const State& state, const Request& request) {
@@ -103,11 +90,7 @@
 bool GivesUp(State& state, Request& request, const Outlook& outlook) {
   const Time expected = state.now + outlook.first_token;
   const Duration waited = state.now - request.arrived;
-  const bool early = waited <= request.route.objective / kEarlyPart;
-  const bool hopeless = expected > request.deadline;
-  const bool better_later =
-      early && IsFirstTry(request) && expected > request.due;
-  if (!hopeless && !better_later) return false;
+  if (expected <= request.deadline) return false;
   const Duration left = request.deadline - state.now;
   const Duration most = PartOf(left, kMostRetryPart);
   const Duration again = std::clamp(outlook.start, kLeastRetryAfter,
@@ -118,7 +101,6 @@
        {"ahead", std::to_string(outlook.ahead)},
        {"expected_start_ms", Millis(outlook.start)},
        {"expected_first_ms", Millis(outlook.first_token)},
-       {"hopeless", hopeless ? "true" : "false"},
        {"waited_ms", Millis(waited)}});
   RefuseRequest(state, request, Refusal::kOverload, again);
   return true;
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -44,9 +44,10 @@
 
 void OnTick(State& state) {
   state.ticked_at = state.now;
+  // Before anything is sent.
+  DropLapsed(state);
   ExpireAttempts(state);
   StartWaiting(state);
-  DropLapsed(state);
   AskReports(state);
   PublishWhole(state);
   FollowStore(state);
