A daemon that starts waits for a first proof before it asks for itself

Cause: with no configuration in the store yet nothing was ever proved, so that 70 of 76 daemons asked for themselves when they had started. Ruled out: askers that died (all this came 1.35 s after the start). Change: that there is no configuration is proved like any revision; a daemon waits as long for its first proof as for any. Test: "A daemon that starts before there is a configuration" fails without.

--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -78,6 +78,7 @@
   Time backends_confirmed_at{};
   bool begun = false;
   bool has_role = false;            // it is known who else is there
+  Time role_at{};                   // since when
   bool watching = false;            // asks for its data centre
   std::set<std::string> askers;     // of its data centre, by peer address
   Time ask_due{};                   // not before, by this daemon itself
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -82,8 +82,10 @@
 
 void OnConfirmed(State& state, const ConfigurationConfirmed& event) {
   NoteStoreReached(state);
-  if (!state.configuration) return;
-  if (state.configuration->configuration().revision != event.revision) return;
+  // That there is none yet is known too.
+  const std::uint64_t known =
+      state.configuration ? state.configuration->configuration().revision : 0;
+  if (known != event.revision) return;
   ConfirmConfiguration(state, event.asked);
 }
 
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -104,7 +104,9 @@
       static_cast<double>(HashBytes(state.options.peer_address) % 1000) / 1000;
   const Duration limit =
       PartOf(state.options.news_within, kOwnPart + kOwnJitterPart * jitter);
-  return std::max(state.store.ask_due, ProvedAt(state) + limit);
+  // After its start a daemon waits as long for a first proof.
+  const Time since = std::max(ProvedAt(state), state.store.role_at);
+  return std::max(state.store.ask_due, since + limit);
 }
 
 Time QuestionDue(const State& state) {
@@ -272,9 +274,11 @@
     store.listed_at = state.now;
     return;
   }
-  const bool first = !store.has_role && state.now < store.ask_due;
-  if (first) return;
-  store.has_role = true;
+  if (!store.has_role) {
+    if (state.now < store.ask_due) return;
+    store.has_role = true;
+    store.role_at = state.now;
+  }
   TakeRole(state);
   if (QuestionDue(state) <= state.now) Ask(state);
   ReadWhatIsNewer(state);
--- a/serving/test/store_following_test.cc
+++ b/serving/test/store_following_test.cc
@@ -63,9 +63,9 @@
             .heard_sequence = daemon_.state().sequence};
   }
   StoreDigest Digest() {
-    StoreDigest digest{.configuration = daemon_.state()
-                                            .configuration->configuration()
-                                            .revision};
+    StoreDigest digest{
+        .configuration =
+            daemon_.state().configuration->configuration().revision};
     for (const auto& [id, backend] : daemon_.state().backends) {
       digest.backends ^= HashBytes(id, backend.server.revision);
     }
@@ -126,6 +126,36 @@
   CHECK(listener.AsksWithin(kNewsWithin, /*proofs=*/false));
 }
 
+TEST_CASE(
+    "A daemon that starts before there is a configuration waits for news") {
+  State state({.instance = "1.1.1.1:1", .peer_address = "1.1.1.1:2"});
+  Time now{seconds(1000)};
+  const auto feed = [&](EventBody body) {
+    return Reduce(state, {.now = now, .body = std::move(body)});
+  };
+  feed(Tick{});
+  feed(BackendsListed{.revision = 5, .asked = now});
+  std::uint64_t sequence = 0;
+  int questions = 0;
+  for (int i = 0; i < 25; ++i) {
+    now += milliseconds(100);
+    ++sequence;
+    for (const std::string& it : AskersBefore("1.1.1.1:2")) {
+      feed(SnapshotReceived{PeerSnapshot(it, sequence)});
+    }
+    // That there is no configuration is proved too.
+    feed(StoreRelayReceived{{.peer_address = "2.2.2.2:0",
+                             .age = milliseconds(5),
+                             .heard_life = state.options.life,
+                             .heard_sequence = state.sequence}});
+    for (const Effect& it : feed(Tick{})) {
+      if (std::holds_alternative<AskStore>(it)) ++questions;
+    }
+  }
+  CHECK(questions == 0);
+  CHECK_FALSE(IsServing(state));
+}
+
 TEST_CASE("A daemon whose question failed asks for itself only") {
   Daemon daemon;
   daemon.Pass(seconds(1));
