--- a/serving/test/store_relay_drawn_test.cc
+++ b/serving/test/store_relay_drawn_test.cc
@@ -78,12 +78,10 @@
       const auto found = known.find(id);
       const bool listed = found != known.end() && !found->second.gone_at;
       const bool gone = server.address.empty();
-      if (gone && listed &&
-          found->second.server.revision < server.revision) {
+      if (gone && listed && found->second.server.revision < server.revision) {
         return id + " is gone";
       }
-      if (!gone && listed &&
-          found->second.server.revision < server.revision) {
+      if (!gone && listed && found->second.server.revision < server.revision) {
         return id + " has changed";
       }
     }
@@ -205,13 +203,13 @@
   Node Fresh(int i) {
     const std::string address = "10.0.0." + std::to_string(i) + ":1";
     Node node;
-    node.state = std::make_unique<State>(
-        ServingOptions{.instance = address,
-                       .peer_address = address,
-                       .data_centre = "z",
-                       .life = ++lives_,
-                       .seed = lives_,
-                       .news_within = kNewsWithin});
+    node.state =
+        std::make_unique<State>(ServingOptions{.instance = address,
+                                               .peer_address = address,
+                                               .data_centre = "z",
+                                               .life = ++lives_,
+                                               .seed = lives_,
+                                               .news_within = kNewsWithin});
     for (int k = 0; k < kDaemons; ++k) {
       if (k != i) {
         node.state->listed_peers.insert("10.0.0." + std::to_string(k) + ":1");
@@ -331,8 +329,8 @@
     const Time back = now_ + 2 * kStep;
     if (question.configuration == store_.configuration()) {
       Answer(i, back,
-           ConfigurationConfirmed{.revision = question.configuration,
-                                  .asked = now_});
+             ConfigurationConfirmed{.revision = question.configuration,
+                                    .asked = now_});
     } else {
       Answer(i, back, Configuration(now_));
     }
@@ -367,8 +365,7 @@
 
   void Check(Node& node) {
     const State& state = *node.state;
-    const std::uint64_t known =
-        state.configuration->configuration().revision;
+    const std::uint64_t known = state.configuration->configuration().revision;
     if (known < node.highest) Violate("the configuration went back");
     node.highest = known;
     if (store_.HadNewer(known, state.confirmed_at)) {
