--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -302,7 +302,8 @@
     }
   });
   daemon.Pass(seconds(3));
-  CHECK(sent_late == "");
+  INFO("sent to " << sent_late);
+  CHECK(sent_late.empty());
 }
 
 TEST_CASE("A route's time-out ends a request, and not before") {
