--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -15,8 +15,9 @@
 // Parts of the time within which news have to be in force. Askers ask so often,
 constexpr double kRoundPart = 0.45;
 // and a daemon asks for itself when what it heard is older: later than a round
-// and two heartbeats (0.5 s), which is how old a relayed proof may have to be
-// taken for; early enough for a question and its answer.
+// and the time between two whole snapshots to an asker, which is how old a
+// relayed proof may have to be taken for; early enough for a question and its
+// answer.
 constexpr double kOwnPart = 0.74;
 // Drawn once for each daemon, so that those who lost their askers don't ask at
 // the same moment.
