Tests of the incident, which fail: a daemon that lags sends on

Cause looked for: a daemon whose questions to the store get no whole answer goes on sending by the list of backend servers that it has. Ruled out: that the watch or keys stop it: the tests hold both apart. Change: the stand-in of the store can begin answers and hold their bodies; a whole daemon against it, and the reducer alone. Cases about the store's trouble moved from fleet_test.cc, unchanged, to a file of their own.

--- /dev/null
+++ b/serving/test/proofs_test.cc
@@ -0,0 +1,111 @@
+// What a daemon goes by, and for how long, while it can't be sure that it is
+// the newest.
+
+#include <catch2/catch.hpp>
+
+#include "serving_harness.h"
+
+namespace scaleshed::serving {
+namespace {
+
+using test::Daemon;
+using test::MakeConfiguration;
+
+// Of both, in the harness.
+constexpr Duration kNewsWithin = seconds(2);
+
+// A daemon without others, whose questions to the store are not answered while
+// a watch brings it one configuration after another.
+class Lagging {
+ public:
+  Lagging() { Prove(); }
+
+  Daemon& daemon() { return daemon_; }
+  // All that it knows is the newest.
+  void Prove() {
+    daemon_.Feed(
+        ConfigurationConfirmed{.revision = revision_, .asked = daemon_.now()});
+    daemon_.Feed(BackendsConfirmed{.asked = daemon_.now()});
+  }
+  void Lag(Duration time) {
+    constexpr Duration kStep = milliseconds(100);
+    for (Duration passed{}; passed < time; passed += kStep) {
+      daemon_.Feed(ConfigurationSeen{
+          .configuration = MakeConfiguration(++revision_), .asked = Time{}});
+      daemon_.Pass(kStep);
+    }
+  }
+
+ private:
+  Daemon daemon_;
+  std::uint64_t revision_ = 1;
+};
+
+// Seen: a request reached a backend server 3.4 s after its word that it leaves
+// (the whole story stands in store_trouble_test.cc). The age of what a daemon
+// knew of backend servers was looked at by nobody.
+TEST_CASE("A daemon that lags behind the store sends nothing", "[!mayfail]") {
+  Lagging lagging;
+  Daemon& daemon = lagging.daemon();
+  lagging.Lag(kNewsWithin);
+  daemon.Ask("safe");
+  CHECK(daemon.First<StartAttempt>() == nullptr);
+  const auto* refused = daemon.First<Refuse>();
+  REQUIRE(refused != nullptr);
+  CHECK(refused->status == 503);
+  CHECK(refused->retry_after > Duration::zero());
+  CHECK_FALSE(IsServing(daemon.state()));
+  lagging.Prove();
+  CHECK(IsServing(daemon.state()));
+  daemon.Ask("safe");
+  CHECK(daemon.First<StartAttempt>() != nullptr);
+}
+
+TEST_CASE("A request that waits to be sent again waits for a proof too",
+          "[!mayfail]") {
+  Lagging lagging;
+  Daemon& daemon = lagging.daemon();
+  daemon.Ask("safe");
+  const auto* sent = daemon.First<StartAttempt>();
+  REQUIRE(sent != nullptr);
+  const AttemptId attempt = sent->attempt;
+  lagging.Lag(kNewsWithin);
+  daemon.Feed(
+      AttemptFailed{.attempt = attempt, .error = AttemptError::kNotSent});
+  CHECK(daemon.First<StartAttempt>() == nullptr);
+  lagging.Lag(milliseconds(100));
+  CHECK(daemon.First<StartAttempt>() == nullptr);
+  lagging.Prove();
+  daemon.Pass(milliseconds(100));
+  CHECK(daemon.First<StartAttempt>() != nullptr);
+}
+
+TEST_CASE("While the store says nothing at all, work goes on") {
+  Lagging lagging;
+  Daemon& daemon = lagging.daemon();
+  for (int i = 0; i < 40; ++i) {
+    daemon.Pass(milliseconds(100));
+    daemon.Ask("safe");
+    CHECK(daemon.First<StartAttempt>() != nullptr);
+    CHECK(IsServing(daemon.state()));
+  }
+}
+
+// An entry that is seen gone right after a call failed may only have lapsed,
+// and is waited for. That it could have left ever since it was last known to
+// be there was not counted.
+TEST_CASE("An entry that is gone is used no longer than news may take",
+          "[!mayfail]") {
+  Lagging lagging;
+  Daemon& daemon = lagging.daemon();
+  daemon.Feed(BackendsConfirmed{.asked = daemon.now()});
+  const Time proved = daemon.now();
+  daemon.Pass(milliseconds(1400));
+  daemon.Feed(BackendUnlisted{.id = "app0", .certain = false});
+  CHECK(daemon.state().backends.contains("app0"));
+  daemon.Pass(proved + kNewsWithin - daemon.now());
+  CHECK_FALSE(daemon.state().backends.contains("app0"));
+}
+
+}  // namespace
+}  // namespace scaleshed::serving
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -40,6 +40,9 @@
   void ForgetHistory();
   // Watches bring nothing any more, and stay open.
   void MuteWatches(bool mute) { muted_ = mute; }
+  // Answers begin at once and end only when this is over, as those that are
+  // large do on a link that is full.
+  void HoldBodies(bool hold);
   bool Has(const std::string& key) const { return items_.contains(key); }
   int calls() const { return calls_; }
 
@@ -61,12 +64,19 @@
     std::uint64_t after = 0;
   };
 
+  struct HeldBody {
+    std::shared_ptr<HttpExchange> exchange;
+    std::string bytes;
+  };
+
   void Handle(std::shared_ptr<HttpExchange> exchange);
-  void OnKey(HttpExchange& exchange);
-  void OnRange(HttpExchange& exchange);
+  void Answer(const std::shared_ptr<HttpExchange>& exchange, int status,
+              const nlohmann::json& body);
+  void OnKey(const std::shared_ptr<HttpExchange>& exchange);
+  void OnRange(const std::shared_ptr<HttpExchange>& exchange);
   void OnWatch(const std::shared_ptr<HttpExchange>& exchange);
-  void OnTransaction(HttpExchange& exchange);
-  void OnLease(HttpExchange& exchange);
+  void OnTransaction(const std::shared_ptr<HttpExchange>& exchange);
+  void OnLease(const std::shared_ptr<HttpExchange>& exchange);
   void Write(const std::string& key, Item item);
   void AnswerWatches();
   static nlohmann::json ToJson(const std::string& key, const Item& item);
@@ -74,6 +84,8 @@
   HttpServer server_;
   StoreMode mode_ = StoreMode::kUp;
   bool muted_ = false;
+  bool hold_bodies_ = false;
+  std::vector<HeldBody> held_bodies_;
   int calls_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t forgotten_ = 0;
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -7,8 +7,9 @@
 
 using Json = nlohmann::json;
 
-void Reply(HttpExchange& exchange, int status, const Json& body) {
-  exchange.Reply(status, {{"Content-Type", "application/json"}}, body.dump());
+const HttpHeaders& JsonHeaders() {
+  static const HttpHeaders headers{{"Content-Type", "application/json"}};
+  return headers;
 }
 
 bool HasPrefix(const std::string& key, const std::string& prefix) {
@@ -25,6 +26,27 @@
   return "127.0.0.1:" + std::to_string(server_.port());
 }
 
+void FakeStore::Answer(const std::shared_ptr<HttpExchange>& exchange,
+                       int status, const Json& body) {
+  const std::string bytes = body.dump();
+  if (!hold_bodies_) {
+    exchange->Reply(status, JsonHeaders(), bytes);
+    return;
+  }
+  exchange->StartStream(status, JsonHeaders(), bytes.size());
+  held_bodies_.push_back({.exchange = exchange, .bytes = bytes});
+}
+
+void FakeStore::HoldBodies(bool hold) {
+  hold_bodies_ = hold;
+  if (hold) return;
+  for (const HeldBody& it : held_bodies_) {
+    it.exchange->SendChunk(it.bytes);
+    it.exchange->EndStream();
+  }
+  held_bodies_.clear();
+}
+
 nlohmann::json FakeStore::ToJson(const std::string& key, const Item& item) {
   return {{"key", key},
           {"value", absl::Base64Escape(item.value)},
@@ -72,34 +94,34 @@
     return;
   }
   if (mode_ == StoreMode::kRefusing || mode_ == StoreMode::kOverRate) {
-    Reply(*exchange, mode_ == StoreMode::kRefusing ? 503 : 429, {});
+    Answer(exchange, mode_ == StoreMode::kRefusing ? 503 : 429, {});
     return;
   }
   const std::string& path = exchange->path();
-  if (path == "/v1/kv-key") return OnKey(*exchange);
-  if (path == "/v1/kv-range") return OnRange(*exchange);
+  if (path == "/v1/kv-key") return OnKey(exchange);
+  if (path == "/v1/kv-range") return OnRange(exchange);
   if (path == "/v1/kv-watch") return OnWatch(exchange);
-  if (path == "/v1/kv-txn") return OnTransaction(*exchange);
-  OnLease(*exchange);
+  if (path == "/v1/kv-txn") return OnTransaction(exchange);
+  OnLease(exchange);
 }
 
-void FakeStore::OnKey(HttpExchange& exchange) {
-  const std::string key = exchange.Query("key");
+void FakeStore::OnKey(const std::shared_ptr<HttpExchange>& exchange) {
+  const std::string key = exchange->Query("key");
   // A read that may be old is as old as it can be.
-  const bool old = exchange.Query("stale") == "1" && before_.contains(key);
+  const bool old = exchange->Query("stale") == "1" && before_.contains(key);
   const auto& items = old ? before_ : items_;
   const auto found = items.find(key);
   if (found == items.end()) {
-    Reply(exchange, 404, Json::object());
+    Answer(exchange, 404, Json::object());
     return;
   }
-  Reply(exchange, 200, ToJson(key, found->second));
+  Answer(exchange, 200, ToJson(key, found->second));
 }
 
-void FakeStore::OnRange(HttpExchange& exchange) {
+void FakeStore::OnRange(const std::shared_ptr<HttpExchange>& exchange) {
   Json items = Json::array();
-  const std::string prefix = exchange.Query("path_prefix");
-  const std::string after = exchange.Query("start_after");
+  const std::string prefix = exchange->Query("path_prefix");
+  const std::string after = exchange->Query("start_after");
   // Small pages, so that paging is met.
   constexpr std::size_t kPage = 3;
   bool more = false;
@@ -111,7 +133,7 @@
     }
     items.push_back(ToJson(key, item));
   }
-  Reply(exchange, 200, {{"items", items}, {"more", more}, {"at", revision_}});
+  Answer(exchange, 200, {{"items", items}, {"more", more}, {"at", revision_}});
 }
 
 void FakeStore::OnWatch(const std::shared_ptr<HttpExchange>& exchange) {
@@ -138,15 +160,15 @@
     const auto exchange = it->exchange;
     it = watches_.erase(it);
     if (forgotten) {
-      Reply(*exchange, 410, Json::object());
+      Answer(exchange, 410, Json::object());
     } else {
-      Reply(*exchange, 200, {{"events", events}, {"at", revision_}});
+      Answer(exchange, 200, {{"events", events}, {"at", revision_}});
     }
   }
 }
 
-void FakeStore::OnTransaction(HttpExchange& exchange) {
-  const Json body = Json::parse(exchange.TakeBody());
+void FakeStore::OnTransaction(const std::shared_ptr<HttpExchange>& exchange) {
+  const Json body = Json::parse(exchange->TakeBody());
   Json items = Json::array();
   bool holds = true;
   for (const Json& it : body.at("expected_rev")) {
@@ -158,13 +180,13 @@
     if (found != items_.end()) items.push_back(ToJson(key, found->second));
   }
   if (!holds) {
-    Reply(exchange, 412, {{"items", items}});
+    Answer(exchange, 412, {{"items", items}});
     return;
   }
   for (const Json& it : body.at("put")) {
     const std::uint64_t lease = it.value("lease", std::uint64_t{0});
     if (lease != 0 && !leases_.contains(lease)) {
-      Reply(exchange, 404, Json::object());
+      Answer(exchange, 404, Json::object());
       return;
     }
     std::string value;
@@ -173,22 +195,22 @@
   }
   AnswerWatches();
   if (mode_ == StoreMode::kLosingWrites && !body.at("put").empty()) {
-    exchange.Abort();
+    exchange->Abort();
     return;
   }
-  Reply(exchange, 200, {{"revision", revision_}});
+  Answer(exchange, 200, {{"revision", revision_}});
 }
 
-void FakeStore::OnLease(HttpExchange& exchange) {
-  const std::string& path = exchange.path();
+void FakeStore::OnLease(const std::shared_ptr<HttpExchange>& exchange) {
+  const std::string& path = exchange->path();
   if (path == "/v1/kv-lease") {
     leases_.insert(++last_lease_);
-    Reply(exchange, 200, {{"lease", last_lease_}, {"ttl_ms", 6000}});
+    Answer(exchange, 200, {{"lease", last_lease_}, {"ttl_ms", 6000}});
     return;
   }
   const std::uint64_t lease = std::stoull(path.substr(path.rfind('/') + 1));
   const bool known = leases_.contains(lease);
-  if (known && exchange.method() == "DELETE") {
+  if (known && exchange->method() == "DELETE") {
     leases_.erase(lease);
     std::vector<std::string> gone;
     for (const auto& [key, item] : items_) {
@@ -196,7 +218,7 @@
     }
     for (const std::string& it : gone) Remove(it);
   }
-  Reply(exchange, known ? 200 : 404, {{"ttl_ms", 6000}});
+  Answer(exchange, known ? 200 : 404, {{"ttl_ms", 6000}});
 }
 
 }  // namespace scaleshed::testing
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -191,45 +191,6 @@
   }
 }
 
-TEST_CASE(
-    "Without proof that the configuration is fresh no keyed request runs") {
-  Fleet fleet;
-  fleet.Configure();
-  FakeWorker& worker = fleet.AddWorker("app");
-  fleet.AddDaemon(milliseconds(1500));
-  REQUIRE(fleet.WaitReady());
-  fleet.store().SetMode(StoreMode::kRefusing);
-  REQUIRE(fleet.Eventually([&] { return !fleet.IsReady(); }));
-  const int runs = worker.runs();
-  const auto asked = fleet.Ask("/plain/safe/a");
-  CHECK(asked->status() == 503);
-  CHECK_FALSE(asked->header("Retry-After").empty());
-  CHECK(worker.runs() == runs);
-  fleet.store().SetMode(StoreMode::kUp);
-  CHECK(fleet.WaitReady());
-  CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
-}
-
-TEST_CASE("Connections to the store that fell silent are given up") {
-  Fleet fleet;
-  fleet.Configure();
-  fleet.AddWorker("app");
-  fleet.AddDaemon(milliseconds(1500));
-  REQUIRE(fleet.WaitReady());
-  // What is open says nothing any more, without a reset; new ones are answered.
-  fleet.store().SetMode(StoreMode::kSilent);
-  REQUIRE(fleet.Eventually([&] { return !fleet.IsReady(); }));
-  fleet.store().MuteWatches(true);
-  fleet.store().SetMode(StoreMode::kUp);
-  CHECK(fleet.WaitReady());
-  nlohmann::json newer = FleetConfiguration();
-  newer["version"] = 2;
-  newer["routes"].erase(newer["routes"].begin(), newer["routes"].end());
-  fleet.Configure(newer);
-  CHECK(fleet.Eventually(
-      [&] { return fleet.Ask("/plain/safe/a")->status() == 404; }));
-}
-
 TEST_CASE("A worker's connection that fell silent is given up, and resumed") {
   Fleet fleet;
   fleet.Configure();
@@ -250,51 +211,6 @@
   CHECK(second.runs() == 1);
 }
 
-TEST_CASE("Daemons that don't ask the store know what it took") {
-  Fleet fleet;
-  fleet.Configure();
-  FakeWorker& worker = fleet.AddWorker("app");
-  FakeWorker& other = fleet.AddWorker("app");
-  for (int i = 0; i < 4; ++i) fleet.AddDaemon();
-  for (std::size_t i = 0; i < 4; ++i) REQUIRE(fleet.WaitReady(i));
-  fleet.store().Put("servers/" + worker.id(), worker.Entry("app", "draining"));
-  for (std::size_t i = 0; i < 4; ++i) {
-    CHECK(fleet.Eventually([&] {
-      const int before = worker.runs();
-      for (int n = 0; n < 4; ++n) {
-        const auto asked = fleet.Send("/plain/safe/a", {}, i);
-        REQUIRE(fleet.Until([&] { return asked->done; }));
-      }
-      return worker.runs() == before;
-    }));
-  }
-  CHECK(other.runs() > 0);
-  nlohmann::json none = FleetConfiguration();
-  none["version"] = 2;
-  none["routes"].erase(none["routes"].begin(), none["routes"].end());
-  fleet.Configure(none);
-  for (std::size_t i = 0; i < 4; ++i) {
-    CHECK(fleet.Eventually([&] {
-      const auto asked = fleet.Send("/plain/safe/a", {}, i);
-      REQUIRE(fleet.Until([&] { return asked->done; }));
-      return asked->status() == 404;
-    }));
-  }
-}
-
-TEST_CASE("A daemon that knows no configuration says so") {
-  Fleet fleet;
-  fleet.store().SetMode(StoreMode::kOverRate);
-  fleet.AddDaemon();
-  CHECK_FALSE(fleet.IsReady());
-  CHECK(fleet.Ask("/plain/safe/a")->status() == 503);
-  fleet.Configure();
-  fleet.AddWorker("app");
-  fleet.store().SetMode(StoreMode::kUp);
-  REQUIRE(fleet.WaitReady());
-  CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
-}
-
 TEST_CASE("A leaving worker gets nothing new, whoever tells it first") {
   SECTION("its entry says so") {
     Fleet fleet;
--- /dev/null
+++ b/testing/test/store_trouble_test.cc
@@ -0,0 +1,130 @@
+// Whole daemons of the users' platform while its store, or the way to it, is in
+// trouble. Waits are on conditions, never on times.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "fleet_harness.h"
+
+namespace scaleshed::testing {
+namespace {
+
+TEST_CASE(
+    "Without proof that the configuration is fresh no keyed request runs") {
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& worker = fleet.AddWorker("app");
+  fleet.AddDaemon(milliseconds(1500));
+  REQUIRE(fleet.WaitReady());
+  fleet.store().SetMode(StoreMode::kRefusing);
+  REQUIRE(fleet.Eventually([&] { return !fleet.IsReady(); }));
+  const int runs = worker.runs();
+  const auto asked = fleet.Ask("/plain/safe/a");
+  CHECK(asked->status() == 503);
+  CHECK_FALSE(asked->header("Retry-After").empty());
+  CHECK(worker.runs() == runs);
+  fleet.store().SetMode(StoreMode::kUp);
+  CHECK(fleet.WaitReady());
+  CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
+}
+
+TEST_CASE("Connections to the store that fell silent are given up") {
+  Fleet fleet;
+  fleet.Configure();
+  fleet.AddWorker("app");
+  fleet.AddDaemon(milliseconds(1500));
+  REQUIRE(fleet.WaitReady());
+  // What is open says nothing any more, without a reset; new ones are answered.
+  fleet.store().SetMode(StoreMode::kSilent);
+  REQUIRE(fleet.Eventually([&] { return !fleet.IsReady(); }));
+  fleet.store().MuteWatches(true);
+  fleet.store().SetMode(StoreMode::kUp);
+  CHECK(fleet.WaitReady());
+  nlohmann::json newer = FleetConfiguration();
+  newer["version"] = 2;
+  newer["routes"].erase(newer["routes"].begin(), newer["routes"].end());
+  fleet.Configure(newer);
+  CHECK(fleet.Eventually(
+      [&] { return fleet.Ask("/plain/safe/a")->status() == 404; }));
+}
+
+TEST_CASE("Daemons that don't ask the store know what it took") {
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& worker = fleet.AddWorker("app");
+  FakeWorker& other = fleet.AddWorker("app");
+  for (int i = 0; i < 4; ++i) fleet.AddDaemon();
+  for (std::size_t i = 0; i < 4; ++i) REQUIRE(fleet.WaitReady(i));
+  fleet.store().Put("servers/" + worker.id(), worker.Entry("app", "draining"));
+  for (std::size_t i = 0; i < 4; ++i) {
+    CHECK(fleet.Eventually([&] {
+      const int before = worker.runs();
+      for (int n = 0; n < 4; ++n) {
+        const auto asked = fleet.Send("/plain/safe/a", {}, i);
+        REQUIRE(fleet.Until([&] { return asked->done; }));
+      }
+      return worker.runs() == before;
+    }));
+  }
+  CHECK(other.runs() > 0);
+  nlohmann::json none = FleetConfiguration();
+  none["version"] = 2;
+  none["routes"].erase(none["routes"].begin(), none["routes"].end());
+  fleet.Configure(none);
+  for (std::size_t i = 0; i < 4; ++i) {
+    CHECK(fleet.Eventually([&] {
+      const auto asked = fleet.Send("/plain/safe/a", {}, i);
+      REQUIRE(fleet.Until([&] { return asked->done; }));
+      return asked->status() == 404;
+    }));
+  }
+}
+
+TEST_CASE("A daemon that knows no configuration says so") {
+  Fleet fleet;
+  fleet.store().SetMode(StoreMode::kOverRate);
+  fleet.AddDaemon();
+  CHECK_FALSE(fleet.IsReady());
+  CHECK(fleet.Ask("/plain/safe/a")->status() == 503);
+  fleet.Configure();
+  fleet.AddWorker("app");
+  fleet.store().SetMode(StoreMode::kUp);
+  REQUIRE(fleet.WaitReady());
+  CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
+}
+
+// Seen: a request reached a model server 3.4 s after its word that it leaves,
+// 3 s being the bound, from a daemon that nothing had happened to. A large
+// configuration changed five times a second; its daemon read each change three
+// times over a link that was full, its questions whether what it knew was the
+// newest ended half answered after a second, and it sent on as before. Shown by
+// a play without any fault: two daemons, proofs up to 6.9 s old.
+TEST_CASE("A worker that left gets nothing while the store's answers crawl",
+          "[!mayfail]") {
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& leaving = fleet.AddWorker("app");
+  FakeWorker& staying = fleet.AddWorker("app");
+  // Keys alone would not stop it.
+  fleet.AddDaemon(/*key_freshness=*/seconds(3600));
+  REQUIRE(fleet.WaitReady());
+  fleet.store().HoldBodies(true);
+  fleet.store().Put("servers/" + leaving.id(),
+                    leaving.Entry("app", "draining"));
+  CHECK(fleet.Eventually([&] { return !fleet.IsReady(); }));
+  const int runs = leaving.runs() + staying.runs();
+  const auto refused = fleet.Ask("/plain/safe/a");
+  CHECK(refused->status() == 503);
+  CHECK_FALSE(refused->header("Retry-After").empty());
+  CHECK(leaving.runs() + staying.runs() == runs);
+  fleet.store().HoldBodies(false);
+  REQUIRE(fleet.WaitReady());
+  const int before = leaving.runs();
+  for (int i = 0; i < 8; ++i) {
+    CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
+  }
+  CHECK(leaving.runs() == before);
+}
+
+}  // namespace
+}  // namespace scaleshed::testing
