Sight: the age of the list's proof on each send, refusal and in the metrics

Cause: the lines sent and refused told the age of the configuration's proof only, so that a send by an old list of backend servers could not be seen. Change: listed_ms_ago beside confirmed_ms_ago; the gauge backends_proof_age_seconds.

--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -60,6 +60,8 @@
     RenderGauge(out, "configuration_proof_age_seconds",
                 SecondsOf(state.now - state.confirmed_at));
   }
+  RenderGauge(out, "backends_proof_age_seconds",
+              SecondsOf(state.now - state.store.backends_confirmed_at));
   RenderBackends(out, state);
   const auto daemons =
       std::count_if(state.members.begin(), state.members.end(),
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -175,7 +175,9 @@
        {"runs", std::to_string(request.runs)},
        {"refusals", std::to_string(request.refusals)},
        {"may_have_run", request.may_have_run ? "true" : "false"},
-       {"confirmed_ms_ago", Millis(state.now - state.confirmed_at)}});
+       {"confirmed_ms_ago", Millis(state.now - state.confirmed_at)},
+       {"listed_ms_ago",
+        Millis(state.now - state.store.backends_confirmed_at)}});
   Forget(state, request.key);
 }
 
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -139,6 +139,8 @@
        {"revision",
         std::to_string(state.configuration->configuration().revision)},
        {"confirmed_ms_ago", Millis(state.now - state.confirmed_at)},
+       {"listed_ms_ago",
+        Millis(state.now - state.store.backends_confirmed_at)},
        {"resume_after", effect.resume_after}},
       /*routine=*/request.arrivals + request.refusals == 0);
   state.effects.emplace_back(std::move(effect));
