--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -92,10 +92,18 @@
   return found != nullptr && found->engine ? &*found->engine : nullptr;
 }
 
+bool TakesWork(const Backend* backend) {
+  return backend != nullptr && !backend->server.leaving;
+}
+
 void Send(State& state, Request& request) {
   Backend* backend = FindBackend(state, request.backend);
-  const bool takes = backend != nullptr && !backend->server.leaving;
-  if (!takes || !KnowsBackends(state)) {
+  // Setting memory aside took a while; a helper that leaves would refuse its
+  // part, and the prompt with it.
+  const bool helped = std::all_of(
+      request.work.helpers.begin(), request.work.helpers.end(),
+      [&](BackendId it) { return TakesWork(FindBackend(state, it)); });
+  if (!TakesWork(backend) || !helped || !KnowsBackends(state)) {
     DropAttempt(state, request, false);
     request.phase = Phase::kWaiting;
     request.retry_at = state.now + kLookAgain;
@@ -115,7 +123,6 @@
   std::string names;
   for (std::size_t i = 0; i < request.work.helpers.size(); ++i) {
     const Backend* helper = FindBackend(state, request.work.helpers[i]);
-    if (helper == nullptr) continue;
     const std::string ticket =
         i < request.memory.size() ? request.memory[i].ticket : "";
     effect.helpers.push_back(
--- a/serving/test/drawn_failures_test.cc
+++ b/serving/test/drawn_failures_test.cc
@@ -29,7 +29,7 @@
 
 rc::Gen<DrawnStep> AnyStep() {
   return rc::gen::build<DrawnStep>(
-      rc::gen::set(&DrawnStep::kind, rc::gen::inRange(0, 13)),
+      rc::gen::set(&DrawnStep::kind, rc::gen::inRange(0, 15)),
       rc::gen::set(&DrawnStep::first, rc::gen::inRange(0, 1000)),
       rc::gen::set(&DrawnStep::second, rc::gen::inRange(0, 1000)));
 }
@@ -70,6 +70,10 @@
       case 9:
         Report(step);
         return;
+      case 10:
+      case 11:
+        AnswerOrder(step);
+        return;
       case 8:
         if (!open_.empty()) {
           const RequestKey key = Pick(step.first);
@@ -108,6 +112,17 @@
     if (!ended_.contains(key)) open_.insert(key);
   }
 
+  // Some engine sets memory aside, or does not.
+  void AnswerOrder(const DrawnStep& step) {
+    if (orders_.empty()) return;
+    auto it = orders_.begin();
+    std::advance(it, step.first % static_cast<int>(orders_.size()));
+    const auto [attempt, index] = *it;
+    orders_.erase(it);
+    daemon_.Feed(MemoryAnswered{
+        .attempt = attempt, .index = index, .granted = step.second % 8 != 0});
+  }
+
   // Some engine says how it does.
   void Report(const DrawnStep& step) {
     const auto& backends = daemon_.state().backends;
@@ -229,6 +244,7 @@
                      },
                      [&](const ReserveMemory& effect) {
                        tickets_.insert(effect.ticket);
+                       orders_.insert({effect.attempt, effect.index});
                        if (effect.hold > milliseconds(4000)) {
                          Violate("memory held for too long");
                        }
@@ -252,6 +268,14 @@
     if (it == daemon_.state().backends.end() || it->second.server.leaving) {
       Violate("sent to a leaving backend server");
     }
+    for (const Helper& helper : effect.helpers) {
+      const std::string id = helper.address.substr(0, helper.address.find(':'));
+      const auto found = daemon_.state().backends.find(id);
+      if (found == daemon_.state().backends.end() ||
+          found->second.server.leaving) {
+        Violate("begun with a helper that leaves");
+      }
+    }
   }
 
   void End(RequestKey key) {
@@ -269,6 +293,7 @@
   std::map<AttemptId, RequestKey> sent_;
   std::set<AttemptId> begun_;
   std::set<std::string> tickets_;
+  std::set<std::pair<AttemptId, std::size_t>> orders_;  // not answered
   std::vector<std::string> violations_;
   std::uint64_t sequence_ = 0;
   int events_ = 0;
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -155,6 +155,31 @@
   }
 }
 
+TEST_CASE("A prompt isn't begun with a helper that has begun to leave") {
+  Daemon daemon;
+  daemon.Ask("stream", /*prompt=*/900'000);
+  std::vector<ReserveMemory> orders;
+  for (const Effect& it : daemon.effects()) {
+    if (const auto* order = std::get_if<ReserveMemory>(&it)) {
+      orders.push_back(*order);
+    }
+  }
+  REQUIRE(orders.size() > 1);
+  const std::string leaving = orders.front().address;
+  for (int i = 0; i < 6; ++i) {
+    if ("llm" + std::to_string(i) + ":1" == leaving) {
+      daemon.List("llm", i, /*leaving=*/true);
+    }
+  }
+  for (const ReserveMemory& it : orders) {
+    daemon.Feed(MemoryAnswered{
+        .attempt = it.attempt, .index = it.index, .granted = true});
+    CHECK(daemon.First<StartAttempt>() == nullptr);
+  }
+  // What was set aside is given back.
+  CHECK(daemon.First<ReleaseMemory>() != nullptr);
+}
+
 TEST_CASE("A late word of an attempt that is over changes nothing") {
   Daemon daemon;
   const RequestKey key = daemon.Ask("stream");
--- a/serving/test/store_relay_drawn_test.cc
+++ b/serving/test/store_relay_drawn_test.cc
@@ -1,5 +1,7 @@
 // What daemons know of the platform's store is never taken for newer than it
-// is, whatever becomes of calls, relays and daemons.
+// is, whatever becomes of calls, relays and daemons; and one that nothing
+// happens to but that the store's answers crawl serves by nothing older than
+// news may take.
 
 #include <rapidcheck.h>
 
@@ -28,6 +30,8 @@
 constexpr Duration kStep = milliseconds(10);
 // Of a calm fleet: what the store has taken is known everywhere within this.
 constexpr Duration kNewsWithin = seconds(2);
+// So long after trouble a daemon counts as calm again.
+constexpr Duration kCalmAfter = seconds(3);
 
 // The store's truth, with the times of its changes.
 class Store {
@@ -113,7 +117,7 @@
 
 rc::Gen<DrawnStep> AnyStep() {
   return rc::gen::build<DrawnStep>(
-      rc::gen::set(&DrawnStep::kind, rc::gen::inRange(0, 12)),
+      rc::gen::set(&DrawnStep::kind, rc::gen::inRange(0, 14)),
       rc::gen::set(&DrawnStep::first, rc::gen::inRange(0, 1000)),
       rc::gen::set(&DrawnStep::second, rc::gen::inRange(0, 1000)));
 }
@@ -128,6 +132,7 @@
 
   void Play(const DrawnStep& step) {
     Node& node = nodes_[static_cast<std::size_t>(step.first % kDaemons)];
+    const Time before = node.troubled_until;
     switch (step.kind) {
       case 0:
         store_.Configure(now_);
@@ -157,14 +162,22 @@
       case 8:  // watches say nothing
         watches_muted_until_ = now_ + milliseconds(step.second * 5);
         break;
+      case 9:  // answers begin at once, and are whole much later
+        crawls_until_ = now_ + milliseconds(step.second * 8);
+        crawl_ = milliseconds(100 + step.first * 3);
+        break;
       default:
         Pass(milliseconds(step.second));
     }
+    // A daemon that died begins with the trouble of its last life.
+    node.troubled_until =
+        std::max({before, node.troubled_until, TroubleEnd(node, step)});
     Pass(kStep);
   }
 
   // All is well again: everybody knows what the store took before.
   void Calm() {
+    crawls_until_ = now_;
     Pass(seconds(7));
     store_.Configure(now_);
     store_.Put(0, true, now_);
@@ -189,6 +202,7 @@
     Time store_away_until{};
     Time deaf_until{};
     Time mute_until{};
+    Time troubled_until{};
     bool watching = false;
     std::uint64_t watched = 0;  // the store's revision that a watch has told
     std::uint64_t highest = 0;  // of its configurations
@@ -200,6 +214,15 @@
     EventBody body;
   };
 
+  // Until when what was drawn harms that daemon itself.
+  Time TroubleEnd(const Node& node, const DrawnStep& step) const {
+    constexpr int kFirst = 3;
+    constexpr int kLast = 6;
+    if (step.kind < kFirst || step.kind > kLast) return Time{};
+    return std::max({now_, node.frozen_until, node.store_away_until,
+                     node.deaf_until, node.mute_until});
+  }
+
   Node Fresh(int i) {
     const std::string address = "10.0.0." + std::to_string(i) + ":1";
     Node node;
@@ -326,7 +349,7 @@
   // Answers tell the store as it was when the question came there.
   void AnswerQuestion(std::size_t i, const AskStore& question) {
     if (!ReachesStore(i)) return;
-    const Time back = now_ + 2 * kStep;
+    const Time back = Back(i);
     if (question.configuration == store_.configuration()) {
       Answer(i, back,
              ConfigurationConfirmed{.revision = question.configuration,
@@ -338,11 +361,18 @@
   }
   void AnswerList(std::size_t i) {
     if (!ReachesStore(i)) return;
-    Answer(i, now_ + 2 * kStep, Configuration(now_));
-    Answer(i, now_ + 2 * kStep, Servers(now_));
+    const Time back = Back(i);
+    Answer(i, back, Configuration(now_));
+    Answer(i, back, Servers(now_));
   }
   void AnswerRead(std::size_t i) {
-    if (ReachesStore(i)) Answer(i, now_ + 2 * kStep, Configuration(now_));
+    if (ReachesStore(i)) Answer(i, Back(i), Configuration(now_));
+  }
+  // When an answer is whole; that it began is seen at once.
+  Time Back(std::size_t i) {
+    if (crawls_until_ <= now_) return now_ + 2 * kStep;
+    Answer(i, now_ + 2 * kStep, StoreHeard{});
+    return now_ + crawl_;
   }
 
   void Send(std::size_t from, const std::string& to, const EventBody& body) {
@@ -374,6 +404,19 @@
     const std::string missing =
         store_.Missing(state.backends, state.store.backends_confirmed_at);
     if (!missing.empty()) Violate("taken for proved: " + missing);
+    CheckServing(node);
+  }
+
+  void CheckServing(const Node& node) {
+    const State& state = *node.state;
+    const bool calm = node.troubled_until + kCalmAfter <= now_;
+    if (!calm || !IsServing(state)) return;
+    const Time due = now_ - kNewsWithin;
+    if (store_.HadNewer(state.configuration->configuration().revision, due)) {
+      Violate("a calm daemon serves by an old configuration");
+    }
+    const std::string missing = store_.Missing(state.backends, due);
+    if (!missing.empty()) Violate("a calm daemon serves though " + missing);
   }
 
   void Violate(const std::string& what) { violations_.push_back(what); }
@@ -385,6 +428,8 @@
   std::vector<Message> messages_;
   Time late_until_{};
   Time watches_muted_until_{};
+  Time crawls_until_{};
+  Duration crawl_{};
   std::vector<std::string> violations_;
 };
 
