A usual pace ends only what a slow one began

Change: what became of sends and what it reports keep new work away each for themselves. Before: the new case fails ten times; after: passes.

--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -18,7 +18,7 @@
   double suspect = 0;
   for (const auto& [name, backend] : state.backends) {
     (backend.server.leaving ? leaving : open) += 1;
-    if (backend.suspect_until > state.now) suspect += 1;
+    if (backend.avoided_until() > state.now) suspect += 1;
   }
   RenderGauge(out, "backends_open", open);
   RenderGauge(out, "backends_leaving", leaving);
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -1,6 +1,7 @@
 #ifndef SCALESHED_SERVING_STATE_H_
 #define SCALESHED_SERVING_STATE_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -43,7 +44,9 @@
   BackendId id = 0;
   // Set when its entry may have lapsed only because the store was away.
   std::optional<Time> gone_at;
+  // New work is kept away: for what became of sends to it; for its reports.
   Time suspect_until{};
+  Time slow_until{};
   int failures = 0;   // one after another
   Time report_due{};  // an engine's, whoever asks for it
   bool slow = false;  // as its last report told this daemon
@@ -51,6 +54,8 @@
   // failures.
   double answers = 0;
   double bad_answers = 0;
+
+  Time avoided_until() const { return std::max(suspect_until, slow_until); }
 };
 
 // Another daemon, as it last told.
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -26,21 +26,20 @@
   for (const auto& [name, backend] : state.backends) {
     if (backend.server.service != service) continue;
     ++all;
-    if (backend.suspect_until > state.now) ++n;
+    if (backend.avoided_until() > state.now) ++n;
   }
   return n;
 }
 
-}  // namespace
-
-void Suspect(State& state, Backend& backend, Duration length,
-             const std::string& why) {
+// Unless too many of its service are avoided already.
+void Avoid(State& state, Backend& backend, Time Backend::*until,
+           Duration length, const std::string& why) {
   std::size_t all = 0;
   const std::size_t n = CountSuspects(state, backend.server.service, all);
-  const bool already = backend.suspect_until > state.now;
+  const bool already = backend.avoided_until() > state.now;
   const auto most = static_cast<double>(all) * kMostSuspects;
   if (!already && static_cast<double>(n + 1) > most) return;
-  backend.suspect_until = std::max(backend.suspect_until, state.now + length);
+  backend.*until = std::max(backend.*until, state.now + length);
   state.changed = true;
   state.effects.emplace_back(Count{Counter::kSuspicions});
   Log(state, "suspect",
@@ -50,6 +49,17 @@
        {"for_ms", Millis(length)}});
 }
 
+}  // namespace
+
+void Suspect(State& state, Backend& backend, Duration length,
+             const std::string& why) {
+  Avoid(state, backend, &Backend::suspect_until, length, why);
+}
+
+void AvoidSlow(State& state, Backend& backend, Duration length) {
+  Avoid(state, backend, &Backend::slow_until, length, "slow");
+}
+
 BackendId IdOf(const std::string& instance) { return HashBytes(instance); }
 
 Backend* FindBackend(State& state, BackendId id) {
@@ -187,7 +197,7 @@
 }
 
 bool IsSuspect(const State& state, const Backend& backend) {
-  if (backend.suspect_until > state.now) return true;
+  if (backend.avoided_until() > state.now) return true;
   for (const auto& [address, member] : state.members) {
     if (!IsHeard(state, member) || !member.snapshot.serving) continue;
     for (const Suspicion& it : member.snapshot.suspicions) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -65,6 +65,8 @@
 // Keeps new work away for `length`, unless too many are kept out already.
 void Suspect(State& state, Backend& backend, Duration length,
              const std::string& why);
+// The same for an engine that reports to be slow, until it reports otherwise.
+void AvoidSlow(State& state, Backend& backend, Duration length);
 bool IsSuspect(const State& state, const Backend& backend);
 // Those of a service that take new work.
 std::vector<const Backend*> OpenBackends(const State& state,
--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -53,9 +53,9 @@
   const bool was_slow = backend->slow;
   backend->slow = event.pace >= kSlowPace;
   if (backend->slow) {
-    Suspect(state, *backend, kSlowFor, "slow");
+    AvoidSlow(state, *backend, kSlowFor);
   } else if (was_slow) {
-    backend->suspect_until = state.now;
+    backend->slow_until = state.now;
     state.changed = true;
   }
   if (backend->slow == was_slow) return;
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -39,9 +39,9 @@
   }
   snapshot.waiting = WaitingOf(state);
   for (const auto& [name, backend] : state.backends) {
-    if (backend.suspect_until > state.now) {
+    if (backend.avoided_until() > state.now) {
       snapshot.suspicions.push_back(
-          {.backend = backend.id, .until = backend.suspect_until});
+          {.backend = backend.id, .until = backend.avoided_until()});
     }
   }
   return snapshot;
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -138,7 +138,7 @@
     }
   }
   for (const auto& [name, backend] : daemon.state().backends) {
-    if (backend.suspect_until > daemon.now()) ++slow;
+    if (backend.avoided_until() > daemon.now()) ++slow;
   }
   CHECK(slow == 2);
 }
@@ -155,6 +155,21 @@
   }
 }
 
+TEST_CASE("A usual pace does not clear an engine of what it failed") {
+  Daemon daemon;
+  daemon.Ask("stream");
+  const auto* sent = daemon.First<StartAttempt>();
+  const std::string first = sent->instance;
+  const BackendId id = daemon.state().backends.at(first).id;
+  daemon.Feed(ReportSeen{.backend = id, .pace = 4});
+  daemon.Feed(AttemptFailed{.attempt = sent->attempt});
+  daemon.Feed(ReportSeen{.backend = id});
+  for (int i = 0; i < 10; ++i) {
+    daemon.Ask("stream");
+    CHECK(daemon.First<StartAttempt>()->instance != first);
+  }
+}
+
 TEST_CASE("A prompt isn't begun with a helper that has begun to leave") {
   Daemon daemon;
   daemon.Ask("stream", /*prompt=*/900'000);
