Histograms go with their routes and accounts

Change: a newer configuration takes away what it does not have; what was in work at that moment goes with the next one. Before: the extended case fails; after: passes.

--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -155,7 +155,10 @@
           },
           [&](const serving::Count& it) { metrics_->Add(it.counter); },
           [&](const serving::ObserveLatency& it) { metrics_->Observe(it); },
-          [&](const serving::ApplyLimits& it) { ApplyLimits(it.limits); },
+          [&](const serving::ApplyLimits& it) {
+            ApplyLimits(it.limits);
+            metrics_->KeepOnly(state_.configuration->configuration());
+          },
           [&](const serving::Exit&) { Exit(); }},
       effect);
 }
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -1,6 +1,7 @@
 #include "internal/fleet_metrics.h"
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 
 #include "scaleshed/serving/reducer.h"
@@ -47,6 +48,18 @@
   latencies_[{observed.account, observed.route}].Add(observed.elapsed);
 }
 
+void FleetMetrics::KeepOnly(const serving::Configuration& configuration) {
+  std::set<std::string> routes;
+  for (const auto& it : configuration.routes) routes.insert(it.name);
+  // Public routes belong to no account.
+  std::set<std::string> accounts{""};
+  for (const auto& it : configuration.accounts) accounts.insert(it.name);
+  std::erase_if(latencies_, [&](const auto& it) {
+    const auto& [account, route] = it.first;
+    return !accounts.contains(account) || !routes.contains(route);
+  });
+}
+
 std::string FleetMetrics::Render(const serving::State& state) const {
   std::ostringstream out;
   for (const auto& [counter, name] : serving::kCounterNames) {
--- a/daemon/src/internal/fleet_metrics.h
+++ b/daemon/src/internal/fleet_metrics.h
@@ -20,6 +20,10 @@
   // How long an answer or a stream's first event took, by account and route.
   void Observe(const serving::ObserveLatency& observed);
 
+  // Forgets what was measured for routes and accounts that are not in it, so
+  // that memory doesn't grow with the number of changes.
+  void KeepOnly(const serving::Configuration& configuration);
+
   // The text form that monitoring tools scrape.
   std::string Render(const serving::State& state) const;
 
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -196,7 +196,8 @@
   Duration elapsed{};
 };
 
-// The limits for requests that begin from now on.
+// A newer configuration is in force: the limits for requests that begin from
+// now on.
 struct ApplyLimits {
   RequestLimits limits;
 };
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -392,6 +392,22 @@
     CHECK(text.find(it + "\n") != std::string::npos);
   }
   CHECK(fleet.Get(address, "/other")->status() == 404);
+  // What is measured by route goes with the route: configurations change many
+  // thousand times a day.
+  nlohmann::json none = FleetConfiguration();
+  none["version"] = 2;
+  none["routes"].erase(none["routes"].begin(), none["routes"].end());
+  fleet.Configure(none);
+  CHECK(
+      fleet.Eventually([&] { return fleet.Ask("/chat/a")->status() == 404; }));
+  // What was in work at the change is measured after it, and goes with the
+  // next.
+  none["version"] = 3;
+  fleet.Configure(none);
+  CHECK(fleet.Eventually([&] {
+    const std::string now = fleet.Get(address, "/metrics")->body();
+    return now.find("r/chat/") == std::string::npos;
+  }));
 }
 
 }  // namespace
