--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -85,7 +85,7 @@
   int failures_ = 0;
   bool lost_ = false;
   Time trouble_at_{};
-  Time heard_at_{};  // last, the beginning of an answer
+  Time heard_at_{};  // last, something of an answer
   Timer list_timer_;
   Timer watch_timer_;
   Timer lease_timer_;
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -66,8 +66,8 @@
 // Why a request gets an answer of our own.
 enum class Refusal {
   kNoConfiguration,
-  kNotFresh,  // the configuration may be older than it may be
-  kLags,      // the list of backend servers may
+  kNotFresh,      // the configuration may be too old to go by
+  kListNotFresh,  // the list of backend servers may
   kUnknownRoute,
   kUnknownKey,
   kInvalid,
@@ -81,7 +81,7 @@
 inline constexpr NameTable<Refusal, 12> kRefusalNames{{
     {Refusal::kNoConfiguration, "no_configuration"},
     {Refusal::kNotFresh, "configuration_not_fresh"},
-    {Refusal::kLags, "list_not_fresh"},
+    {Refusal::kListNotFresh, "list_not_fresh"},
     {Refusal::kUnknownRoute, "unknown_route"},
     {Refusal::kUnknownKey, "unknown_key"},
     {Refusal::kInvalid, "invalid"},
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -99,7 +99,7 @@
   }
   // A backend server may have left since.
   if (!KnowsBackends(state)) {
-    RefuseAtOnce(state, event, Refusal::kLags, ElsewhereOrLater(state));
+    RefuseAtOnce(state, event, Refusal::kListNotFresh, ElsewhereOrLater(state));
     return true;
   }
   const bool keyed = !route->is_public &&
