Drawn steps of two tests in one place

Cause: the same type, printer and generator stood in two test files. Change: serving/test/drawn_step.h; draws are the same, number by number.

--- a/serving/test/drawn_failures_test.cc
+++ b/serving/test/drawn_failures_test.cc
@@ -9,30 +9,18 @@
 #include <string>
 #include <vector>
 
+#include "drawn_step.h"
 #include "serving_harness.h"
 
 namespace scaleshed::serving {
 namespace {
 
+using test::AnyStep;
 using test::Daemon;
+using test::DrawnStep;
 
-// What the world outside may do next, as drawn numbers.
-struct DrawnStep {
-  int kind = 0;
-  int first = 0;
-  int second = 0;
-};
-
-std::ostream& operator<<(std::ostream& out, const DrawnStep& step) {
-  return out << step.kind << "(" << step.first << ", " << step.second << ")";
-}
-
-rc::Gen<DrawnStep> AnyStep() {
-  return rc::gen::build<DrawnStep>(
-      rc::gen::set(&DrawnStep::kind, rc::gen::inRange(0, 15)),
-      rc::gen::set(&DrawnStep::first, rc::gen::inRange(0, 1000)),
-      rc::gen::set(&DrawnStep::second, rc::gen::inRange(0, 1000)));
-}
+// Of drawn steps.
+constexpr int kKinds = 15;
 
 // Plays drawn steps against a daemon and holds what must always hold.
 class Player {
@@ -304,7 +292,8 @@
   setenv("RC_PARAMS", "seed=20261202 max_success=600 max_size=120",
          /*overwrite=*/0);
   const bool held = rc::check("serving holds its rules", [] {
-    const auto steps = *rc::gen::container<std::vector<DrawnStep>>(AnyStep());
+    const auto steps =
+        *rc::gen::container<std::vector<DrawnStep>>(AnyStep(kKinds));
     Player player;
     for (const DrawnStep& it : steps) player.Play(it);
     player.Finish();
--- a/serving/test/store_relay_drawn_test.cc
+++ b/serving/test/store_relay_drawn_test.cc
@@ -17,14 +17,18 @@
 #include <utility>
 #include <vector>
 
+#include "drawn_step.h"
 #include "serving_harness.h"
 
 namespace scaleshed::serving {
 namespace {
 
+using test::AnyStep;
+using test::DrawnStep;
 using test::kStart;
 using test::MakeConfiguration;
 
+constexpr int kKinds = 14;  // of drawn steps
 constexpr int kDaemons = 5;
 constexpr int kServers = 4;
 constexpr Duration kStep = milliseconds(10);
@@ -105,23 +109,6 @@
   std::vector<Change> changes_;
 };
 
-struct DrawnStep {
-  int kind = 0;
-  int first = 0;
-  int second = 0;
-};
-
-std::ostream& operator<<(std::ostream& out, const DrawnStep& step) {
-  return out << step.kind << "(" << step.first << ", " << step.second << ")";
-}
-
-rc::Gen<DrawnStep> AnyStep() {
-  return rc::gen::build<DrawnStep>(
-      rc::gen::set(&DrawnStep::kind, rc::gen::inRange(0, 14)),
-      rc::gen::set(&DrawnStep::first, rc::gen::inRange(0, 1000)),
-      rc::gen::set(&DrawnStep::second, rc::gen::inRange(0, 1000)));
-}
-
 // Five daemons of one data centre, their messages and the store.
 class Fleet {
  public:
@@ -438,7 +425,8 @@
   setenv("RC_PARAMS", "seed=20261202 max_success=500 max_size=60",
          /*overwrite=*/0);
   const bool held = rc::check("relays tell no more than is known", [] {
-    const auto steps = *rc::gen::container<std::vector<DrawnStep>>(AnyStep());
+    const auto steps =
+        *rc::gen::container<std::vector<DrawnStep>>(AnyStep(kKinds));
     Fleet fleet;
     for (const DrawnStep& it : steps) fleet.Play(it);
     fleet.Calm();
