--- a/serving/test/proofs_test.cc
+++ b/serving/test/proofs_test.cc
@@ -2,6 +2,7 @@
 // the newest.
 
 #include <catch2/catch.hpp>
+#include <vector>
 
 #include "serving_harness.h"
 
@@ -79,6 +80,25 @@
   CHECK(daemon.First<StartAttempt>() != nullptr);
 }
 
+TEST_CASE("A prompt whose memory comes too late for the proof isn't begun") {
+  Lagging lagging;
+  Daemon& daemon = lagging.daemon();
+  lagging.Lag(milliseconds(1800));
+  daemon.Ask("stream", /*prompt=*/900'000);
+  std::vector<ReserveMemory> orders;
+  for (const Effect& it : daemon.effects()) {
+    const auto* order = std::get_if<ReserveMemory>(&it);
+    if (order != nullptr) orders.push_back(*order);
+  }
+  REQUIRE_FALSE(orders.empty());
+  lagging.Lag(milliseconds(200));
+  for (const ReserveMemory& it : orders) {
+    daemon.Feed(MemoryAnswered{
+        .attempt = it.attempt, .index = it.index, .granted = true});
+    CHECK(daemon.First<StartAttempt>() == nullptr);
+  }
+}
+
 TEST_CASE("While the store says nothing at all, work goes on") {
   Lagging lagging;
   Daemon& daemon = lagging.daemon();
