Read again: one way to take a proof, to gather a list, to name a fault

Ruled out: to derive from the reducer's silence whether entries may have lapsed, in place of the store follower's own count of failed calls: that changes behaviour. Behaviour and tests are as before.

--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -58,6 +58,8 @@
   void Register();
   void WriteMember();
   void Renew();
+  // All backend servers there are, by a list that was asked for then.
+  void TellBackends(const platform::StoredItems& items, Time asked);
   void TellPeers();
   // Notes what became of a call. False where it failed.
   bool Noted(const char* call, std::optional<platform::StoreError> error);
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -33,6 +33,13 @@
 constexpr Duration kFirstBackoff = milliseconds(100);
 constexpr int kMostDoublings = 3;
 
+// Why there is no answer; nothing where there is one.
+template <typename T>
+std::optional<StoreError> FaultOf(const platform::StoreResult<T>& result) {
+  if (ValueOf(result) != nullptr) return std::nullopt;
+  return ErrorOf(result);
+}
+
 bool HasRevision(const platform::StoredItems& items, std::uint64_t revision) {
   return std::any_of(
       items.items.begin(), items.items.end(), [&](const auto& it) {
@@ -65,9 +72,7 @@
   lease_timer_.Cancel();
   if (lease_ == 0) return;
   store_.EndLease(lease_, [this](const auto& result) {
-    Noted("end_lease", ValueOf(result) != nullptr
-                           ? std::nullopt
-                           : std::optional(ErrorOf(result)));
+    Noted("end_lease", FaultOf(result));
   });
 }
 
@@ -127,30 +132,35 @@
                            Time asked) {
   listing_ = false;
   const auto* items = ValueOf(result);
-  if (!Noted("list", items != nullptr ? std::nullopt
-                                      : std::optional(ErrorOf(result)))) {
+  if (!Noted("list", FaultOf(result))) {
     list_timer_.Once(Backoff());
     return;
   }
   listed_ = registered_;
-  serving::BackendsListed all{.backends = {},
-                              .certain = !StoreWasAway(),
-                              .revision = items->at,
-                              .asked = asked};
   peers_.clear();
   for (const auto& it : items->items) {
-    if (const auto* backend = std::get_if<platform::StoredBackend>(&it)) {
-      all.backends.push_back(backend->backend);
-    } else {
-      Take(it, asked);
-    }
+    const bool is_backend = std::holds_alternative<platform::StoredBackend>(it);
+    if (!is_backend) Take(it, asked);
   }
-  feed_(std::move(all));
+  TellBackends(*items, asked);
   TellPeers();
   at_ = std::max(at_, items->at);
   Watch();
 }
 
+void StoreFollower::TellBackends(const platform::StoredItems& items,
+                                 Time asked) {
+  serving::BackendsListed all{.backends = {},
+                              .certain = !StoreWasAway(),
+                              .revision = items.at,
+                              .asked = asked};
+  for (const auto& it : items.items) {
+    const auto* backend = std::get_if<platform::StoredBackend>(&it);
+    if (backend != nullptr) all.backends.push_back(backend->backend);
+  }
+  feed_(std::move(all));
+}
+
 void StoreFollower::TellPeers() {
   feed_(serving::PeersListed{.peer_addresses = {peers_.begin(), peers_.end()}});
 }
@@ -206,8 +216,7 @@
     List();
     return;
   }
-  if (!Noted("watch", changes != nullptr ? std::nullopt
-                                         : std::optional(ErrorOf(result)))) {
+  if (!Noted("watch", FaultOf(result))) {
     watch_timer_.Once(Backoff());
     return;
   }
@@ -252,9 +261,7 @@
     const serving::AskStore& question, Time asked) {
   asking_ = false;
   const auto* confirmation = ValueOf(result);
-  if (!Noted("confirm", confirmation != nullptr
-                            ? std::nullopt
-                            : std::optional(ErrorOf(result)))) {
+  if (!Noted("confirm", FaultOf(result))) {
     feed_(serving::StoreUnreachable{});
     return;
   }
@@ -280,21 +287,11 @@
   store_.ListBackends([this, asked](auto result) {
     listing_backends_ = false;
     const auto* items = ValueOf(result);
-    if (!Noted("list_backends", items != nullptr
-                                    ? std::nullopt
-                                    : std::optional(ErrorOf(result)))) {
+    if (!Noted("list_backends", FaultOf(result))) {
       feed_(serving::StoreUnreachable{});
       return;
     }
-    serving::BackendsListed all{.backends = {},
-                                .certain = !StoreWasAway(),
-                                .revision = items->at,
-                                .asked = asked};
-    for (const auto& it : items->items) {
-      const auto* backend = std::get_if<platform::StoredBackend>(&it);
-      if (backend != nullptr) all.backends.push_back(backend->backend);
-    }
-    feed_(std::move(all));
+    TellBackends(*items, asked);
   });
 }
 
@@ -316,9 +313,7 @@
   const Time asked = loop_.Now();
   store_.ReadConfiguration(/*may_be_old=*/false, [this, asked](auto result) {
     const auto* items = ValueOf(result);
-    if (!Noted("read_configuration", items != nullptr
-                                         ? std::nullopt
-                                         : std::optional(ErrorOf(result)))) {
+    if (!Noted("read_configuration", FaultOf(result))) {
       feed_(serving::StoreUnreachable{});
       return;
     }
@@ -329,9 +324,7 @@
 void StoreFollower::Register() {
   store_.OpenLease(kLeaseTtl, [this](const auto& result) {
     const auto* lease = ValueOf(result);
-    if (!Noted("open_lease", lease != nullptr
-                                 ? std::nullopt
-                                 : std::optional(ErrorOf(result)))) {
+    if (!Noted("open_lease", FaultOf(result))) {
       lease_timer_.Once(Backoff());
       return;
     }
@@ -346,9 +339,7 @@
   store_.WriteMember(options_.peer_address, lease_, [this](const auto& result) {
     const auto* done = ValueOf(result);
     if (done == nullptr && ErrorOf(result) == StoreError::kNoLease) lease_ = 0;
-    registered_ =
-        Noted("register",
-              done != nullptr ? std::nullopt : std::optional(ErrorOf(result)));
+    registered_ = Noted("register", FaultOf(result));
     if (leaving_) return;
     lease_timer_.Once(registered_ ? kRenewEvery : Backoff());
     if (registered_ && !listed_) List();
@@ -371,9 +362,7 @@
       lease_ = 0;
       registered_ = false;
     }
-    const bool kept =
-        Noted("keep_lease",
-              done != nullptr ? std::nullopt : std::optional(ErrorOf(result)));
+    const bool kept = Noted("keep_lease", FaultOf(result));
     lease_timer_.Once(kept ? kRenewEvery : Backoff());
   });
 }
--- a/runtime/include/scaleshed/runtime/http_client.h
+++ b/runtime/include/scaleshed/runtime/http_client.h
@@ -56,8 +56,9 @@
   bool announce_close = true;
   // Where set, gets status and headers before anything of the body.
   std::function<void(const HttpResponse&)> on_head;
-  // Where set, called whenever something of the answer after its head came.
-  std::function<void()> on_progress;
+  // Where set, called whenever something of the answer came, once status and
+  // headers are there; gets those.
+  std::function<void(const HttpResponse&)> on_progress;
   // Where set, gets the body piece by piece, if the status is 200.
   std::function<void(const std::string&)> on_chunk;
   // Called exactly once, unless the call is cancelled.
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -187,7 +187,7 @@
       if (call_.on_head) call_.on_head(head_);
       if (finished_) return;
     }
-    if (call_.on_progress) call_.on_progress();
+    if (call_.on_progress) call_.on_progress(head_);
     if (finished_) return;
     TakeBody();
     if (!finished_ && parser_->is_done()) FinishWhole();
--- a/serving/src/proofs.cc
+++ b/serving/src/proofs.cc
@@ -38,6 +38,13 @@
   return PartOf(state.options.news_within, part);
 }
 
+// `proved` is one of the state's times.
+void Prove(State& state, Time& proved, Time asked) {
+  const bool was_serving = IsServing(state);
+  proved = std::max(proved, asked);
+  if (was_serving != IsServing(state)) state.changed = true;
+}
+
 bool IsYoung(const State& state, Time proved) {
   return state.now < proved + Part(state, kUsePart);
 }
@@ -95,16 +102,11 @@
 }
 
 void ConfirmConfiguration(State& state, Time asked) {
-  const bool was_serving = IsServing(state);
-  state.confirmed_at = std::max(state.confirmed_at, asked);
-  if (was_serving != IsServing(state)) state.changed = true;
+  Prove(state, state.confirmed_at, asked);
 }
 
 void ConfirmBackends(State& state, Time asked) {
-  const bool was_serving = IsServing(state);
-  Time& proved = state.store.backends_confirmed_at;
-  proved = std::max(proved, asked);
-  if (was_serving != IsServing(state)) state.changed = true;
+  Prove(state, state.store.backends_confirmed_at, asked);
 }
 
 void AwaitConfiguration(State& state, std::uint64_t revision, Time asked) {
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -33,10 +33,8 @@
                         .life = state.options.life,
                         .sequence = ++state.sequence,
                         .serving = IsServing(state),
-                        .asks_store = ReachesStore(state)};
-  if (state.configuration) {
-    snapshot.revision = state.configuration->configuration().revision;
-  }
+                        .asks_store = ReachesStore(state),
+                        .revision = RevisionOf(state)};
   snapshot.waiting = WaitingOf(state);
   for (const auto& [name, backend] : state.backends) {
     if (backend.avoided_until() > state.now) {
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -100,9 +100,11 @@
   Backend* backend = FindBackend(state, request.backend);
   // Setting memory aside took a while; a helper that leaves would refuse its
   // part, and the prompt with it.
-  const bool helped = std::all_of(
-      request.work.helpers.begin(), request.work.helpers.end(),
-      [&](BackendId it) { return TakesWork(FindBackend(state, it)); });
+  std::vector<const Backend*> helpers;
+  for (const BackendId it : request.work.helpers) {
+    helpers.push_back(FindBackend(state, it));
+  }
+  const bool helped = std::all_of(helpers.begin(), helpers.end(), TakesWork);
   if (!TakesWork(backend) || !helped || !KnowsBackends(state)) {
     DropAttempt(state, request, false);
     request.phase = Phase::kWaiting;
@@ -121,13 +123,12 @@
                       .stream = IsStream(request.route.kind)};
   if (request.begun) effect.resume_after = request.last_event_id;
   std::string names;
-  for (std::size_t i = 0; i < request.work.helpers.size(); ++i) {
-    const Backend* helper = FindBackend(state, request.work.helpers[i]);
+  for (std::size_t i = 0; i < helpers.size(); ++i) {
+    const BackendServer& helper = helpers[i]->server;
     const std::string ticket =
         i < request.memory.size() ? request.memory[i].ticket : "";
-    effect.helpers.push_back(
-        {.address = helper->server.address, .ticket = ticket});
-    names += (names.empty() ? "" : ",") + helper->server.id;
+    effect.helpers.push_back({.address = helper.address, .ticket = ticket});
+    names += (names.empty() ? "" : ",") + helper.id;
   }
   state.effects.emplace_back(Count{Counter::kSends});
   if (!effect.helpers.empty()) {
@@ -144,8 +145,7 @@
        {"waited_ms", Millis(state.now - request.arrived)},
        {"expected_ms", Millis(request.expected_first)},
        {"time_left_ms", Millis(effect.time_left)},
-       {"revision",
-        std::to_string(state.configuration->configuration().revision)},
+       {"revision", std::to_string(RevisionOf(state))},
        {"confirmed_ms_ago", Millis(state.now - state.confirmed_at)},
        {"listed_ms_ago", Millis(state.now - state.store.backends_confirmed_at)},
        {"resume_after", effect.resume_after}},
