--- a/serving/test/drawn_failures_test.cc
+++ b/serving/test/drawn_failures_test.cc
@@ -185,11 +185,8 @@
   }
 
   void Peer(const DrawnStep& step) {
-    LoadSnapshot snapshot{.instance = "2.2.2.2:1",
-                          .peer_address = "2.2.2.2:2",
-                          .life = 1,
-                          .sequence = ++sequence_,
-                          .serving = step.first % 2 == 0};
+    LoadSnapshot snapshot = test::PeerSnapshot(++sequence_);
+    snapshot.serving = step.first % 2 == 0;
     if (step.first % 3 == 0) {
       snapshot.waiting = {{.id = 1,
                            .service = "llm",
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -213,11 +213,7 @@
 
 TEST_CASE("Peers' words of a bad backend server count") {
   Daemon daemon;
-  LoadSnapshot snapshot{.instance = "2.2.2.2:1",
-                        .peer_address = "2.2.2.2:2",
-                        .life = 1,
-                        .sequence = 1,
-                        .serving = true};
+  LoadSnapshot snapshot = test::PeerSnapshot(1);
   snapshot.suspicions = {
       {.backend = HashBytes("app1"), .until = kStart + seconds(1)},
       {.backend = HashBytes("app2"), .until = kStart + seconds(1)}};
@@ -230,11 +226,8 @@
 
 TEST_CASE("An older or doubled snapshot changes nothing") {
   Daemon daemon;
-  LoadSnapshot snapshot{.instance = "2.2.2.2:1",
-                        .peer_address = "2.2.2.2:2",
-                        .life = 7,
-                        .sequence = 5,
-                        .serving = true};
+  LoadSnapshot snapshot = test::PeerSnapshot(5);
+  snapshot.life = 7;
   daemon.Feed(SnapshotReceived{snapshot});
   CHECK(LookUp(daemon.state()).addresses.size() == 2);
   LoadSnapshot old = snapshot;
@@ -252,11 +245,7 @@
 
 TEST_CASE("Long prompts of all daemons wait in one order") {
   Daemon daemon;
-  LoadSnapshot snapshot{.instance = "2.2.2.2:1",
-                        .peer_address = "2.2.2.2:2",
-                        .life = 1,
-                        .sequence = 1,
-                        .serving = true};
+  LoadSnapshot snapshot = test::PeerSnapshot(1);
   snapshot.waiting = {
       {.id = 1, .service = "llm", .turn = kStart, .read = milliseconds(500)}};
   daemon.Feed(SnapshotReceived{snapshot});
@@ -275,11 +264,7 @@
 
 TEST_CASE("What can't be served in time is refused at once, late ones wait") {
   Daemon daemon;
-  LoadSnapshot snapshot{.instance = "2.2.2.2:1",
-                        .peer_address = "2.2.2.2:2",
-                        .life = 1,
-                        .sequence = 1,
-                        .serving = true};
+  LoadSnapshot snapshot = test::PeerSnapshot(1);
   // Eighty engine-seconds of reading come first: 24 s for four engines.
   snapshot.waiting = {{.id = 1,
                        .service = "llm",
@@ -304,11 +289,7 @@
 TEST_CASE(
     "Of a client that has left while its request waited nothing is sent") {
   Daemon daemon;
-  LoadSnapshot snapshot{.instance = "2.2.2.2:1",
-                        .peer_address = "2.2.2.2:2",
-                        .life = 1,
-                        .sequence = 1,
-                        .serving = true};
+  LoadSnapshot snapshot = test::PeerSnapshot(1);
   snapshot.waiting = {
       {.id = 1, .service = "llm", .turn = kStart, .read = milliseconds(500)}};
   daemon.Feed(SnapshotReceived{snapshot});
--- a/serving/test/serving_harness.h
+++ b/serving/test/serving_harness.h
@@ -47,6 +47,15 @@
   return configuration;
 }
 
+// What another daemon tells that serves and has no work.
+inline LoadSnapshot PeerSnapshot(std::uint64_t sequence) {
+  return {.instance = "2.2.2.2:1",
+          .peer_address = "2.2.2.2:2",
+          .life = 1,
+          .sequence = sequence,
+          .serving = true};
+}
+
 // A reducer under a scripted clock, with six engines and three plain backend
 // servers.
 class Daemon {
--- a/serving/test/snapshots_test.cc
+++ b/serving/test/snapshots_test.cc
@@ -11,15 +11,7 @@
 namespace {
 
 using test::Daemon;
-
-LoadSnapshot PeerSnapshot(std::uint64_t sequence) {
-  return {.instance = "2.2.2.2:1",
-          .peer_address = "2.2.2.2:2",
-          .data_centre = "z",
-          .life = 1,
-          .sequence = sequence,
-          .serving = true};
-}
+using test::PeerSnapshot;
 
 std::set<std::uint64_t> WorkIds(const Daemon& daemon) {
   std::set<std::uint64_t> ids;
@@ -73,11 +65,11 @@
 TEST_CASE("Parts change what a whole snapshot told; the next whole one rules") {
   Daemon daemon;
   LoadSnapshot whole = PeerSnapshot(1);
+  whole.data_centre = "z";
   whole.works = {{.id = 1}, {.id = 2}};
   daemon.Feed(SnapshotReceived{whole});
   LoadSnapshot part = PeerSnapshot(2);
   part.instance.clear();
-  part.data_centre.clear();
   part.partial = true;
   part.works = {{.id = 2, .writing = true}, {.id = 3}};
   part.ended = {1};
--- a/serving/test/store_relay_drawn_test.cc
+++ b/serving/test/store_relay_drawn_test.cc
@@ -80,11 +80,12 @@
   // The change of an entry up to `then` that `known` lacks; empty if none.
   std::string Missing(const std::map<std::string, Backend>& known,
                       Time then) const {
-    std::map<std::string, BackendServer> last;
+    std::map<std::string, const BackendServer*> last;
     for (const auto& it : changes_) {
-      if (it.at < then) last[it.id] = it.server;
+      if (it.at < then) last[it.id] = &it.server;
     }
-    for (const auto& [id, server] : last) {
+    for (const auto& [id, change] : last) {
+      const BackendServer& server = *change;
       const auto found = known.find(id);
       const bool listed = found != known.end() && !found->second.gone_at;
       const bool gone = server.address.empty();
--- a/testing/test/fleet_harness.h
+++ b/testing/test/fleet_harness.h
@@ -33,6 +33,15 @@
          std::to_string(process % kByte) + ".1:" + std::to_string(next++);
 }
 
+// A newer configuration that takes no request.
+inline nlohmann::json ConfigurationWithoutRoutes(int version) {
+  nlohmann::json configuration = FleetConfiguration();
+  configuration["version"] = version;
+  configuration["routes"].erase(configuration["routes"].begin(),
+                                configuration["routes"].end());
+  return configuration;
+}
+
 // A request and what came of it.
 struct Asked {
   bool done = false;
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -394,16 +394,12 @@
   CHECK(fleet.Get(address, "/other")->status() == 404);
   // What is measured by route goes with the route: configurations change many
   // thousand times a day.
-  nlohmann::json none = FleetConfiguration();
-  none["version"] = 2;
-  none["routes"].erase(none["routes"].begin(), none["routes"].end());
-  fleet.Configure(none);
+  fleet.Configure(ConfigurationWithoutRoutes(2));
   CHECK(
       fleet.Eventually([&] { return fleet.Ask("/chat/a")->status() == 404; }));
   // What was in work at the change is measured after it, and goes with the
   // next.
-  none["version"] = 3;
-  fleet.Configure(none);
+  fleet.Configure(ConfigurationWithoutRoutes(3));
   CHECK(fleet.Eventually([&] {
     const std::string now = fleet.Get(address, "/metrics")->body();
     return now.find("r/chat/") == std::string::npos;
--- a/testing/test/store_trouble_test.cc
+++ b/testing/test/store_trouble_test.cc
@@ -40,10 +40,7 @@
   fleet.store().MuteWatches(true);
   fleet.store().SetMode(StoreMode::kUp);
   CHECK(fleet.WaitReady());
-  nlohmann::json newer = FleetConfiguration();
-  newer["version"] = 2;
-  newer["routes"].erase(newer["routes"].begin(), newer["routes"].end());
-  fleet.Configure(newer);
+  fleet.Configure(ConfigurationWithoutRoutes(2));
   CHECK(fleet.Eventually(
       [&] { return fleet.Ask("/plain/safe/a")->status() == 404; }));
 }
@@ -67,10 +64,7 @@
     }));
   }
   CHECK(other.runs() > 0);
-  nlohmann::json none = FleetConfiguration();
-  none["version"] = 2;
-  none["routes"].erase(none["routes"].begin(), none["routes"].end());
-  fleet.Configure(none);
+  fleet.Configure(ConfigurationWithoutRoutes(2));
   for (std::size_t i = 0; i < 4; ++i) {
     CHECK(fleet.Eventually([&] {
       const auto asked = fleet.Send("/plain/safe/a", {}, i);
