Waiting is told once; a call that is given up takes its unsent bytes back

Cause: each look at a full pool marked the state as changed, so a daemon with one waiting prompt told all others a hundred times a second; on links of 20 Mbit/s requests and answers waited behind that. Requests whose clients had left still reached backend servers, as an orderly close sends what the socket holds. Ruled out: to look less often (the order of those that wait is by these looks). Change: a wait is news when it begins or its reason changes; a call that is given up is closed with a reset. Both tests failed before; http_test and serving_test pass.

--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -220,7 +220,10 @@
     }
   }
 
-  void FinishWhole() { Finish(std::move(head_)); }
+  void FinishWhole() {
+    whole_ = true;
+    Finish(std::move(head_));
+  }
 
   void Finish(HttpResult result) {
     if (std::exchange(finished_, true)) return;
@@ -235,7 +238,17 @@
     timer_.Cancel();
     silence_timer_.Cancel();
     connect_timer_.Cancel();
-    if (bev_ != nullptr) bufferevent_free(std::exchange(bev_, nullptr));
+    if (bev_ == nullptr) return;
+    if (!whole_) DropUnsent();
+    bufferevent_free(std::exchange(bev_, nullptr));
+  }
+
+  // A request that is given up while it waits behind others on a full link is
+  // not to leave later: the close takes back what the socket still holds.
+  void DropUnsent() {
+    constexpr linger kNothingLeft{.l_onoff = 1, .l_linger = 0};
+    setsockopt(bufferevent_getfd(bev_), SOL_SOCKET, SO_LINGER, &kNothingLeft,
+               sizeof(kNothingLeft));
   }
 
   HttpClient& client_;
@@ -249,6 +262,7 @@
   HttpResponse head_;
   bool connected_ = false;
   bool told_head_ = false;
+  bool whole_ = false;  // the answer has come to its end
   bool finished_ = false;
 
   friend class HttpClient;
--- a/runtime/test/http_test.cc
+++ b/runtime/test/http_test.cc
@@ -1,10 +1,12 @@
 // The HTTP server and client against peers that frame badly, on loopback.
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <memory>
@@ -265,5 +267,50 @@
   CHECK(ErrorOf(stopped) == HttpError::kTimeout);
 }
 
+// Requests of clients that had left reached backend servers half a second
+// later: their bytes had waited in the socket, behind a full link, and an
+// orderly close sends them first.
+TEST_CASE("A call that is given up takes its unsent bytes back") {
+  EventLoop loop;
+  const int server = socket(AF_INET, SOCK_STREAM, 0);
+  auto name = *SocketAddress("127.0.0.1:0");
+  socklen_t length = sizeof(name);
+  REQUIRE(bind(server, reinterpret_cast<sockaddr*>(&name), length) == 0);
+  REQUIRE(listen(server, 1) == 0);
+  REQUIRE(getsockname(server, reinterpret_cast<sockaddr*>(&name), &length) ==
+          0);
+  HttpClient client(loop);
+  // More than the sockets hold, to a server that does not read yet.
+  constexpr std::size_t kBytes = 32 * 1024 * 1024;
+  const auto call = client.Start(
+      {.address = "127.0.0.1:" + std::to_string(ntohs(name.sin_port)),
+       .method = "POST",
+       .body = std::string(kBytes, 'x')});
+  int connection = -1;
+  char head = 0;
+  bool given_up = false;
+  Timer poll(loop, [&] {
+    if (connection < 0) {
+      connection = accept4(server, nullptr, nullptr, SOCK_NONBLOCK);
+    }
+    if (recv(connection, &head, 1, MSG_PEEK) == 1 || given_up) loop.Stop();
+  });
+  poll.Every(milliseconds(1));
+  loop.Run();
+  client.Cancel(call);
+  given_up = true;
+  // The loop closes what was given up.
+  poll.Once(milliseconds(1));
+  loop.Run();
+  fcntl(connection, F_SETFL, 0);  // waits for the end now
+  char buf[4096];
+  ssize_t n = 1;
+  while (n > 0) n = recv(connection, buf, sizeof(buf), 0);
+  CHECK(n < 0);
+  CHECK(errno == ECONNRESET);
+  close(connection);
+  close(server);
+}
+
 }  // namespace
 }  // namespace scaleshed
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -218,6 +218,10 @@
 }
 
 void Wait(State& state, Request& request, Duration pause, Shortage of) {
+  // That it goes on waiting is no news: the others are told of what changed
+  // alone, each look at a full pool would be one more message to all of them.
+  const bool news =
+      request.phase != Phase::kWaiting || request.waits_for != of;
   if (request.waits_for != of) {
     request.waits_for = of;
     Log(state, "waits",
@@ -228,7 +232,7 @@
   }
   request.phase = Phase::kWaiting;
   request.retry_at = state.now + pause;
-  state.changed = true;
+  state.changed = state.changed || news;
 }
 
 }  // namespace
--- a/serving/test/snapshots_test.cc
+++ b/serving/test/snapshots_test.cc
@@ -52,6 +52,29 @@
   CHECK(ended[0].ended == std::vector<std::uint64_t>{first});
 }
 
+// Of 295 daemons with small links each told all others a hundred times a second
+// that it still had a prompt waiting; requests and answers waited behind that.
+TEST_CASE("That a prompt goes on waiting is not told at each look") {
+  Daemon daemon;
+  daemon.Feed(SnapshotReceived{PeerSnapshot(1)});
+  // The engines are busy with a prompt of another daemon.
+  LoadSnapshot busy = PeerSnapshot(2);
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    busy.works.push_back({.id = i,
+                          .backend = HashBytes("llm" + std::to_string(i)),
+                          .prompt_tokens = 400'000,
+                          .answer_tokens = 500,
+                          .started = daemon.now()});
+  }
+  daemon.Feed(SnapshotReceived{busy});
+  daemon.Ask("stream", 300'000);
+  daemon.Pass(milliseconds(1000));
+  REQUIRE(daemon.state().requests.size() == 1);
+  CHECK(daemon.state().requests.begin()->second.phase == Phase::kWaiting);
+  // Ten heartbeats, by which the others order theirs.
+  CHECK(Told(daemon.effects(), /*partial=*/true).size() <= 11);
+}
+
 TEST_CASE("Each daemon gets whole snapshots in turn") {
   Daemon daemon;
   daemon.Feed(SnapshotReceived{PeerSnapshot(1)});
