Who lives is looked at twenty times a second at most

Cause: each tick of a busy daemon (50 a second) went over all members to rank hubs and to see who is to be told again; at 295 daemons that is most of an idle daemon's time by reading the code.

--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -216,6 +216,7 @@
   ServingOptions options;
   Time now{};
   Time ticked_at{};
+  Time looked_at{};  // around, at the other daemons
   std::mt19937_64 random;
 
   std::optional<ConfigurationIndex> configuration;
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -185,6 +185,8 @@
 void NoteLag(State& state);
 
 // store_following.cc: who asks the store, and what the others hear of it.
+// Which duties this daemon has among those that it hears.
+void TakeRoles(State& state);
 // Asks, watches, reads and relays as is due.
 void FollowStore(State& state);
 // When FollowStore() has something to do at the latest.
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -13,6 +13,10 @@
 // While requests are in work, their time limits are looked at so often.
 constexpr Duration kBusyTick = milliseconds(20);
 constexpr Duration kIdleTick = milliseconds(200);
+// Who lives, who has which duty and who is to be told again is looked at so
+// often: each look goes over all daemons, and what it finds is due in tenths of
+// a second.
+constexpr Duration kLookAround = milliseconds(50);
 // A stopping daemon still takes requests for so long of its grace, as clients
 // keep addresses for a while; then it ends with its last answer.
 constexpr double kTakingPart = 0.8;
@@ -49,8 +53,12 @@
   NoteLag(state);
   ExpireAttempts(state);
   StartWaiting(state);
-  AskReports(state);
-  PublishWhole(state);
+  if (state.now >= state.looked_at + kLookAround) {
+    state.looked_at = state.now;
+    AskReports(state);
+    PublishWhole(state);
+    TakeRoles(state);
+  }
   FollowStore(state);
   FinishStop(state);
 }
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -261,6 +261,12 @@
          state.now - state.store.unreachable_at > kUnreachableFor;
 }
 
+void TakeRoles(State& state) {
+  if (!state.store.has_role) return;
+  TakeRole(state);
+  TakeAudience(state);
+}
+
 void FollowStore(State& state) {
   StoreFollowing& store = state.store;
   if (!store.begun) {
@@ -274,9 +280,8 @@
     if (state.now < store.ask_due) return;
     store.has_role = true;
     store.role_at = state.now;
+    TakeRoles(state);
   }
-  TakeRole(state);
-  TakeAudience(state);
   if (QuestionDue(state) <= state.now) Ask(state);
   ReadWhatIsNewer(state);
   if (store.watching && (HasProof(state) || HasNews(state))) Relay(state);
