--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -89,6 +89,15 @@
   if (line.event == "refused") return ExplainRefused(line);
   if (line.event == "gives_up") return ExplainGivesUp(line);
   if (line.event == "waits") return "waits for " + Field(line, "for");
+  if (line.event == "placed") {
+    return "placed at " + Field(line, "backend") + " for " + Field(line, "for");
+  }
+  if (line.event == "placer_silent") {
+    return "no answer where to send it from " + Field(line, "placer");
+  }
+  if (line.event == "places_alone") {
+    return "no placer is known to answer: sent by what this daemon knows";
+  }
   if (line.event == "answered") {
     return "answered whole after " + Field(line, "after_ms") + " ms, runs " +
            Field(line, "runs") + ", first token " + Field(line, "first_ms") +
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -26,6 +26,15 @@
   RenderGauge(out, "backends_suspect", suspect);
 }
 
+void RenderDispatch(std::ostream& out, const serving::Dispatching& dispatch) {
+  RenderGauge(out, "all_daemons_place", dispatch.all_place ? 1 : 0);
+  RenderGauge(out, "is_hub", dispatch.is_hub ? 1 : 0);
+  RenderGauge(out, "placers_known",
+              static_cast<double>(dispatch.placers.size()));
+  RenderGauge(out, "prompts_of_others",
+              static_cast<double>(dispatch.asked.size()));
+}
+
 void RenderRequests(std::ostream& out, const serving::State& state) {
   std::array<double, serving::kPhaseNames.size()> by_phase{};
   for (const auto& [key, request] : state.requests) {
@@ -80,6 +89,7 @@
       std::count_if(state.members.begin(), state.members.end(),
                     [](const auto& it) { return it.second.snapshot.serving; });
   RenderGauge(out, "other_daemons_serving", static_cast<double>(daemons));
+  RenderDispatch(out, state.dispatch);
   RenderRequests(out, state);
   out << "# TYPE scaleshed_latency_seconds histogram\n";
   for (const auto& [key, histogram] : latencies_) {
--- a/serving/include/scaleshed/serving/dispatch.h
+++ b/serving/include/scaleshed/serving/dispatch.h
@@ -25,6 +25,7 @@
   std::uint64_t id = 0;      // of its request, and of the work it will be
   std::uint64_t round = 0;   // rises with each attempt at the request
   bool over = false;         // nobody waits for it any more
+  std::string request;       // the client's id of it, for the log
   std::string service;
   std::int64_t prompt_tokens = 0;
   std::int64_t answer_tokens = 0;  // at most
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -44,6 +44,7 @@
           .life = state.options.life,
           .id = request.key,
           .round = request.round,
+          .request = request.facts.id,
           .service = request.service,
           .prompt_tokens = request.facts.prompt_tokens,
           .answer_tokens = request.facts.answer_tokens,
@@ -56,7 +57,7 @@
 
 Demand DemandOf(const AskedPlace& asked) {
   const PlaceQuestion& it = asked.question;
-  return {.id = it.peer_address + "/" + std::to_string(it.id),
+  return {.id = it.request,
           .service = it.service,
           .prompt_tokens = it.prompt_tokens,
           .answer_tokens = it.answer_tokens,
@@ -82,6 +83,11 @@
       AnswerPlace{.to = question.peer_address, .answer = std::move(answer)});
 }
 
+std::string NameOf(State& state, BackendId id) {
+  const Backend* backend = FindBackend(state, id);
+  return backend == nullptr ? "" : backend->server.id;
+}
+
 void NotePlaced(State& state, AskedPlace& asked, const Placed& placed) {
   const PlaceQuestion& question = asked.question;
   asked.placed = placed;
@@ -96,6 +102,16 @@
                 .longest_pause = question.longest_pause,
                 .helper_tokens = placed.helper_tokens};
   state.effects.emplace_back(Count{Counter::kPlacedForOthers});
+  Log(state, "placed",
+      {{"request", question.request},
+       {"for", question.peer_address},
+       {"backend", NameOf(state, placed.backend)},
+       {"helpers", std::to_string(placed.helpers.size())},
+       {"prompt", std::to_string(question.prompt_tokens)},
+       {"after_ms", Millis(state.now - question.arrived)},
+       {"expected_ms", Millis(placed.first_token)},
+       {"asked", std::to_string(state.dispatch.asked.size())}},
+      /*routine=*/true);
 }
 
 // Whether it still waits for a place.
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -150,6 +150,7 @@
           .id = from.id(),
           .round = from.round(),
           .over = from.over(),
+          .request = from.request(),
           .service = from.service(),
           .prompt_tokens = from.prompt_tokens(),
           .answer_tokens = from.answer_tokens(),
@@ -193,6 +194,7 @@
   to.set_id(question.id);
   to.set_round(question.round);
   to.set_over(question.over);
+  to.set_request(question.request);
   to.set_service(question.service);
   to.set_prompt_tokens(question.prompt_tokens);
   to.set_answer_tokens(question.answer_tokens);
--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -104,6 +104,7 @@
                                         .id = 4,
                                         .round = 5,
                                         .over = true,
+                                        .request = "r\xff",
                                         .service = "llm",
                                         .prompt_tokens = 6,
                                         .answer_tokens = 7,
@@ -122,6 +123,7 @@
   CHECK(asked.id == 4);
   CHECK(asked.round == 5);
   CHECK(asked.over);
+  CHECK(asked.request == question.request);
   CHECK(asked.service == "llm");
   CHECK(asked.prompt_tokens == 6);
   CHECK(asked.answer_tokens == 7);
@@ -131,18 +133,17 @@
   CHECK(asked.longest_pause == milliseconds(10));
   CHECK(asked.tried == question.tried);
 
-  const serving::PlaceAnswer answer{
-      .peer_address = "2.2.2.2:2",
-      .life = 3,
-      .id = 4,
-      .round = 5,
-      .outcome = serving::PlaceOutcome::kRefused,
-      .placed = {.backend = 6,
-                 .helpers = {7, 8},
-                 .helper_tokens = {0, 9},
-                 .first_token = milliseconds(10)},
-      .shortage = serving::Shortage::kTickets,
-      .retry_after = milliseconds(11)};
+  const serving::PlaceAnswer answer{.peer_address = "2.2.2.2:2",
+                                    .life = 3,
+                                    .id = 4,
+                                    .round = 5,
+                                    .outcome = serving::PlaceOutcome::kRefused,
+                                    .placed = {.backend = 6,
+                                               .helpers = {7, 8},
+                                               .helper_tokens = {0, 9},
+                                               .first_token = milliseconds(10)},
+                                    .shortage = serving::Shortage::kTickets,
+                                    .retry_after = milliseconds(11)};
   const auto back =
       Back<serving::PlaceAnswerReceived>(EncodeDatagram(answer)).answer;
   CHECK(back.peer_address == "2.2.2.2:2");
