Hubs are heard by other data centres without a pause; placers of two data centres

Both placers could be of one data centre. Change: whoever does not answer by design is told as often as the others; how many daemons there are is counted as soon as they are listed; the second placer is of another data centre where there is one.

--- a/serving/src/audience.cc
+++ b/serving/src/audience.cc
@@ -20,8 +20,7 @@
 // 2,000 messages a second in all; at 76 with 120 it was 27,000, which delayed
 // answers on links of 20 Mbit/s by some ms.
 constexpr std::size_t kMostThatAllPlace = 16;
-constexpr std::size_t kHubs = 2;     // of a data centre
-constexpr std::size_t kPlacers = 2;  // of all: one places, one follows
+constexpr std::size_t kHubs = 2;  // of a data centre
 // An answer to a look-up holds so many addresses at most.
 constexpr std::size_t kMostAddresses = 64;
 // With fewer that serve in this data centre, those of others are named too.
@@ -62,6 +61,16 @@
          hubs.end();
 }
 
+std::string DataCentreOf(const State& state, const std::string& peer) {
+  if (peer == state.options.peer_address) return state.options.data_centre;
+  const auto member = state.members.find(peer);
+  if (member != state.members.end()) return member->second.snapshot.data_centre;
+  const auto listed = state.listed_peers.find(peer);
+  return listed == state.listed_peers.end() ? "" : listed->second;
+}
+
+// The second one in another data centre than the first, if there is one: a data
+// centre that is cut off takes one placer only.
 std::vector<std::string> PlacersOf(const State& state) {
   Ranked ranked;
   const auto add = [&](double capacity, const std::string& address) {
@@ -76,14 +85,17 @@
       add(told.capacity, address);
     }
   }
-  return FirstOf(std::move(ranked), kPlacers);
-}
-
-std::string DataCentreOf(const State& state, const std::string& peer) {
-  const auto member = state.members.find(peer);
-  if (member != state.members.end()) return member->second.snapshot.data_centre;
-  const auto listed = state.listed_peers.find(peer);
-  return listed == state.listed_peers.end() ? "" : listed->second;
+  const std::size_t n = ranked.size();
+  const auto all = FirstOf(std::move(ranked), n);
+  if (all.empty()) return {};
+  const std::string first_in = DataCentreOf(state, all.front());
+  const auto second =
+      std::find_if(all.begin(), all.end(), [&](const std::string& it) {
+        return DataCentreOf(state, it) != first_in;
+      });
+  if (second != all.end()) return {all.front(), *second};
+  return {all.begin(),
+          all.begin() + std::min<std::ptrdiff_t>(2, std::ssize(all))};
 }
 
 }  // namespace
@@ -104,11 +116,13 @@
          IsPlacer(state, state.options.peer_address);
 }
 
+void CountDaemons(State& state) {
+  state.dispatch.all_place = LiveDaemons(state) <= kMostThatAllPlace;
+}
+
 void TakeAudience(State& state) {
   Dispatching& dispatch = state.dispatch;
-  dispatch.all_place = LiveDaemons(state) <= kMostThatAllPlace;
-  // Until it is known who else is there, everyone would take itself for a hub.
-  if (!state.store.has_role) return;
+  CountDaemons(state);
   const bool was_hub = dispatch.is_hub;
   dispatch.is_hub = !dispatch.all_place && TakeHub(state);
   auto placers =
@@ -136,6 +150,17 @@
          DataCentreOf(state, peer) == state.options.data_centre;
 }
 
+bool TellsUs(const State& state, const std::string& peer) {
+  const Dispatching& dispatch = state.dispatch;
+  if (dispatch.all_place || IsPlacer(state, state.options.peer_address)) {
+    return true;
+  }
+  const auto member = state.members.find(peer);
+  const bool is_hub =
+      member != state.members.end() && member->second.snapshot.is_hub;
+  return is_hub || DataCentreOf(state, peer) == state.options.data_centre;
+}
+
 bool HearsWorks(const State& state, const std::string& peer) {
   return state.dispatch.all_place || IsPlacer(state, peer);
 }
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -78,9 +78,13 @@
 // Whether this daemon hears what all have at engines.
 bool PlacesItself(const State& state);
 void TakeAudience(State& state);
+// Whether few enough daemons are known that each hears all.
+void CountDaemons(State& state);
 // Whether that daemon is told that this one lives; what it has at engines.
 bool HearsAlive(const State& state, const std::string& peer);
 bool HearsWorks(const State& state, const std::string& peer);
+// Whether that daemon, if it lives, tells this one so.
+bool TellsUs(const State& state, const std::string& peer);
 // Where clients may go.
 std::vector<std::string> AddressesFor(const State& state);
 
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -50,6 +50,7 @@
     state.listed_peers[it.peer_address] = it.data_centre;
   }
   state.listed_peers.erase(state.options.peer_address);
+  CountDaemons(state);
   // Those that went long ago are not written to for ever.
   std::erase_if(state.members, [&](const auto& it) {
     return !IsHeard(state, it.second) && !state.listed_peers.contains(it.first);
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -78,6 +78,8 @@
 
 // Between two whole snapshots to that daemon.
 Duration WholePause(const State& state, const std::string& peer_address) {
+  // Those of other data centres don't tell a hub that they live.
+  if (!TellsUs(state, peer_address)) return kWholeEvery;
   const auto member = state.members.find(peer_address);
   if (member == state.members.end() || !IsHeard(state, member->second)) {
     return kWholeToSilent;
--- a/serving/test/dispatch_test.cc
+++ b/serving/test/dispatch_test.cc
@@ -53,6 +53,15 @@
   CHECK(MessagesIn(hall, milliseconds(800)) < all_to_all / 3);
 }
 
+// Hubs told those of other data centres so rarely, as these don't tell them
+// anything, that each took them for gone every two seconds.
+TEST_CASE("Who is told that another lives does not doubt it in between") {
+  Hall hall({.daemons = 60, .data_centres = 5});
+  const std::size_t lines = hall.lines("member");
+  hall.Pass(seconds(6));
+  CHECK(hall.lines("member") == lines);
+}
+
 TEST_CASE("Up to sixteen daemons each hears all and places its own") {
   Hall hall({.daemons = 16, .data_centres = 4});
   CHECK(hall.state(0).dispatch.all_place);
@@ -69,6 +78,9 @@
   Hall hall({.daemons = 60, .data_centres = 5});
   const auto placers = hall.state(0).dispatch.placers;
   REQUIRE(placers.size() == 2);
+  // A data centre that is cut off takes one of them only.
+  CHECK(std::stoi(placers[0].substr(1)) % 5 !=
+        std::stoi(placers[1].substr(1)) % 5);
   for (int i = 0; i < 60; ++i) CHECK(hall.state(i).dispatch.placers == placers);
   for (const std::string& it : placers) {
     CHECK(hall.state(std::stoi(it.substr(1))).options.capacity > 1);
--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -84,6 +84,11 @@
   const std::map<std::string, int>& sends() const { return sends_; }
   // At one moment, by backend server's address.
   const std::map<RequestKey, int>& refusals() const { return refusals_; }
+  // Log lines of that name so far.
+  std::size_t lines(const std::string& what) const {
+    const auto it = lines_.find(what);
+    return it == lines_.end() ? 0 : it->second;
+  }
   std::size_t messages() const { return messages_; }
   std::size_t told_to(int i) const {
     return nodes_.at(static_cast<std::size_t>(i)).heard;
@@ -173,6 +178,8 @@
       After(milliseconds(1), from,
             MemoryAnswered{
                 .attempt = it->attempt, .index = it->index, .granted = true});
+    } else if (const auto* it = std::get_if<LogDecision>(&effect)) {
+      ++lines_[it->what];
     } else if (const auto* it = std::get_if<Refuse>(&effect)) {
       ++refusals_[it->key];
     }
@@ -206,6 +213,7 @@
   std::map<RequestKey, Duration> waits_;
   std::map<std::string, int> sends_;
   std::map<RequestKey, int> refusals_;
+  std::map<std::string, std::size_t> lines_;
   std::size_t messages_ = 0;
 };
 
