A new configuration is had from a daemon that has it

Ruled out: pieces in datagrams (lost where links are full, which is when they matter); reading it from the askers alone (25 answers of 520 KB are 5 s of a link of 20 Mbit/s). Change: it is asked over HTTP, at the address for messages of daemons, of one of the data centre that has told that it has it, drawn, so that each that has it serves others; the store is asked where that one says nothing for 250 ms. What a daemon tells proves nothing: relays do. Only a call to the store counts for its silence. A test of the silence now says when the store was asked.

--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -46,6 +46,8 @@
   void Begin(const serving::BeginStream& effect);
   void Answer(const serving::Refuse& effect);
   void OnRequest(const std::shared_ptr<HttpExchange>& exchange);
+  // Another daemon reads the configuration.
+  void OnDocument(HttpExchange& exchange);
   void OnLookUp(HttpExchange& exchange);
   void OnReadyCheck(HttpExchange& exchange);
   void OnMetrics(HttpExchange& exchange);
@@ -60,6 +62,7 @@
   std::unique_ptr<BackendCalls> backends_;
   std::unique_ptr<StoreFollower> store_;
   DatagramSocket peers_;
+  HttpServer documents_;  // for other daemons
   HttpServer front_;
   HttpServer ready_;
   HttpServer look_ups_;
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -57,6 +57,8 @@
                auto body = DecodeDatagram(bytes, loop_.Now());
                if (body) Feed(std::move(*body));
              }),
+      documents_(loop, {.address = settings.peer_listen},
+                 [this](const auto& exchange) { OnDocument(*exchange); }),
       front_(loop, {.address = settings.listen},
              [this](const auto& exchange) { OnRequest(exchange); }),
       ready_(loop, {.address = settings.fleet->ready_listen},
@@ -148,7 +150,7 @@
           },
           [&](const serving::AskStore& it) { store_->Ask(it); },
           [&](const serving::ReadConfiguration& it) {
-            store_->ReadConfiguration(it.revision);
+            store_->ReadConfiguration(it);
           },
           [&](const serving::ListStore&) { store_->List(); },
           [&](const serving::WatchStore& it) { store_->SetWatch(it.on); },
@@ -216,6 +218,19 @@
       .key = key, .facts = platform::ReadRequest(exchange->request())});
 }
 
+void FleetDaemon::OnDocument(HttpExchange& exchange) {
+  const auto* document =
+      state_.configuration
+          ? state_.configuration->configuration().document.get()
+          : nullptr;
+  if (exchange.path() != kConfigurationPath || document == nullptr) {
+    exchange.Reply(kNotFound, {}, "");
+    return;
+  }
+  const auto revision = state_.configuration->configuration().revision;
+  exchange.Reply(kOk, {{kRevisionHeader, std::to_string(revision)}}, *document);
+}
+
 void FleetDaemon::OnLookUp(HttpExchange& exchange) {
   if (!platform::IsLookUp(exchange)) {
     exchange.Reply(kNotFound, {}, "");
--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -9,11 +9,17 @@
 
 #include "scaleshed/platform/store_client.h"
 #include "scaleshed/runtime/event_loop.h"
+#include "scaleshed/runtime/http_client.h"
 #include "scaleshed/serving/effects.h"
 #include "scaleshed/serving/events.h"
 
 namespace scaleshed {
 
+// Where a daemon tells others the configuration that it has, and the header
+// that says its revision.
+inline constexpr char kConfigurationPath[] = "/configuration";
+inline constexpr char kRevisionHeader[] = "Configuration-Revision";
+
 struct StoreFollowerOptions {
   std::string store;         // "ip:port"
   std::string peer_address;  // under which this daemon is listed
@@ -38,8 +44,9 @@
   void Leave();
 
   void Ask(const serving::AskStore& question);
-  // That revision of it or a newer one.
-  void ReadConfiguration(std::uint64_t revision);
+  // That revision of it or a newer one, from a daemon that has it or else from
+  // the store.
+  void ReadConfiguration(const serving::ReadConfiguration& wanted);
   // All that there is, again and again until it is told.
   void List();
   void SetWatch(bool on);
@@ -53,6 +60,7 @@
   void OnAsked(platform::StoreResult<platform::Confirmation> result,
                const std::vector<platform::KnownRevision>& known,
                const serving::AskStore& question, Time asked);
+  void ReadStored(std::uint64_t revision);
   void ReadNewest();
   void ListBackends(Time asked);
   void Take(const platform::StoredItem& item, Time asked);
@@ -73,6 +81,7 @@
   StoreFollowerOptions options_;
   Feed feed_;
   platform::StoreClient store_;
+  HttpClient peer_calls_;
   std::mt19937_64 random_;
   std::map<std::string, std::string> peers_;  // to their data centres
   std::uint64_t at_ = 0;                      // where the watch goes on
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -1,6 +1,7 @@
 #include "internal/store_follower.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "scaleshed/runtime/log.h"
@@ -30,6 +31,11 @@
 constexpr Duration kRenewEvery = seconds(6);
 // A large answer comes in many pieces; that it goes on is told so often.
 constexpr Duration kHeardGrain = milliseconds(20);
+// A daemon of the same data centre tells a configuration within this, as long
+// as something of it comes; else the store is asked.
+constexpr Duration kPeerWithin = seconds(2);
+constexpr Duration kPeerSilence = milliseconds(250);
+constexpr int kOk = 200;
 constexpr Duration kFirstBackoff = milliseconds(100);
 constexpr int kMostDoublings = 3;
 
@@ -57,6 +63,7 @@
       feed_(std::move(feed)),
       store_(loop,
              {.address = options_.store, .on_heard = [this] { Heard(); }}),
+      peer_calls_(loop),
       random_(options_.seed),
       list_timer_(loop, [this] { List(); }),
       watch_timer_(loop, [this] { Watch(); }),
@@ -300,9 +307,42 @@
   });
 }
 
+// Read from the store by each, one change would be n calls and n answers over
+// one link.
+void StoreFollower::ReadConfiguration(
+    const serving::ReadConfiguration& wanted) {
+  peer_calls_.Start(
+      {.address = wanted.from,
+       .path = kConfigurationPath,
+       .timeout = kPeerWithin,
+       .silence = kPeerSilence,
+       .connect_timeout = kPeerSilence,
+       .on_done = [this, wanted](HttpResult result) {
+         auto* answer = ValueOf(result);
+         const std::uint64_t revision =
+             answer == nullptr || answer->status != kOk
+                 ? 0
+                 : std::strtoull(answer->headers.Get(kRevisionHeader).c_str(),
+                                 nullptr, 10);
+         if (revision < wanted.revision) {
+           LogInfo("configuration_not_told",
+                   {{"from", wanted.from},
+                    {"revision", std::to_string(revision)},
+                    {"wanted", std::to_string(wanted.revision)}});
+           ReadStored(wanted.revision);
+           return;
+         }
+         // It proves nothing; relays tell that it is the newest.
+         Take(platform::ReadStoredConfiguration(std::move(answer->body),
+                                                revision),
+              Time{});
+       }});
+}
+
 // Of many daemons that read the same change at about the same time, most are
 // answered well enough by a read that may be old.
-void StoreFollower::ReadConfiguration(std::uint64_t revision) {
+void StoreFollower::ReadStored(std::uint64_t revision) {
+  feed_(serving::StoreAsked{});
   store_.ReadConfiguration(/*may_be_old=*/true, [this, revision](auto result) {
     const auto* items = ValueOf(result);
     if (items != nullptr && HasRevision(*items, revision)) {
--- a/serving/include/scaleshed/serving/configuration.h
+++ b/serving/include/scaleshed/serving/configuration.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -89,6 +90,8 @@
 
 // One accepted configuration. `revision` orders them: it only rises.
 struct Configuration {
+  // As it is stored, for daemons that lack it; may be missing.
+  std::shared_ptr<const std::string> document;
   std::uint64_t revision = 0;
   std::int64_t version = 0;  // the operators' own count, for logs
   std::vector<Route> routes;
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -137,6 +137,9 @@
 // Reads the configuration, which is known to have got that revision.
 struct ReadConfiguration {
   std::uint64_t revision = 0;
+  // A daemon that has it, by peer address. The store is asked where that one
+  // does not tell.
+  std::string from;
 };
 // Reads all that the store holds.
 struct ListStore {};
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -119,6 +119,9 @@
   std::uint64_t revision = 0;
 };
 
+// The store was asked for what ReadConfiguration wants, as no daemon told it.
+struct StoreAsked {};
+
 // Something of an answer of the store came to this daemon, of whichever, that
 // is more than a refusal to answer.
 struct StoreHeard {};
@@ -177,7 +180,7 @@
     std::variant<RequestArrived, ClientGone, StreamEvent, AttemptAnswered,
                  AttemptFailed, MemoryAnswered, ReportSeen, ConfigurationSeen,
                  ConfigurationConfirmed, BackendsConfirmed, BackendsComplete,
-                 StoreHeard, StoreUnreachable, StoreRelayReceived,
+                 StoreAsked, StoreHeard, StoreUnreachable, StoreRelayReceived,
                  BackendListed, BackendUnlisted, BackendsListed, PeersListed,
                  SnapshotReceived, PlaceQuestionReceived, PlaceAnswerReceived,
                  Tick, StopRequested>;
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -101,6 +101,7 @@
   int failures = 0;                 // one after another
   std::optional<Time> read_due;     // the configuration is known to be older
   std::uint64_t read_revision = 0;  // than this
+  std::string read_from;            // who told of that
   Time read_at{};                   // last
   std::optional<Time> list_due;     // entries differ from an asker's
   Time listed_at{};                 // last
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -77,6 +77,7 @@
           [&](const ConfigurationConfirmed& it) { OnConfirmed(state, it); },
           [&](const BackendsConfirmed& it) { OnBackendsConfirmed(state, it); },
           [&](const BackendsComplete& it) { NoteComplete(state, it.revision); },
+          [&](const StoreAsked&) { NoteQuestion(state); },
           [&](const StoreHeard&) { NoteStoreHeard(state); },
           [&](const StoreUnreachable&) { OnStoreUnreachable(state); },
           [&](const StoreRelayReceived& it) { OnStoreRelay(state, it.relay); },
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -143,14 +143,31 @@
   state.effects.emplace_back(std::move(question));
 }
 
+// A daemon of this data centre that has told that it has that revision; drawn,
+// so that each that has got it takes a share of those that lack it; else who
+// told of it.
+std::string HolderOf(State& state, std::uint64_t revision) {
+  std::vector<const std::string*> holders;
+  for (const auto& [address, member] : state.members) {
+    const LoadSnapshot& told = member.snapshot;
+    const bool has = told.revision >= revision && told.serving &&
+                     told.data_centre == state.options.data_centre;
+    if (has && IsHeard(state, member)) holders.push_back(&address);
+  }
+  if (holders.empty()) return state.store.read_from;
+  return *holders[state.random() % holders.size()];
+}
+
 void ReadWhatIsNewer(State& state) {
   StoreFollowing& store = state.store;
   if (store.read_due && *store.read_due <= state.now) {
     store.read_due.reset();
     store.read_at = state.now;
-    NoteQuestion(state);
-    state.effects.emplace_back(
-        ReadConfiguration{.revision = store.read_revision});
+    ReadConfiguration read{.revision = store.read_revision,
+                           .from = HolderOf(state, store.read_revision)};
+    Log(state, "reads_configuration",
+        {{"revision", std::to_string(read.revision)}, {"from", read.from}});
+    state.effects.emplace_back(std::move(read));
   }
   const bool differs = store.list_due && *store.list_due <= state.now;
   if (!differs && state.now < store.listed_at + kListEvery) return;
@@ -243,9 +260,11 @@
 }
 
 // That revision of the configuration is there, and may not be known here.
-void PlanReading(State& state, std::uint64_t revision) {
+void PlanReading(State& state, const StoreRelay& relay) {
   StoreFollowing& store = state.store;
+  const std::uint64_t revision = relay.digest.configuration;
   if (revision <= RevisionOf(state)) return;
+  if (revision > store.read_revision) store.read_from = relay.peer_address;
   store.read_revision = std::max(store.read_revision, revision);
   if (store.read_due) return;
   const Duration within = state.options.news_within;
@@ -328,7 +347,7 @@
                  {.id = it.id, .certain = it.certain, .revision = it.revision});
     }
   }
-  PlanReading(state, relay.digest.configuration);
+  PlanReading(state, relay);
   if (!relay.age) return;
   NoteHeardByOthers(state, *relay.age);
   // It was sent after that snapshot of ours had left, on our clock.
--- a/serving/test/store_following_test.cc
+++ b/serving/test/store_following_test.cc
@@ -269,6 +269,10 @@
     relay.heard_sequence = daemon.state().sequence;
     listener.Relay(relay);
     daemon.Pass(milliseconds(100));
+    // Nor does any of the others tell it.
+    if (daemon.First<ReadConfiguration>() != nullptr) {
+      daemon.Feed(StoreAsked{});
+    }
     CHECK(IsServing(daemon.state()));
   }
   // What reaches it again is asked at once.
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -45,6 +45,8 @@
   void HoldBodies(bool hold);
   bool Has(const std::string& key) const { return items_.contains(key); }
   int calls() const { return calls_; }
+  // Of these, single keys that were read.
+  int key_reads() const { return key_reads_; }
 
  private:
   struct Item {
@@ -87,6 +89,7 @@
   bool hold_bodies_ = false;
   std::vector<HeldBody> held_bodies_;
   int calls_ = 0;
+  int key_reads_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t forgotten_ = 0;
   std::uint64_t last_lease_ = 0;
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -106,6 +106,7 @@
 }
 
 void FakeStore::OnKey(const std::shared_ptr<HttpExchange>& exchange) {
+  ++key_reads_;
   const std::string key = exchange->Query("key");
   // A read that may be old is as old as it can be.
   const bool old = exchange->Query("stale") == "1" && before_.contains(key);
--- a/testing/test/store_trouble_test.cc
+++ b/testing/test/store_trouble_test.cc
@@ -45,6 +45,25 @@
       [&] { return fleet.Ask("/plain/safe/a")->status() == 404; }));
 }
 
+// Read from the store by each of 295 daemons, one change was 320 calls.
+TEST_CASE("A new configuration is had from a daemon that has it") {
+  Fleet fleet;
+  fleet.Configure();
+  fleet.AddWorker("app");
+  for (int i = 0; i < 5; ++i) fleet.AddDaemon();
+  for (std::size_t i = 0; i < 5; ++i) REQUIRE(fleet.WaitReady(i));
+  const int before = fleet.store().key_reads();
+  fleet.Configure(ConfigurationWithoutRoutes(2));
+  for (std::size_t i = 0; i < 5; ++i) {
+    CHECK(fleet.Eventually([&] {
+      const auto asked = fleet.Send("/plain/safe/a", {}, i);
+      REQUIRE(fleet.Until([&] { return asked->done; }));
+      return asked->status() == 404;
+    }));
+  }
+  CHECK(fleet.store().key_reads() == before);
+}
+
 TEST_CASE("Daemons that don't ask the store know what it took") {
   Fleet fleet;
   fleet.Configure();
