Watches wait for what comes together; the second asker stands in

Ruled out: one asker (a second of silence more where it dies); longer rounds (the proof gets older). Change: a watch is put 150 ms after the last one at the earliest; the second asker asks when its proof is 0.63 of the bound old, which a round and the way of a relay explain no more.

--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -91,6 +91,7 @@
   bool listed_ = false;  // after this daemon was registered
   bool wants_watch_ = false;
   bool watching_ = false;
+  Time watched_at_{};
   bool asking_ = false;
   bool listing_backends_ = false;
   bool leaving_ = false;
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -13,9 +13,11 @@
 
 // A watch that brings nothing is asked anew; a wait counts as one call.
 constexpr Duration kWatchWait = seconds(10);
-// After a watch that brought only daemons that came or went, which come many at
-// a time when all start and are no hurry.
-constexpr Duration kWatchPause = milliseconds(200);
+// A watch is not put sooner after the last one than this: of changes that come
+// one after another each would else be a call of its own (1,000 in the first 3
+// s of ten askers, as 150 backend servers start). One that comes alone is told
+// at once. Small against the seconds within which news have to be in force.
+constexpr Duration kWatchEvery = milliseconds(150);
 // A daemon lists the store once it is registered itself, so that of two that
 // start at the same moment one at least sees the other; it waits no longer for
 // that than this.
@@ -214,6 +216,7 @@
   // Where to go on is known from the first list.
   if (!wants_watch_ || at_ == 0) return;
   if (std::exchange(watching_, true)) return;
+  watched_at_ = loop_.Now();
   store_.Watch(at_, kWatchWait,
                [this](auto result) { OnWatch(std::move(result)); });
 }
@@ -236,17 +239,9 @@
   // What a watch brings may be old; it proves nothing.
   for (const auto& it : changes->items) Take(it, Time{});
   feed_(serving::BackendsComplete{.revision = at_});
-  const auto peers_only = std::all_of(
-      changes->items.begin(), changes->items.end(), [](const auto& it) {
-        return std::holds_alternative<platform::StoredMember>(it) ||
-               std::holds_alternative<platform::MemberGone>(it);
-      });
   if (!changes->items.empty()) TellPeers();
-  if (peers_only && !changes->items.empty()) {
-    watch_timer_.Once(kWatchPause);
-  } else {
-    Watch();
-  }
+  const Duration early = watched_at_ + kWatchEvery - loop_.Now();
+  watch_timer_.Once(std::max(early, Duration::zero()));
 }
 
 void StoreFollower::Ask(const serving::AskStore& question) {
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -95,6 +95,7 @@
   bool has_role = false;            // it is known who else is there
   Time role_at{};                   // since when
   bool watching = false;            // asks for its data centre
+  bool leads = false;               // is the first of those who do
   std::set<std::string> askers;     // of its data centre, by peer address
   Time ask_due{};                   // not before, by this daemon itself
   Time unreachable_at{};            // its own last question failed
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -15,6 +15,10 @@
 constexpr std::size_t kAskers = 2;
 // Parts of the time within which news have to be in force. Askers ask so often,
 constexpr double kRoundPart = 0.45;
+// the second one when it has missed the first one's word: a round and the time
+// between two whole snapshots to an asker, which is how old a relayed proof may
+// have to be taken for,
+constexpr double kStandInPart = 0.63;
 // and a daemon asks for itself when what it heard is older: later than a round
 // and the time between two whole snapshots to an asker, which is how old a
 // relayed proof may have to be taken for; early enough for a question and its
@@ -57,7 +61,7 @@
 
 // The daemons of this data centre that ask, as far as this one can tell: they
 // agree on them without a word.
-std::set<std::string> AskersOf(const State& state) {
+std::vector<std::string> AskersOf(const State& state) {
   const std::string& here = state.options.data_centre;
   std::vector<std::tuple<double, std::uint64_t, std::string>> ranked;
   const auto add = [&](double capacity, const std::string& address) {
@@ -72,9 +76,9 @@
     if (can && IsHeard(state, member)) add(told.capacity, address);
   }
   std::sort(ranked.begin(), ranked.end(), std::greater<>());
-  std::set<std::string> askers;
+  std::vector<std::string> askers;
   for (std::size_t i = 0; i < std::min(kAskers, ranked.size()); ++i) {
-    askers.insert(std::get<std::string>(ranked[i]));
+    askers.push_back(std::get<std::string>(ranked[i]));
   }
   return askers;
 }
@@ -100,7 +104,11 @@
 }
 
 Time QuestionDue(const State& state) {
-  return state.store.watching ? state.store.ask_due : OwnQuestionDue(state);
+  const StoreFollowing& store = state.store;
+  if (!store.watching) return OwnQuestionDue(state);
+  if (store.leads) return store.ask_due;
+  const Duration missed = PartOf(state.options.news_within, kStandInPart);
+  return std::max(store.ask_due, ProvedAt(state) + missed);
 }
 
 bool HasNews(const State& state) {
@@ -115,8 +123,11 @@
 }
 
 void TakeRole(State& state) {
-  state.store.askers = AskersOf(state);
-  const bool asker = state.store.askers.contains(state.options.peer_address);
+  const auto askers = AskersOf(state);
+  const std::string& own = state.options.peer_address;
+  state.store.askers = {askers.begin(), askers.end()};
+  state.store.leads = !askers.empty() && askers.front() == own;
+  const bool asker = state.store.askers.contains(own);
   if (asker == state.store.watching) return;
   state.store.watching = asker;
   state.effects.emplace_back(WatchStore{.on = asker});
--- a/serving/test/store_following_test.cc
+++ b/serving/test/store_following_test.cc
@@ -257,6 +257,40 @@
   CHECK(daemon.state().confirmed_at > before);
 }
 
+// Both askers of a data centre put the same question each round: half of the
+// calls of a calm day.
+TEST_CASE("The second asker asks when it misses the word of the first") {
+  Daemon daemon;
+  const std::string first =
+      AskersBefore(daemon.state().options.peer_address).front();
+  std::uint64_t sequence = 0;
+  const auto hear = [&] {
+    daemon.Feed(SnapshotReceived{PeerSnapshot(first, ++sequence)});
+  };
+  hear();
+  daemon.Pass(milliseconds(1000));
+  hear();
+  daemon.Pass(milliseconds(100));
+  REQUIRE(daemon.state().store.watching);
+  CHECK_FALSE(daemon.state().store.leads);
+  daemon.Confirm();
+  const auto asks = [&](bool told) {
+    int n = 0;
+    for (int i = 0; i < 60; ++i) {
+      hear();
+      if (told) daemon.Confirm();
+      daemon.Pass(milliseconds(100));
+      if (daemon.First<AskStore>() != nullptr) {
+        ++n;
+        daemon.Confirm();
+      }
+    }
+    return n;
+  };
+  CHECK(asks(true) == 0);
+  CHECK(asks(false) >= 4);
+}
+
 TEST_CASE("A daemon that alone does not reach the store goes on") {
   Listener listener;
   Daemon& daemon = listener.daemon();
