A request whose time is over is not sent; lateness and messages measured

Cause: between two ticks a daemon that is late may hear of room and send a request whose deadline has passed; nothing told how late a daemon is, nor what it sends to others; one that places alone wrote a line at each look, a hundred a second. Change: the deadline is looked at where a request starts; a histogram of how late ticks come, counters of messages and bytes by kind; one line a request for placing alone. Figures: the new test failed before (sent); serving and fleet tests pass.

--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -17,6 +17,7 @@
 
 class BackendCalls;
 class FleetMetrics;
+enum class DatagramKind;
 class StoreFollower;
 
 // One entry instance on the users' platform: takes clients' requests, answers
@@ -41,6 +42,8 @@
  private:
   void Feed(serving::EventBody body);
   void Drain();
+  void OnTick();
+  void Tell(DatagramKind kind, const std::string& to, const std::string& bytes);
   void Carry(const serving::Effect& effect);
   void Deliver(const serving::DeliverAnswer& effect);
   void Begin(const serving::BeginStream& effect);
@@ -72,6 +75,7 @@
   RequestKey last_key_ = 0;
   std::deque<serving::EventBody> pending_;
   bool draining_ = false;
+  Time tick_due_{};
   Timer tick_;
   Timer exit_;
 };
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -66,7 +66,7 @@
       look_ups_(loop, {.address = settings.fleet->look_up_listen},
                 [this](const auto& exchange) { OnLookUp(*exchange); }),
       metrics_(std::make_unique<FleetMetrics>()),
-      tick_(loop, [this] { Feed(serving::Tick{}); }),
+      tick_(loop, [this] { OnTick(); }),
       exit_(loop, [this] { loop_.Stop(); }) {
   if (!settings.fleet->metrics_listen.empty()) {
     metrics_server_ = std::make_unique<HttpServer>(
@@ -108,7 +108,13 @@
     for (const auto& it : serving::Reduce(state_, event)) Carry(it);
   }
   draining_ = false;
-  tick_.Once(NextWake(state_) - loop_.Now());
+  tick_due_ = NextWake(state_);
+  tick_.Once(tick_due_ - loop_.Now());
+}
+
+void FleetDaemon::OnTick() {
+  metrics_->ObserveLate(std::max(loop_.Now() - tick_due_, Duration::zero()));
+  Feed(serving::Tick{});
 }
 
 void FleetDaemon::Carry(const serving::Effect& effect) {
@@ -140,13 +146,16 @@
           [&](const serving::AskReport& it) { backends_->AskReport(it); },
           [&](const serving::PublishSnapshot& it) {
             const std::string bytes = EncodeDatagram(it.snapshot, state_.now);
-            for (const std::string& to : it.to) peers_.Send(to, bytes);
+            for (const std::string& to : it.to) {
+              Tell(DatagramKind::kSnapshot, to, bytes);
+            }
           },
           [&](const serving::AskPlacer& it) {
-            peers_.Send(it.to, EncodeDatagram(it.question, state_.now));
+            Tell(DatagramKind::kQuestion, it.to,
+                 EncodeDatagram(it.question, state_.now));
           },
           [&](const serving::AnswerPlace& it) {
-            peers_.Send(it.to, EncodeDatagram(it.answer));
+            Tell(DatagramKind::kPlacement, it.to, EncodeDatagram(it.answer));
           },
           [&](const serving::AskStore& it) { store_->Ask(it); },
           [&](const serving::ReadConfiguration& it) {
@@ -156,7 +165,7 @@
           [&](const serving::WatchStore& it) { store_->SetWatch(it.on); },
           [&](const serving::RelayStore& it) {
             for (const auto& [to, relay] : it.messages) {
-              peers_.Send(to, EncodeDatagram(relay));
+              Tell(DatagramKind::kRelay, to, EncodeDatagram(relay));
             }
           },
           [&](const serving::LogDecision& it) {
@@ -173,6 +182,12 @@
       effect);
 }
 
+void FleetDaemon::Tell(DatagramKind kind, const std::string& to,
+                       const std::string& bytes) {
+  metrics_->CountDatagram(kind, bytes.size());
+  peers_.Send(to, bytes);
+}
+
 std::shared_ptr<HttpExchange> FleetDaemon::Take(RequestKey key) {
   const auto found = exchanges_.find(key);
   if (found == exchanges_.end()) return nullptr;
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -57,6 +57,12 @@
   latencies_[{observed.account, observed.route}].Add(observed.elapsed);
 }
 
+void FleetMetrics::CountDatagram(DatagramKind kind, std::size_t bytes) {
+  Sent& sent = sent_[static_cast<std::size_t>(kind)];
+  ++sent.datagrams;
+  sent.bytes += bytes;
+}
+
 void FleetMetrics::KeepOnly(const serving::Configuration& configuration) {
   std::set<std::string> routes;
   for (const auto& it : configuration.routes) routes.insert(it.name);
@@ -74,6 +80,12 @@
   for (const auto& [counter, name] : serving::kCounterNames) {
     RenderCounter(out, name, counters_[static_cast<std::size_t>(counter)]);
   }
+  for (const auto& [kind, name] : kDatagramKindNames) {
+    const Sent& sent = sent_[static_cast<std::size_t>(kind)];
+    const std::string what(name);
+    RenderCounter(out, "datagrams_" + what, sent.datagrams);
+    RenderCounter(out, "datagram_bytes_" + what, sent.bytes);
+  }
   RenderGauge(out, "serving", serving::IsServing(state) ? 1 : 0);
   if (state.configuration) {
     const auto& configuration = state.configuration->configuration();
@@ -91,6 +103,8 @@
   RenderGauge(out, "other_daemons_serving", static_cast<double>(daemons));
   RenderDispatch(out, state.dispatch);
   RenderRequests(out, state);
+  out << "# TYPE scaleshed_loop_late_seconds histogram\n";
+  RenderHistogram(out, "scaleshed_loop_late", "", loop_late_);
   out << "# TYPE scaleshed_latency_seconds histogram\n";
   for (const auto& [key, histogram] : latencies_) {
     const std::string labels =
--- a/daemon/src/internal/fleet_metrics.h
+++ b/daemon/src/internal/fleet_metrics.h
@@ -12,6 +12,15 @@
 
 namespace scaleshed {
 
+// Messages to other daemons, by what they say.
+enum class DatagramKind { kSnapshot, kRelay, kQuestion, kPlacement };
+inline constexpr NameTable<DatagramKind, 4> kDatagramKindNames{{
+    {DatagramKind::kSnapshot, "snapshot"},
+    {DatagramKind::kRelay, "relay"},
+    {DatagramKind::kQuestion, "question"},
+    {DatagramKind::kPlacement, "placement"},
+}};
+
 // What one daemon on the platform has counted and measured, and what it
 // believes now. Not thread safe.
 class FleetMetrics {
@@ -20,6 +29,11 @@
   // How long an answer or a stream's first event took, by account and route.
   void Observe(const serving::ObserveLatency& observed);
 
+  void CountDatagram(DatagramKind kind, std::size_t bytes);
+  // How long after it was due the loop came to a tick: what waits for a
+  // processor that is short waits as long.
+  void ObserveLate(Duration late) { loop_late_.Add(late); }
+
   // Forgets what was measured for routes and accounts that are not in it, so
   // that memory doesn't grow with the number of changes.
   void KeepOnly(const serving::Configuration& configuration);
@@ -28,8 +42,15 @@
   std::string Render(const serving::State& state) const;
 
  private:
+  struct Sent {
+    std::uint64_t datagrams = 0;
+    std::uint64_t bytes = 0;
+  };
+
   std::array<std::uint64_t, serving::kCounterNames.size()> counters_{};
   std::map<std::pair<std::string, std::string>, LatencyHistogram> latencies_;
+  std::array<Sent, kDatagramKindNames.size()> sent_{};
+  LatencyHistogram loop_late_;
 };
 
 }  // namespace scaleshed
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -161,10 +161,13 @@
   request.placer_answered = false;
   if (request.placer.empty()) {
     state.effects.emplace_back(Count{Counter::kPlacedAlone});
-    Log(state, "places_alone",
-        {{"request", request.facts.id},
-         {"placers", std::to_string(dispatch.placers.size())},
-         {"waited_ms", Millis(state.now - request.arrived)}});
+    // Not at each look of one that waits for room.
+    if (!request.waits_for) {
+      Log(state, "places_alone",
+          {{"request", request.facts.id},
+           {"placers", std::to_string(dispatch.placers.size())},
+           {"waited_ms", Millis(state.now - request.arrived)}});
+    }
     PlaceHere(state, request);
     return;
   }
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -213,6 +213,11 @@
 }
 
 void TryStart(State& state, Request& request) {
+  // Where this daemon is late, a request may be too by now.
+  if (state.now >= request.deadline) {
+    RefuseRequest(state, request, Refusal::kTimeLimit, kLookAgain);
+    return;
+  }
   if (!KnowsBackends(state)) {
     Wait(state, request, kLookAgain, Shortage::kProof);
     return;
--- a/serving/test/snapshots_test.cc
+++ b/serving/test/snapshots_test.cc
@@ -75,6 +75,31 @@
   CHECK(Told(daemon.effects(), /*partial=*/true).size() <= 11);
 }
 
+// A daemon that was late by its own load sent on requests whose clients had
+// given up before it came to them.
+TEST_CASE("A prompt whose time is over is not sent when room is told late") {
+  Daemon daemon;
+  LoadSnapshot busy = PeerSnapshot(1);
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    busy.works.push_back({.id = i,
+                          .backend = HashBytes("llm" + std::to_string(i)),
+                          .prompt_tokens = 400'000,
+                          .answer_tokens = 500,
+                          .started = daemon.now()});
+  }
+  daemon.Feed(SnapshotReceived{busy});
+  daemon.Ask("stream", 300'000, seconds(8));
+  REQUIRE(daemon.state().requests.size() == 1);
+  // Nothing is looked at until then.
+  daemon.SetNow(daemon.now() + milliseconds(8001));
+  daemon.Confirm();
+  daemon.Feed(SnapshotReceived{PeerSnapshot(2)});
+  CHECK(daemon.First<StartAttempt>() == nullptr);
+  const auto* refused = daemon.First<Refuse>();
+  REQUIRE(refused != nullptr);
+  CHECK(refused->status == 503);
+}
+
 TEST_CASE("Each daemon gets whole snapshots in turn") {
   Daemon daemon;
   daemon.Feed(SnapshotReceived{PeerSnapshot(1)});
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -387,6 +387,8 @@
   for (const std::string& it : std::vector<std::string>{
            "scaleshed_requests_total 1", "scaleshed_delivered_total 1",
            "scaleshed_serving 1", "scaleshed_backends_open 1",
+           "scaleshed_all_daemons_place 1",
+           "scaleshed_datagrams_question_total 0",
            R"(scaleshed_requests_in_work{phase="running"} 0)", latency}) {
     INFO(text);
     CHECK(text.find(it + "\n") != std::string::npos);
