Test: a prompt whose time is over, with room told late

Change: a short prompt before full engines. Figures: fails without the look at the deadline (it is sent), passes with it.

--- a/serving/test/snapshots_test.cc
+++ b/serving/test/snapshots_test.cc
@@ -79,20 +79,22 @@
 // given up before it came to them.
 TEST_CASE("A prompt whose time is over is not sent when room is told late") {
   Daemon daemon;
+  // Each engine has twice as many as it writes for at a time.
   LoadSnapshot busy = PeerSnapshot(1);
-  for (std::uint64_t i = 0; i < 6; ++i) {
+  for (std::uint64_t i = 0; i < 6 * 32; ++i) {
     busy.works.push_back({.id = i,
-                          .backend = HashBytes("llm" + std::to_string(i)),
-                          .prompt_tokens = 400'000,
+                          .backend = HashBytes("llm" + std::to_string(i % 6)),
+                          .prompt_tokens = 2000,
                           .answer_tokens = 500,
-                          .started = daemon.now()});
+                          .started = daemon.now(),
+                          .writing = true});
   }
   daemon.Feed(SnapshotReceived{busy});
-  daemon.Ask("stream", 300'000, seconds(8));
+  daemon.Ask("stream", 2000, milliseconds(500));
   REQUIRE(daemon.state().requests.size() == 1);
-  // Nothing is looked at until then.
-  daemon.SetNow(daemon.now() + milliseconds(8001));
-  daemon.Confirm();
+  CHECK(daemon.state().requests.begin()->second.phase == Phase::kWaiting);
+  // Nothing is looked at until its time is over.
+  daemon.SetNow(daemon.now() + milliseconds(501));
   daemon.Feed(SnapshotReceived{PeerSnapshot(2)});
   CHECK(daemon.First<StartAttempt>() == nullptr);
   const auto* refused = daemon.First<Refuse>();
