--- a/runtime/test/http_test.cc
+++ b/runtime/test/http_test.cc
@@ -6,8 +6,8 @@
 #include <unistd.h>
 
 #include <atomic>
-#include <cerrno>
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <csignal>
 #include <memory>
 #include <string>
