Lives of backend servers, and entries that name none

Cause: entries were keyed by id alone. A backend server that starts again under its id kept the word of leaving, the suspicions, the tickets and the works of the life before; a change that couldn't be read left the entry of before in use where a watch brought it and took it away where a list did, so that daemons differed and their digests never agreed; an unknown state marked the server as leaving for good.

Change: an entry carries when its life began. The id by which daemons name a backend server to each other is of one life, so that works, suspicions, reports and places told of an earlier one end with it; what was in work there is sent elsewhere if it may be and can't be in work at the new life; tickets there are not renewed. An earlier life told or written late never replaces a later one. An entry that is not as the protocol says names no backend server, with the reason, by watch, list and relay alike; the one it named before is used again when a right entry comes.

Ruled out: taking an unreadable entry for gone, as it would come back only with a list; comparing the wall clock of daemons with the start of a life, as clocks jump: a send of the last seconds is left alone instead.

--- a/runtime/include/scaleshed/runtime/address.h
+++ b/runtime/include/scaleshed/runtime/address.h
@@ -17,6 +17,9 @@
 
 Address ParseAddress(const std::string& text);
 
+// Whether it is a whole "ip:port": an IPv4 number and a port from 1.
+bool IsAddress(const std::string& text);
+
 // For the socket calls; nothing where the host is no IPv4 number.
 std::optional<sockaddr_in> SocketAddress(const std::string& text);
 
--- a/runtime/src/address.cc
+++ b/runtime/src/address.cc
@@ -15,6 +15,16 @@
   return address;
 }
 
+bool IsAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  const char* end = text.data() + text.size();
+  std::uint16_t port = 0;
+  const auto read = std::from_chars(text.data() + colon + 1, end, port);
+  const bool whole = read.ec == std::errc() && read.ptr == end && port != 0;
+  return whole && SocketAddress(text).has_value();
+}
+
 std::optional<sockaddr_in> SocketAddress(const std::string& text) {
   const Address address = ParseAddress(text);
   sockaddr_in name{};
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -94,6 +94,7 @@
 struct ReportSeen {
   BackendId backend = 0;
   double pace = 1;  // its passes take so many times as long as they should
+  std::uint64_t born = 0;  // the life that says so; zero: not told
 };
 
 // A configuration that is stored. `asked` is when the question was put whose
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -201,9 +201,11 @@
   Duration first_after{};     // what it took
   Duration longest_seen{};    // pause between events
   Time last_event_at{};
-  int runs = 0;      // sends that may have run, the one in work among them
-  int arrivals = 0;  // sends that reached a backend server
-  int refusals = 0;  // sends that did not run
+  Time sign_at{};      // last that its backend server was seen to live
+  Time ask_sign_at{};  // not before, for a sign of it
+  int runs = 0;        // sends that may have run, the one in work among them
+  int arrivals = 0;    // sends that reached a backend server
+  int refusals = 0;    // sends that did not run
   bool may_have_run = false;
   std::set<BackendId> tried;
 
--- a/serving/include/scaleshed/serving/store_relay.h
+++ b/serving/include/scaleshed/serving/store_relay.h
@@ -11,15 +11,21 @@
 
 namespace scaleshed::serving {
 
-// A backend server as the platform's store lists it.
+// A backend server as the platform's store lists it. It may start again under
+// the same id: `born` tells its lives apart, and a later life knows and holds
+// nothing of an earlier one.
 struct BackendServer {
-  std::string id;  // of this life
+  std::string id;
   std::string service;
   std::string address;
   std::string data_centre;
   std::int64_t slots = 1;
   bool leaving = false;
   std::uint64_t revision = 0;  // of its entry
+  std::uint64_t born = 0;      // start of this life, Unix ms; zero: not told
+  // Why the entry names no backend server to use; empty: it names one. Anybody
+  // may have written it, so that nothing else of it counts then.
+  std::string fault;
 };
 
 // All that a daemon knows of the store, to be compared with what another one
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -205,6 +205,7 @@
         std::max(request->longest_seen, state.now - request->last_event_at);
   }
   request->last_event_at = state.now;
+  request->sign_at = state.now;
   if (!event.id.empty()) request->last_event_id = event.id;
   state.effects.emplace_back(
       PassEvent{.key = request->key, .bytes = event.bytes});
@@ -257,6 +258,43 @@
   Lost(state, *request, event.detail);
 }
 
+void LoseWorkAt(State& state, BackendId life) {
+  // News of the new life may have taken so long: what was sent since may be in
+  // work there.
+  const Time sent_before = state.now - state.options.news_within;
+  std::vector<RequestKey> lost;
+  for (auto& [key, request] : state.requests) {
+    const auto& helpers = request.work.helpers;
+    for (std::size_t i = 0; i < request.memory.size(); ++i) {
+      // Renewed, it would be set aside anew at one who knows nothing of it.
+      if (helpers[i] == life) request.memory[i].ticket.clear();
+    }
+    const bool helps =
+        std::find(helpers.begin(), helpers.end(), life) != helpers.end();
+    const bool here = request.attempt != 0 && request.backend == life;
+    if (request.phase == Phase::kReserving && (here || helps)) {
+      lost.push_back(key);
+      continue;
+    }
+    const Time sign = std::max(request.sent_at, request.sign_at);
+    // One that may not be repeated is left to its connection: taken for lost by
+    // mistake it would be cut off at work, and nothing is won.
+    const bool again = MayRunAgain(request.route.kind) && sign < sent_before;
+    if (request.phase == Phase::kRunning && here && again) lost.push_back(key);
+  }
+  for (const RequestKey key : lost) {
+    Request& request = state.requests.at(key);
+    if (request.phase == Phase::kReserving) {
+      DropAttempt(state, request, false);
+      request.phase = Phase::kWaiting;
+      request.retry_at = state.now;
+      continue;
+    }
+    ++request.arrivals;
+    Lost(state, request, "started_again");
+  }
+}
+
 void ExpireAttempts(State& state) {
   std::vector<RequestKey> keys;
   for (const auto& [key, request] : state.requests) keys.push_back(key);
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -49,6 +49,79 @@
        {"for_ms", Millis(length)}});
 }
 
+void LogBackend(State& state, const BackendServer& server,
+                const std::string& what, const std::string& why = "") {
+  Log(state, "backend",
+      {{"backend", server.id},
+       {"service", server.service},
+       {"address", server.address},
+       {"born", std::to_string(server.born)},
+       {"revision", std::to_string(server.revision)},
+       {"state", what},
+       {"why", why}});
+}
+
+// The entry names no backend server to use. What is known of the one that it
+// named before stays, for when a right entry comes again.
+void TakeFaulty(State& state, Backend& backend, const BackendServer& entry,
+                const std::string& fault) {
+  const bool is_new = backend.server.id.empty();
+  if (is_new) {
+    backend.server = entry;
+    backend.id = IdOf(entry);
+  }
+  backend.server.revision = entry.revision;
+  backend.server.fault = fault;
+  LogBackend(state, backend.server, "unusable", fault);
+}
+
+// Another life under a known id. It holds and knows nothing of the one before:
+// neither a word of leaving, nor what was seen of it, nor what it had in work.
+void BeginLife(State& state, Backend& backend, const BackendServer& entry) {
+  const BackendId before = backend.id;
+  const std::uint64_t born_before = backend.server.born;
+  backend = {.server = entry, .id = IdOf(entry)};
+  state.changed = true;
+  LogBackend(state, entry, "started_again",
+             "born before: " + std::to_string(born_before));
+  LoseWorkAt(state, before);
+}
+
+// A newer entry of that id than the one that is known.
+void TakeEntry(State& state, Backend& backend, const BackendServer& entry) {
+  const bool is_new = backend.server.id.empty();
+  if (!entry.fault.empty()) {
+    TakeFaulty(state, backend, entry, entry.fault);
+    return;
+  }
+  const std::uint64_t born = backend.server.born;
+  if (entry.born == 0 && born != 0) {
+    TakeFaulty(state, backend, entry, "born: missing");
+    return;
+  }
+  if (!is_new && entry.born > born) {
+    BeginLife(state, backend, entry);
+    return;
+  }
+  const bool was_usable = !is_new && backend.server.fault.empty();
+  const bool was_leaving = backend.server.leaving;
+  // A write of the life before that came late: what the younger one said holds.
+  if (entry.born < born) {
+    backend.server.revision = entry.revision;
+    backend.server.fault.clear();
+    LogBackend(state, backend.server, "kept", "entry of an earlier life");
+    return;
+  }
+  backend.server = entry;
+  // A word of leaving is never taken back within one life.
+  backend.server.leaving = entry.leaving || was_leaving;
+  backend.id = IdOf(entry);
+  if (!was_usable || was_leaving != backend.server.leaving) {
+    LogBackend(state, backend.server,
+               backend.server.leaving ? "leaving" : "listed");
+  }
+}
+
 }  // namespace
 
 void Suspect(State& state, Backend& backend, Duration length,
@@ -60,7 +133,9 @@
   Avoid(state, backend, &Backend::slow_until, length, "slow");
 }
 
-BackendId IdOf(const std::string& instance) { return HashBytes(instance); }
+BackendId IdOf(const BackendServer& server) {
+  return HashBytes(server.id, server.born);
+}
 
 Backend* FindBackend(State& state, BackendId id) {
   for (auto& [name, backend] : state.backends) {
@@ -69,29 +144,24 @@
   return nullptr;
 }
 
+bool TakesWork(const Backend& backend) {
+  return backend.server.fault.empty() && !backend.server.leaving;
+}
+
 void OnListed(State& state, const BackendServer& server) {
   if (IsGoneSince(state, server.id, server.revision)) return;
   Backend& backend = state.backends[server.id];
-  if (server.revision < backend.server.revision) return;
   const bool is_new = backend.server.id.empty();
-  if (is_new || backend.gone_at || server.revision > backend.server.revision) {
+  const std::uint64_t known = backend.server.revision;
+  if (server.revision < known) return;
+  const bool changed = is_new || server.revision > known;
+  if (changed || backend.gone_at) {
     NoteChange(
         state,
         {.id = server.id, .revision = server.revision, .server = server});
   }
-  const bool was_leaving = backend.server.leaving;
-  backend.server = server;
-  // A word of leaving is never taken back within one life.
-  backend.server.leaving = server.leaving || was_leaving;
-  backend.id = IdOf(server.id);
   backend.gone_at.reset();
-  if (is_new || was_leaving != backend.server.leaving) {
-    Log(state, "backend",
-        {{"backend", server.id},
-         {"service", server.service},
-         {"address", server.address},
-         {"state", backend.server.leaving ? "leaving" : "listed"}});
-  }
+  if (changed) TakeEntry(state, backend, server);
 }
 
 void OnUnlisted(State& state, const BackendUnlisted& event) {
@@ -115,11 +185,7 @@
     if (!it->second.gone_at) it->second.gone_at = LapseEnd(state);
     return;
   }
-  Log(state, "backend",
-      {{"backend", event.id},
-       {"service", it->second.server.service},
-       {"address", it->second.server.address},
-       {"state", "unlisted"}});
+  LogBackend(state, it->second.server, "unlisted");
   state.backends.erase(it);
 }
 
@@ -188,12 +254,7 @@
   Backend* backend = FindBackend(state, id);
   if (backend == nullptr || backend->server.leaving) return;
   backend->server.leaving = true;
-  Log(state, "backend",
-      {{"backend", backend->server.id},
-       {"service", backend->server.service},
-       {"address", backend->server.address},
-       {"state", "leaving"},
-       {"why", why}});
+  LogBackend(state, backend->server, "leaving", why);
 }
 
 bool IsSuspect(const State& state, const Backend& backend) {
@@ -228,7 +289,7 @@
                                          const std::string& service) {
   std::vector<const Backend*> open;
   for (const auto& [name, backend] : state.backends) {
-    if (backend.server.service == service && !backend.server.leaving) {
+    if (backend.server.service == service && TakesWork(backend)) {
       open.push_back(&backend);
     }
   }
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -114,10 +114,15 @@
 void OnFailed(State& state, const AttemptFailed& event);
 // An attempt that does not go on is taken for lost.
 void ExpireAttempts(State& state);
+// That life of a backend server is over, and another one has its id.
+void LoseWorkAt(State& state, BackendId life);
 
 // backends.cc: which backend servers there are, and how well they do.
-BackendId IdOf(const std::string& instance);
+// Of one life of a backend server: whatever names it ends with that life.
+BackendId IdOf(const BackendServer& server);
 Backend* FindBackend(State& state, BackendId id);
+// Its entry names one that does not leave.
+bool TakesWork(const Backend& backend);
 void OnListed(State& state, const BackendServer& server);
 void OnUnlisted(State& state, const BackendUnlisted& event);
 void OnAllListed(State& state, const BackendsListed& event);
--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -45,12 +45,21 @@
   return service != nullptr && service->engine;
 }
 
+// Whatever waits for that engine's first event knows that it lives.
+void NoteSigns(State& state, BackendId engine) {
+  for (auto& [key, request] : state.requests) {
+    if (request.attempt != 0 && request.backend == engine) {
+      request.sign_at = state.now;
+    }
+  }
+}
+
 }  // namespace
 
 void AskReports(State& state) {
   if (!IsServing(state)) return;
   for (auto& [name, backend] : state.backends) {
-    if (backend.report_due > state.now || backend.server.leaving) continue;
+    if (backend.report_due > state.now || !TakesWork(backend)) continue;
     backend.report_due = state.now + kReportEvery;
     if (!IsEngine(state, backend) || !IsAsker(state, backend)) continue;
     state.effects.emplace_back(
@@ -61,6 +70,15 @@
 void OnReport(State& state, const ReportSeen& event) {
   Backend* backend = FindBackend(state, event.backend);
   if (backend == nullptr) return;
+  // An answer of another life that is under way says nothing of this one.
+  if (event.born != 0 && event.born != backend->server.born) {
+    Log(state, "report_of_another_life",
+        {{"backend", backend->server.id},
+         {"born", std::to_string(event.born)},
+         {"known", std::to_string(backend->server.born)}});
+    return;
+  }
+  NoteSigns(state, event.backend);
   const bool was_slow = backend->slow;
   backend->slow = event.pace >= kSlowPace;
   if (backend->slow) {
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -17,6 +17,13 @@
 // daemon leaves behind when it dies lapses before it counts as lost (4 s).
 constexpr Duration kHold = milliseconds(3500);
 constexpr Duration kRenewAfter = milliseconds(900);
+// Memory is renewed only for an engine that was seen to live so short a time
+// ago, by an event or by its report: an engine that falls silent without
+// closing ends its request, and with the hold its memory lapses 3.8 s later,
+// within the 4 s after which it counts as lost. It is asked this often while it
+// says nothing: a report takes some ms.
+constexpr Duration kSignWithin = milliseconds(300);
+constexpr Duration kAskSignEvery = milliseconds(250);
 // Orders are answered within milliseconds, or not at all.
 constexpr Duration kReserveWithin = milliseconds(400);
 // A stream's first event may be later than expected by this and by as much as
@@ -64,10 +71,6 @@
   return Placed{.backend = best->id, .first_token = request.route.objective};
 }
 
-bool TakesWork(const Backend* backend) {
-  return backend != nullptr && !backend->server.leaving;
-}
-
 void Send(State& state, Request& request) {
   Backend* backend = FindBackend(state, request.backend);
   // Setting memory aside took a while; a helper that leaves would refuse its
@@ -76,10 +79,13 @@
   for (const BackendId it : request.work.helpers) {
     helpers.push_back(FindBackend(state, it));
   }
-  const bool helped = std::all_of(helpers.begin(), helpers.end(), TakesWork);
-  if (!TakesWork(backend) || !helped || !KnowsBackends(state)) {
+  const auto takes = [](const Backend* it) {
+    return it != nullptr && TakesWork(*it);
+  };
+  const bool helped = std::all_of(helpers.begin(), helpers.end(), takes);
+  if (!takes(backend) || !helped || !KnowsBackends(state)) {
     // Whoever placed it may not know yet that this one leaves.
-    if (!TakesWork(backend)) request.tried.insert(request.backend);
+    if (!takes(backend)) request.tried.insert(request.backend);
     DropAttempt(state, request, false);
     request.phase = Phase::kWaiting;
     request.retry_at = state.now + kLookAgain;
@@ -87,6 +93,7 @@
   }
   request.phase = Phase::kRunning;
   request.sent_at = state.now;
+  request.sign_at = state.now;
   ++request.runs;
   StartAttempt effect{.attempt = request.attempt,
                       .key = request.key,
@@ -295,7 +302,32 @@
   Send(state, request);
 }
 
+namespace {
+
+// Whether the engine that is to write lives, as far as can be known; asks it
+// where that is not known.
+bool HasSign(State& state, Request& request) {
+  const Time sign = std::max(request.sent_at, request.sign_at);
+  if (request.phase != Phase::kRunning || state.now - sign <= kSignWithin) {
+    return true;
+  }
+  const Backend* backend = FindBackend(state, request.backend);
+  if (backend != nullptr && request.ask_sign_at <= state.now) {
+    request.ask_sign_at = state.now + kAskSignEvery;
+    state.effects.emplace_back(AskReport{.backend = request.backend,
+                                         .address = backend->server.address});
+  }
+  return false;
+}
+
+}  // namespace
+
 void RenewMemory(State& state, Request& request) {
+  const bool due = std::any_of(
+      request.memory.begin(), request.memory.end(), [&](const Memory& it) {
+        return !it.ticket.empty() && it.renew_at <= state.now;
+      });
+  if (!due || !HasSign(state, request)) return;
   for (std::size_t i = 0; i < request.memory.size(); ++i) {
     Memory& memory = request.memory[i];
     if (memory.ticket.empty() || memory.renew_at > state.now) continue;
--- a/serving/test/store_relay_drawn_test.cc
+++ b/serving/test/store_relay_drawn_test.cc
@@ -28,7 +28,7 @@
 using test::kStart;
 using test::MakeConfiguration;
 
-constexpr int kKinds = 14;  // of drawn steps
+constexpr int kKinds = 16;  // of drawn steps
 constexpr int kDaemons = 5;
 constexpr int kServers = 4;
 constexpr Duration kStep = milliseconds(10);
@@ -55,15 +55,34 @@
                     .address = id + ":1",
                     .slots = 8,
                     .leaving = leaving,
-                    .revision = ++revision_};
+                    .revision = ++revision_,
+                    .born = born_[id]};
+    changes_.push_back({id, now, servers_[id]});
+  }
+  // Another life under the same id.
+  void StartAgain(int i, Time now) {
+    born_["app" + std::to_string(i)] += 1000;
+    Put(i, false, now);
+  }
+  // A late write of the life before.
+  void WriteLate(int i, Time now) {
+    const std::string id = "app" + std::to_string(i);
+    if (!servers_.contains(id) || born_[id] == 0) return;
+    Put(i, true, now);
+    servers_[id].born -= 1000;
+    changes_.back().server = servers_[id];
+  }
+  // Somebody else writes what names no backend server.
+  void Forge(int i, Time now) {
+    const std::string id = "app" + std::to_string(i);
+    servers_[id] = {.id = id, .revision = ++revision_, .fault = "state: ?"};
     changes_.push_back({id, now, servers_[id]});
   }
   void Remove(int i, Time now) {
     const std::string id = "app" + std::to_string(i);
     if (servers_.erase(id) == 0) return;
     changes_.push_back(
-        {id, now, BackendServer{.id = id, .revision = ++revision_}});
-    gone_[id] = revision_;
+        {id, now, BackendServer{.id = id, .revision = ++revision_}, true});
   }
 
   std::uint64_t configuration() const { return configuration_.back().first; }
@@ -80,15 +99,15 @@
   // The change of an entry up to `then` that `known` lacks; empty if none.
   std::string Missing(const std::map<std::string, Backend>& known,
                       Time then) const {
-    std::map<std::string, const BackendServer*> last;
+    std::map<std::string, const Change*> last;
     for (const auto& it : changes_) {
-      if (it.at < then) last[it.id] = &it.server;
+      if (it.at < then) last[it.id] = &it;
     }
     for (const auto& [id, change] : last) {
-      const BackendServer& server = *change;
+      const BackendServer& server = change->server;
       const auto found = known.find(id);
       const bool listed = found != known.end() && !found->second.gone_at;
-      const bool gone = server.address.empty();
+      const bool gone = change->gone;
       if (gone && listed && found->second.server.revision < server.revision) {
         return id + " is gone";
       }
@@ -103,12 +122,13 @@
   struct Change {
     std::string id;
     Time at{};
-    BackendServer server;  // no address: gone
+    BackendServer server;
+    bool gone = false;
   };
   std::uint64_t revision_ = 100;
   std::vector<std::pair<std::uint64_t, Time>> configuration_;
   std::map<std::string, BackendServer> servers_;
-  std::map<std::string, std::uint64_t> gone_;
+  std::map<std::string, std::uint64_t> born_;  // of the lives, by id
   std::vector<Change> changes_;
 };
 
@@ -156,6 +176,16 @@
         crawls_until_ = now_ + milliseconds(step.second * 8);
         crawl_ = milliseconds(100 + step.first * 3);
         break;
+      case 10:
+        store_.StartAgain(step.first % kServers, now_);
+        break;
+      case 11:
+        if (step.second % 2 == 0) {
+          store_.Forge(step.first % kServers, now_);
+        } else {
+          store_.WriteLate(step.first % kServers, now_);
+        }
+        break;
       default:
         Pass(milliseconds(step.second));
     }
@@ -172,6 +202,8 @@
     store_.Configure(now_);
     store_.Put(0, true, now_);
     store_.Remove(1, now_);
+    store_.StartAgain(2, now_);
+    store_.Forge(3, now_);
     Pass(kNewsWithin);
     for (const Node& it : nodes_) {
       if (it.state->configuration->configuration().revision !=
@@ -180,11 +212,33 @@
       }
       const std::string missing = store_.Missing(it.state->backends, now_);
       if (!missing.empty()) Violate("a calm daemon does not know: " + missing);
+      CheckUse(*it.state);
     }
   }
   const std::vector<std::string>& violations() const { return violations_; }
 
  private:
+  // Who is there is used as the life that it is now.
+  void CheckUse(const State& state) {
+    for (const auto& [id, entry] : store_.servers()) {
+      const auto found = state.backends.find(id);
+      if (found == state.backends.end()) {
+        Violate(id + " is not known");
+        continue;
+      }
+      const BackendServer& known = found->second.server;
+      if (known.fault.empty() != entry.fault.empty()) {
+        Violate(id + " is used though its entry names none, or is not");
+      }
+      if (entry.fault.empty() && known.born < entry.born) {
+        Violate(id + " is known by an earlier life");
+      }
+    }
+    if (state.backends.at("app2").server.leaving) {
+      Violate("a new life is taken to leave");
+    }
+  }
+
   struct Node {
     std::unique_ptr<State> state;
     std::deque<EventBody> waiting;  // while it is frozen
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -132,8 +132,10 @@
   std::string Entry(const std::string& service,
                     const std::string& state = "ready") const;
   void SetMode(WorkerMode mode) { mode_ = mode; }
-  // Another life at the same address.
+  // Another life at the same address, under another id.
   void Restart(std::string id) { id_ = std::move(id); }
+  // The same under the same id: it knows nothing of before.
+  void StartAgain();
   void SetEvents(int events) { events_ = events; }
   // Holds the rest of a stream back after its first event.
   void HoldStreams(bool hold) { hold_ = hold; }
@@ -160,6 +162,7 @@
 
   HttpServer server_;
   std::string id_;
+  std::uint64_t born_ = 1'700'000'000'000;  // Unix ms
   WorkerMode mode_ = WorkerMode::kServing;
   int events_ = 5;
   bool hold_ = false;
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -17,11 +17,20 @@
 
 std::string FakeWorker::Entry(const std::string& service,
                               const std::string& state) const {
-  return Json{{"service", service}, {"address", address()}, {"zone", "z1"},
-              {"slots", 16},        {"state", state},       {"sequence", 1}}
+  return Json{
+      {"service", service},     {"address", address()}, {"zone", "z1"},
+      {"version", "v1"},        {"slots", 16},          {"state", state},
+      {"cold_remaining_ms", 0}, {"sequence", 1},        {"born", born_}}
       .dump();
 }
 
+void FakeWorker::StartAgain() {
+  constexpr std::uint64_t kLaterMs = 60'000;
+  born_ += kLaterMs;
+  tickets_.clear();
+  BreakHeld();
+}
+
 int FakeWorker::RunsOf(const std::string& request_id) const {
   const auto it = runs_by_id_.find(request_id);
   return it == runs_by_id_.end() ? 0 : it->second;
@@ -39,8 +48,9 @@
 void FakeWorker::Handle(const std::shared_ptr<HttpExchange>& exchange) {
   if (exchange->path() == "/v1/order") return OnOrder(*exchange);
   if (exchange->path() == "/v1/report") {
-    exchange->Reply(200, {{"Content-Type", "application/json"}},
-                    Json{{"running", 0}, {"pace", pace_}}.dump());
+    exchange->Reply(
+        200, {{"Content-Type", "application/json"}},
+        Json{{"running", 0}, {"pace", pace_}, {"born", born_}}.dump());
     return;
   }
   last_request_ = exchange->request();
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -260,6 +260,52 @@
   }
 }
 
+TEST_CASE("A worker whose entry somebody else wrote is used again afterwards") {
+  // Each of these stands in the store in place of a right entry.
+  for (const std::string forged :
+       {"[]", "{", "{\"service\":\"app\"}", "\xff\xfe"}) {
+    INFO(forged);
+    Fleet fleet;
+    fleet.Configure();
+    FakeWorker& worker = fleet.AddWorker("app");
+    FakeWorker& other = fleet.AddWorker("app");
+    fleet.AddDaemon();
+    REQUIRE(fleet.WaitReady());
+    fleet.store().Put("servers/" + worker.id(), forged);
+    CHECK(fleet.StopsGetting(worker, "/plain/safe/a"));
+    // The others hold.
+    const int before = other.runs();
+    CHECK(fleet.Eventually([&] {
+      CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
+      return other.runs() > before;
+    }));
+    fleet.store().Put("servers/" + worker.id(), worker.Entry("app"));
+    CHECK(fleet.Eventually([&] {
+      const int runs = worker.runs();
+      fleet.Ask("/plain/safe/a");
+      return worker.runs() > runs;
+    }));
+  }
+}
+
+TEST_CASE("A worker that drained and started again under its id is used") {
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& worker = fleet.AddWorker("app");
+  fleet.AddWorker("app");
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  fleet.store().Put("servers/" + worker.id(), worker.Entry("app", "draining"));
+  REQUIRE(fleet.StopsGetting(worker, "/plain/safe/a"));
+  worker.StartAgain();
+  fleet.store().Put("servers/" + worker.id(), worker.Entry("app"));
+  CHECK(fleet.Eventually([&] {
+    const int runs = worker.runs();
+    fleet.Ask("/plain/safe/a");
+    return worker.runs() > runs;
+  }));
+}
+
 TEST_CASE("A client that leaves ends the work for it") {
   Fleet fleet;
   fleet.Configure();
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -109,6 +109,8 @@
   server.set_data_centre(change.server->data_centre);
   server.set_slots(change.server->slots);
   server.set_leaving(change.server->leaving);
+  server.set_born(change.server->born);
+  server.set_fault(change.server->fault);
 }
 
 serving::BackendChange ReadChange(const wire::BackendChange& from) {
@@ -123,7 +125,9 @@
                    .data_centre = from.server().data_centre(),
                    .slots = from.server().slots(),
                    .leaving = from.server().leaving(),
-                   .revision = from.revision()};
+                   .revision = from.revision(),
+                   .born = from.server().born(),
+                   .fault = from.server().fault()};
   return change;
 }
 
