An engine that hangs is met by few, and comes back by one prompt at a time

Cause: a daemon keeps a failing engine out for 0.5 s, doubled with each further failure that it sees itself.

Ruled out: giving up short prompts sooner: half of them have their first token after 150 of 300 ms, so that a second send is late whenever it is made.

Change: whoever places counts the suspicions of all daemons of one engine that has not written since, and doubles the time that it is kept out (0.5 to 8 s). After it the engine gets one short prompt at a time, and no part of a long one, until one is written; after 2 s as before. Engines that turned slow are judged by their reports as before, plain servers by each daemon as before.

Also: a daemon that has just started says so within 150 ms (800 before), and hubs tell it at once who places.

Test: dispatch_test, an engine hangs under a steady load of short prompts: 18 sends to it in 6 s before, 4 at most now.

--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -56,6 +56,10 @@
   // failures.
   double answers = 0;
   double bad_answers = 0;
+  // An engine's, whoever suspects it: until when it is kept out, and how often
+  // in a row it was before. Zero: never, or it has written since.
+  Time doubted_until{};
+  int doubts = 0;
 
   Time avoided_until() const { return std::max(suspect_until, slow_until); }
 };
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -43,6 +43,7 @@
 struct Suspicion {
   BackendId backend = 0;
   Time until{};
+  bool failed = false;  // not only slow
   bool operator==(const Suspicion&) const = default;
 };
 
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -18,6 +18,17 @@
 constexpr Duration kBadAnswersSuspicion = seconds(2);
 // At most this part of a service's backend servers is kept out at a time.
 constexpr double kMostSuspects = 0.34;
+// Each further suspicion of an engine that has not written since the last keeps
+// it out twice as long, whichever daemon has it: one that hangs is met by
+// another of many daemons each time, and each takes it for the first. After a
+// while it counts as the first again.
+constexpr Duration kFirstDoubt = milliseconds(500);
+constexpr int kMostDoubtDoublings = 4;
+constexpr Duration kRowWithin = seconds(10);
+// It comes back by one short prompt at a time until one of these is written,
+// and reads nothing for long ones, which fail with any of their engines; no
+// longer than this, as there may be no short prompt to show it.
+constexpr Duration kProbation = seconds(2);
 
 std::size_t CountSuspects(const State& state, const std::string& service,
                           std::size_t& all) {
@@ -127,6 +138,9 @@
 void Suspect(State& state, Backend& backend, Duration length,
              const std::string& why) {
   Avoid(state, backend, &Backend::suspect_until, length, why);
+  Doubt(
+      state,
+      {.backend = backend.id, .until = backend.suspect_until, .failed = true});
 }
 
 void AvoidSlow(State& state, Backend& backend, Duration length) {
@@ -257,6 +271,49 @@
   LogBackend(state, backend->server, "leaving", why);
 }
 
+void Doubt(State& state, const Suspicion& suspicion) {
+  Backend* backend = FindBackend(state, suspicion.backend);
+  const bool counts = backend != nullptr && suspicion.failed &&
+                      suspicion.until > state.now &&
+                      TimingOf(state, backend->server.service) != nullptr;
+  if (!counts) return;
+  if (backend->doubted_until > state.now) {
+    backend->doubted_until = std::max(backend->doubted_until, suspicion.until);
+    return;
+  }
+  const bool in_row = backend->doubted_until != Time{} &&
+                      state.now - backend->doubted_until < kRowWithin;
+  backend->doubts = in_row ? backend->doubts + 1 : 0;
+  const int doublings = std::min(backend->doubts, kMostDoubtDoublings);
+  backend->doubted_until =
+      std::max(suspicion.until, state.now + kFirstDoubt * (1 << doublings));
+  Log(state, "doubted",
+      {{"backend", backend->server.id},
+       {"times", std::to_string(backend->doubts + 1)},
+       {"for_ms", Millis(backend->doubted_until - state.now)}},
+      /*routine=*/true);
+}
+
+bool IsOnProbation(const State& state, const Backend& backend) {
+  return backend.doubted_until != Time{} &&
+         backend.doubted_until <= state.now &&
+         state.now < backend.doubted_until + kProbation;
+}
+
+void EndProbations(State& state, const std::vector<const Work*>& works) {
+  for (auto& [name, backend] : state.backends) {
+    if (!IsOnProbation(state, backend)) continue;
+    const bool works_again =
+        std::any_of(works.begin(), works.end(), [&](const Work* it) {
+          return it->backend == backend.id && it->writing &&
+                 it->started >= backend.doubted_until;
+        });
+    if (!works_again) continue;
+    backend.doubted_until = Time{};
+    backend.doubts = 0;
+  }
+}
+
 bool IsSuspect(const State& state, const Backend& backend) {
   if (backend.avoided_until() > state.now) return true;
   for (const auto& [address, member] : state.members) {
@@ -271,7 +328,8 @@
 std::set<BackendId> Suspects(const State& state) {
   std::set<BackendId> suspects;
   for (const auto& [name, it] : state.backends) {
-    if (it.avoided_until() > state.now) suspects.insert(it.id);
+    const Time until = std::max(it.avoided_until(), it.doubted_until);
+    if (until > state.now) suspects.insert(it.id);
   }
   for (const auto& [address, member] : state.members) {
     const auto& told = member.snapshot;
--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -7,9 +7,22 @@
 namespace scaleshed::serving::internal {
 namespace {
 
+// An engine that is back after a suspicion gets one short prompt at a time.
+void KeepProbations(const State& state, const Demand& demand,
+                    const std::vector<const Backend*>& open,
+                    std::vector<EngineView>& pool) {
+  for (std::size_t i = 0; i < pool.size(); ++i) {
+    if (!IsOnProbation(state, *open[i])) continue;
+    const bool has_one = pool[i].reading > 0;
+    if (has_one || demand.read > kShortRead) pool[i].suspect = true;
+  }
+}
+
 Placing PlacePrompt(State& state, const Demand& demand,
                     const EngineTiming& timing,
                     const std::vector<const Backend*>& open) {
+  const auto works = AllWorks(state);
+  EndProbations(state, works);
   const auto suspects = Suspects(state);
   std::vector<EngineView> engines;
   engines.reserve(open.size());
@@ -24,8 +37,8 @@
   if (all_suspect) {
     for (EngineView& it : engines) it.suspect = false;
   }
-  const auto works = AllWorks(state);
   auto pool = ViewPool(timing, std::move(engines), works, state.now);
+  if (!all_suspect) KeepProbations(state, demand, open, pool);
   // One that does not hear what others have begins anywhere, or all that place
   // alone would fill the same engines.
   if (!PlacesItself(state) && !pool.empty()) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -144,6 +144,12 @@
 bool IsSuspect(const State& state, const Backend& backend);
 // All that this daemon or another one that serves suspects.
 std::set<BackendId> Suspects(const State& state);
+// Notes that this daemon or another one that it hears suspects that one.
+void Doubt(State& state, const Suspicion& suspicion);
+// Back after a suspicion, and not yet seen to work.
+bool IsOnProbation(const State& state, const Backend& backend);
+// Ends the probations of those that are seen to write what was begun in them.
+void EndProbations(State& state, const std::vector<const Work*>& works);
 // Those of a service that take new work.
 std::vector<const Backend*> OpenBackends(const State& state,
                                          const std::string& service);
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -13,6 +13,10 @@
 // would keep a link of 20 Mbit/s from requests for 15 ms.
 constexpr Duration kWholeEvery = milliseconds(800);
 constexpr Duration kWholeToSilent = seconds(2);
+// A daemon that has just started says so within this, at a moment that is
+// drawn: who places and who asks the store is agreed by what is heard.
+constexpr Duration kFirstWhole = milliseconds(150);
+constexpr Duration kYoungFor = seconds(1);
 // What an asker proves counts from the last snapshot of ours that it has heard.
 constexpr Duration kWholeToAsker = milliseconds(400);
 // Changes are told at once; while something waits this often without one, as
@@ -43,7 +47,9 @@
   for (const auto& [name, backend] : state.backends) {
     if (backend.avoided_until() > state.now) {
       snapshot.suspicions.push_back(
-          {.backend = backend.id, .until = backend.avoided_until()});
+          {.backend = backend.id,
+           .until = backend.avoided_until(),
+           .failed = backend.suspect_until > state.now});
     }
   }
   return snapshot;
@@ -90,6 +96,24 @@
                                                    : kWholeEvery;
 }
 
+bool IsYoung(const State& state) {
+  return state.now - state.started_at < kYoungFor;
+}
+
+Duration DrawnWithin(State& state, Duration most) {
+  return Duration(static_cast<Duration::rep>(
+      state.random() % static_cast<std::uint64_t>(most.count())));
+}
+
+// Until the next whole snapshot to that daemon; `first`: to tell it the first.
+Duration NextPause(State& state, const std::string& peer, bool first) {
+  if (first)
+    return DrawnWithin(state, IsYoung(state) ? kFirstWhole : kWholeEvery);
+  const Duration pause = WholePause(state, peer);
+  // After first ones that were told close together the moments differ again.
+  return IsYoung(state) ? DrawnWithin(state, pause) : pause;
+}
+
 void Apply(const LoadSnapshot& partial, LoadSnapshot& known) {
   LoadSnapshot next = partial;
   next.partial = false;
@@ -132,13 +156,16 @@
   }
   // One that begins to place knows nothing of what was told to others.
   const bool begins = snapshot.places && !(same_life && last.places);
-  if (begins) state.whole_due[snapshot.peer_address] = state.now;
+  // One that has just started asks nobody before it hears who places.
+  const bool starts = !same_life && state.dispatch.is_hub;
+  if (begins || starts) state.whole_due[snapshot.peer_address] = state.now;
   if (snapshot.partial) {
     Apply(snapshot, member.snapshot);
   } else {
     member.snapshot = snapshot;
   }
   member.heard = state.now;
+  for (const Suspicion& it : snapshot.suspicions) Doubt(state, it);
   if (!PlacesItself(state)) {
     // Nobody tells it when these end.
     member.snapshot.works.clear();
@@ -191,8 +218,7 @@
     if (due > state.now) continue;
     // The first pause is drawn, so that the moments differ from then on.
     const bool first = due == Time{};
-    due = state.now + (first ? Duration(state.random() % kWholeEvery.count())
-                             : WholePause(state, it));
+    due = state.now + NextPause(state, it, first);
     (HearsWorks(state, it) ? with_works : effect).to.push_back(it);
   }
   if (effect.to.empty() && with_works.to.empty()) return;
--- a/serving/test/dispatch_test.cc
+++ b/serving/test/dispatch_test.cc
@@ -206,6 +206,39 @@
   for (const RequestKey it : keys) CHECK(hall.waits().contains(it));
 }
 
+// Short prompts come steadily to all daemons, and one engine takes them and
+// says nothing more while its health check is good. Each daemon that met it
+// took that for the first time and kept it out for 0.5 s: 18 prompts of 6 s
+// were lost there, each for more than a second.
+TEST_CASE("An engine that hangs is met by few, and comes back once it works") {
+  Hall hall({.daemons = 40, .data_centres = 4, .engines = 12});
+  const auto load = [&](Duration time) {
+    for (Duration at{}; at < time; at += milliseconds(20)) {
+      hall.Ask(static_cast<int>(at / milliseconds(20)) % 40, kShort);
+      hall.Pass(milliseconds(20));
+    }
+  };
+  load(seconds(1));
+  // One that gets some.
+  std::string engine;
+  for (const auto& [name, n] : hall.sends()) {
+    if (engine.empty() || n > hall.sends().at(engine)) engine = name;
+  }
+  const auto sent = [&] { return hall.sends().at(engine); };
+  hall.Hang(engine);
+  // Until the first of them is given up, more are sent.
+  load(seconds(2));
+  const int before = sent();
+  load(seconds(6));
+  CHECK(sent() - before <= 4);
+  // It is kept out 8 s at most, and then used as before.
+  hall.Hang(engine, false);
+  load(seconds(9));
+  const int back = sent();
+  load(seconds(1));
+  CHECK(sent() - back >= 5);
+}
+
 TEST_CASE("Look-ups name those of the own data centre, at most 64") {
   Hall hall({.daemons = 280, .data_centres = 4, .engines = 4});
   const auto addresses = LookUp(hall.state(1)).addresses;
--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -45,6 +46,11 @@
   // It does nothing from now on, and says nothing.
   void Freeze(int i) { nodes_.at(static_cast<std::size_t>(i)).frozen = true; }
 
+  // That engine takes requests and says nothing more.
+  void Hang(const std::string& engine, bool hangs = true) {
+    hangs ? (void)hanging_.insert(engine) : (void)hanging_.erase(engine);
+  }
+
   // A prompt comes to that daemon.
   RequestKey Ask(int daemon, std::int64_t prompt,
                  Duration deadline = seconds(15)) {
@@ -172,6 +178,7 @@
     } else if (const auto* it = std::get_if<StartAttempt>(&effect)) {
       ++sends_[it->instance];
       waits_[it->key] = now_ - arrived_.at(it->key);
+      if (hanging_.contains(it->instance)) return;
       After(milliseconds(100), from,
             StreamEvent{.attempt = it->attempt, .id = "1", .bytes = "x"});
       After(milliseconds(400), from,
@@ -217,6 +224,7 @@
   std::map<RequestKey, Duration> waits_;
   std::map<std::string, int> sends_;
   std::map<RequestKey, int> refusals_;
+  std::set<std::string> hanging_;
   std::map<std::string, std::size_t> lines_;
   std::size_t messages_ = 0;
 };
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -62,6 +62,7 @@
     wire::Suspicion& suspicion = *to.add_suspicions();
     suspicion.set_backend(it.backend);
     suspicion.set_left_us((it.until - now).count());
+    suspicion.set_failed(it.failed);
   }
 }
 
@@ -93,8 +94,9 @@
                                 .read = Duration(it.read_us())});
   }
   for (const auto& it : from.suspicions()) {
-    snapshot.suspicions.push_back(
-        {.backend = it.backend(), .until = now + Duration(it.left_us())});
+    snapshot.suspicions.push_back({.backend = it.backend(),
+                                   .until = now + Duration(it.left_us()),
+                                   .failed = it.failed()});
   }
   return snapshot;
 }
