All hubs stand in, and newcomers know who places

Change: four hubs are asked, for 12 ms each (25 and 50 ms for the placers), and who places is known to a daemon as soon as it hears of it.

--- a/serving/src/audience.cc
+++ b/serving/src/audience.cc
@@ -23,9 +23,10 @@
 constexpr std::size_t kHubs = 2;  // of a data centre
 // That a placer died is known by its silence of 2 s only. Where half of the
 // daemons die at once, both placers of them, prompts were placed by each daemon
-// alone for as long, blind to all others'. Hubs that are asked then, each for
-// the 25 ms of a question, before a daemon places alone.
-constexpr std::size_t kStandIns = 2;
+// alone for as long, blind to what all others had. So many hubs are asked then
+// before a daemon places alone: with three data centres all that there are, as
+// the first four of them were seen to die together.
+constexpr std::size_t kStandIns = 4;
 // An answer to a look-up holds so many addresses at most.
 constexpr std::size_t kMostAddresses = 64;
 // With fewer that serve in this data centre, those of others are named too.
@@ -151,7 +152,10 @@
   Dispatching& dispatch = state.dispatch;
   CountDaemons(state);
   const bool was_hub = dispatch.is_hub;
-  dispatch.is_hub = !dispatch.all_place && TakeHub(state);
+  // Who else is there is heard before this daemon takes a duty; who places is
+  // of use at once.
+  dispatch.is_hub =
+      state.store.has_role && !dispatch.all_place && TakeHub(state);
   const auto hubs =
       dispatch.all_place ? std::vector<std::string>{} : RankedHubs(state);
   auto placers = PlacersOf(state, hubs);
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -13,6 +13,9 @@
 // A placer answers within some ms; then the next one is asked, at last nobody.
 // Short, as a first token in time leaves little: 50 ms for both.
 constexpr Duration kAnswerWithin = milliseconds(25);
+// Those that stand in are asked after that wait: 100 ms for all, of 300 to the
+// first token of a short prompt.
+constexpr Duration kStandInWithin = milliseconds(12);
 // One that was silent is passed over for so long: less than until it is known
 // to be gone, many times the wait for it.
 constexpr Duration kDoubtFor = milliseconds(500);
@@ -196,7 +199,9 @@
     PlaceHere(state, request);
     return;
   }
-  request.retry_at = state.now + kAnswerWithin;
+  request.retry_at =
+      state.now +
+      (IsPlacer(state, request.placer) ? kAnswerWithin : kStandInWithin);
   dispatch.answer_due = std::min(dispatch.answer_due.value_or(request.retry_at),
                                  request.retry_at);
   state.effects.emplace_back(Count{Counter::kPlacesAsked});
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -297,8 +297,7 @@
 }
 
 void TakeRoles(State& state) {
-  if (!state.store.has_role) return;
-  TakeRole(state);
+  if (state.store.has_role) TakeRole(state);
   TakeAudience(state);
 }
 
