--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -301,7 +301,8 @@
 }
 
 void EndProbations(State& state, const std::vector<const Work*>& works) {
-  for (auto& [name, backend] : state.backends) {
+  for (auto& entry : state.backends) {
+    Backend& backend = entry.second;
     if (!IsOnProbation(state, backend)) continue;
     const bool works_again =
         std::any_of(works.begin(), works.end(), [&](const Work* it) {
