Engines suspected once read for long prompts again; only late prompts wait for idle ones

Change: parts of long prompts are kept away after two suspicions in a row; only a prompt that is late anyway waits for idle engines for its long parts.

--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -7,14 +7,19 @@
 namespace scaleshed::serving::internal {
 namespace {
 
-// An engine that is back after a suspicion gets one short prompt at a time.
+// An engine that is back after a suspicion gets one short prompt at a time, and
+// after two in a row no part of a long one: most are suspected once, for an
+// answer that was cut, and engines that only read for long prompts have no
+// short one to show that they work.
 void KeepProbations(const State& state, const Demand& demand,
                     const std::vector<const Backend*>& open,
                     std::vector<EngineView>& pool) {
   for (std::size_t i = 0; i < pool.size(); ++i) {
     if (!IsOnProbation(state, *open[i])) continue;
     const bool has_one = pool[i].reading > 0;
-    if (has_one || demand.read > kShortRead) pool[i].suspect = true;
+    const bool is_long = demand.read > kShortRead;
+    const bool barred = is_long ? open[i]->doubts > 0 : has_one;
+    if (barred) pool[i].suspect = true;
   }
 }
 
--- a/serving/src/long_placement.cc
+++ b/serving/src/long_placement.cc
@@ -115,6 +115,11 @@
   return rest <= 0;
 }
 
+// Can't keep its objective, however many engines read it.
+bool IsLate(Duration read, const PlacementQuery& query) {
+  return read / static_cast<Duration::rep>(kMostHelpers + 1) > query.until_due;
+}
+
 // Enough to be read within half of the time that is left.
 std::size_t EnginesInTime(Duration read, Duration time_left) {
   constexpr Duration kLeastLeft = milliseconds(100);
@@ -130,8 +135,7 @@
 std::size_t WantedEngines(const std::vector<const EngineView*>& open,
                           Duration read, const PlacementQuery& query) {
   auto parts = static_cast<std::size_t>(read / kLeastPart);
-  const Duration soonest = read / static_cast<Duration::rep>(kMostHelpers + 1);
-  if (soonest > query.until_due) {
+  if (IsLate(read, query)) {
     parts = std::min(parts, EnginesInTime(read, query.time_left));
   }
   return std::max<std::size_t>(std::min({open.size(), parts, kMostHelpers + 1}),
@@ -165,17 +169,18 @@
   std::vector<const EngineView*> helpers;
 };
 
-// A longer part goes to engines that have nothing else: they read the newest
-// part first, so that whatever is late there by the estimate's error is late by
-// the whole part. One prompt of 71 s of reading, 4.2 s on each of 17 engines,
-// kept nine others from their first token for 4 to 8 s, and writers from their
-// next.
+// A longer part of a prompt that is late anyway goes to engines that have
+// nothing else: they read the newest part first, so that whatever is late there
+// by the estimate's error is late by the whole part. One prompt of 71 s of
+// reading, 4.2 s on each of 17 engines, kept nine others from their first token
+// for 4 to 8 s, and writers from their next. One that can be in time does not
+// wait for idle engines: small pools seldom have enough of them.
 constexpr Duration kLongPart = seconds(1);
 
 bool MayTakePart(const EngineTiming& timing, const EngineView& engine,
-                 Duration part) {
+                 Duration part, bool is_late) {
   const bool idle = engine.running == 0 && engine.helping == 0;
-  if (part > kLongPart && !idle) return false;
+  if (is_late && part > kLongPart && !idle) return false;
   return KeepsPauses(timing, engine, part);
 }
 
@@ -183,12 +188,14 @@
 // that size. Nothing of `writer` where there are too few, or no memory.
 Gang PickGang(const EngineTiming& timing, const PlacementQuery& query,
               const std::vector<const EngineView*>& ready, std::size_t size) {
-  const Duration part =
-      ReadTime(timing, query.prompt_tokens) / static_cast<Duration::rep>(size);
+  const Duration read = ReadTime(timing, query.prompt_tokens);
+  const Duration part = read / static_cast<Duration::rep>(size);
+  const bool is_late = IsLate(read, query);
   std::vector<const EngineView*> able;
-  std::copy_if(
-      ready.begin(), ready.end(), std::back_inserter(able),
-      [&](const EngineView* it) { return MayTakePart(timing, *it, part); });
+  std::copy_if(ready.begin(), ready.end(), std::back_inserter(able),
+               [&](const EngineView* it) {
+                 return MayTakePart(timing, *it, part, is_late);
+               });
   Gang gang;
   if (able.size() < size) return gang;
   gang.writer = PickWriter(timing, able, query);
