--- a/serving/test/placement_test.cc
+++ b/serving/test/placement_test.cc
@@ -217,7 +217,7 @@
                            .chunk_tokens = 2048,
                            .hop_ms = 0.1};
 
-Placing PlaceIn(std::vector<EngineView> pool, std::int64_t tokens,
+Placing PlaceIn(const std::vector<EngineView>& pool, std::int64_t tokens,
                 Duration until_due, Duration time_left) {
   return Place(kSlower, pool,
                {.prompt_tokens = tokens,
