One ranking of daemons, one draw, one way back to waiting

Read again: the strongest-first ranking stood in three places (askers, hubs, all hubs), drawn moments in two, the age of a young daemon in two, giving up an attempt that was not sent in three, whether a service has engines in two; IsSuspect had no caller left; the time of the send was compared beside a sign of life that a send sets itself. Each is one piece now; behaviour is meant to be the same.

--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -212,7 +212,8 @@
   Duration first_after{};     // what it took
   Duration longest_seen{};    // pause between events
   Time last_event_at{};
-  Time sign_at{};      // last that its backend server was seen to live
+  // Last that its backend server was seen to live, the send itself at first.
+  Time sign_at{};
   Time ask_sign_at{};  // not before, for a sign of it
   int runs = 0;        // sends that may have run, the one in work among them
   int arrivals = 0;    // sends that reached a backend server
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -23,8 +23,6 @@
 // before wait for so long: a refusal would cost them one of few tries, and the
 // daemons that they turn to have often just started too.
 constexpr Duration kEarlyWithin = milliseconds(400);
-// One that has nothing by then has no way to the store, and refuses at once.
-constexpr Duration kYoungFor = seconds(1);
 // More are refused at once: their bodies are kept in memory meanwhile.
 constexpr std::size_t kMostEarly = 256;
 // Streams that come so long after the request to stop could not end in time.
@@ -128,8 +126,7 @@
 
 // Whether this daemon has yet to hear for the first time what is in force.
 bool IsEarly(const State& state) {
-  const bool young = state.now - state.started_at < kYoungFor;
-  return young && !state.stop_at && ProvedAt(state) == Time{};
+  return IsYoung(state) && !state.stop_at && ProvedAt(state) == Time{};
 }
 
 void Take(State& state, const RequestArrived& event, Time arrived) {
@@ -251,6 +248,12 @@
   state.changed = true;
 }
 
+void Requeue(State& state, Request& request, Duration pause) {
+  DropAttempt(state, request, false);
+  request.phase = Phase::kWaiting;
+  request.retry_at = state.now + pause;
+}
+
 void Forget(State& state, RequestKey key) {
   state.requests.erase(key);
   state.changed = true;
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -276,18 +276,16 @@
       lost.push_back(key);
       continue;
     }
-    const Time sign = std::max(request.sent_at, request.sign_at);
     // One that may not be repeated is left to its connection: taken for lost by
     // mistake it would be cut off at work, and nothing is won.
-    const bool again = MayRunAgain(request.route.kind) && sign < sent_before;
+    const bool again =
+        MayRunAgain(request.route.kind) && request.sign_at < sent_before;
     if (request.phase == Phase::kRunning && here && again) lost.push_back(key);
   }
   for (const RequestKey key : lost) {
     Request& request = state.requests.at(key);
     if (request.phase == Phase::kReserving) {
-      DropAttempt(state, request, false);
-      request.phase = Phase::kWaiting;
-      request.retry_at = state.now;
+      Requeue(state, request, Duration::zero());
       continue;
     }
     ++request.arrivals;
@@ -311,9 +309,7 @@
     }
     if (request.phase == Phase::kReserving &&
         state.now >= request.progress_by) {
-      DropAttempt(state, request, false);
-      request.phase = Phase::kWaiting;
-      request.retry_at = state.now;
+      Requeue(state, request, Duration::zero());
       continue;
     }
     RenewMemory(state, request);
--- a/serving/src/audience.cc
+++ b/serving/src/audience.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <functional>
 #include <tuple>
+#include <utility>
 
 #include "internal/steps.h"
 #include "scaleshed/serving/reducer.h"
@@ -32,20 +33,6 @@
 // With fewer that serve in this data centre, those of others are named too.
 constexpr std::size_t kLeastAddresses = 4;
 
-using Ranked = std::vector<std::tuple<double, std::uint64_t, std::string>>;
-
-// Daemons agree on these without a word: the strongest machines first, equal
-// ones by hash.
-std::vector<std::string> FirstOf(Ranked ranked, std::size_t n) {
-  std::sort(ranked.begin(), ranked.end(), std::greater<>());
-  std::vector<std::string> first;
-  for (const auto& [capacity, hash, address] : ranked) {
-    if (first.size() == n) break;
-    first.push_back(address);
-  }
-  return first;
-}
-
 bool IsHereAndServes(const State& state, const Member& member) {
   return member.snapshot.serving && IsHeard(state, member) &&
          member.snapshot.data_centre == state.options.data_centre;
@@ -53,18 +40,12 @@
 
 bool TakeHub(const State& state) {
   if (!IsServing(state)) return false;
-  const std::string& here = state.options.data_centre;
-  Ranked ranked;
-  const auto add = [&](double capacity, const std::string& address) {
-    ranked.emplace_back(capacity, RankOf(address, here), address);
-  };
-  add(state.options.capacity, state.options.peer_address);
-  for (const auto& [address, member] : state.members) {
-    if (IsHereAndServes(state, member)) add(member.snapshot.capacity, address);
-  }
-  const auto hubs = FirstOf(std::move(ranked), kHubs);
-  return std::find(hubs.begin(), hubs.end(), state.options.peer_address) !=
-         hubs.end();
+  const auto hubs =
+      StrongestOf(state, state.options.data_centre, /*self=*/true,
+                  [&](const Member& it) { return IsHereAndServes(state, it); });
+  const auto end =
+      hubs.begin() + std::min<std::ptrdiff_t>(kHubs, std::ssize(hubs));
+  return std::find(hubs.begin(), end, state.options.peer_address) != end;
 }
 
 std::string DataCentreOf(const State& state, const std::string& peer) {
@@ -77,21 +58,10 @@
 
 // All hubs, the one that places first at the head.
 std::vector<std::string> RankedHubs(const State& state) {
-  Ranked ranked;
-  const auto add = [&](double capacity, const std::string& address) {
-    ranked.emplace_back(capacity, RankOf(address, "placers"), address);
-  };
-  if (state.dispatch.is_hub) {
-    add(state.options.capacity, state.options.peer_address);
-  }
-  for (const auto& [address, member] : state.members) {
-    const LoadSnapshot& told = member.snapshot;
-    if (told.is_hub && told.serving && IsHeard(state, member)) {
-      add(told.capacity, address);
-    }
-  }
-  const std::size_t n = ranked.size();
-  return FirstOf(std::move(ranked), n);
+  return StrongestOf(
+      state, "placers", state.dispatch.is_hub, [&](const Member& it) {
+        return it.snapshot.is_hub && it.snapshot.serving && IsHeard(state, it);
+      });
 }
 
 // The second one in another data centre than the first, if there is one: a data
@@ -127,6 +97,26 @@
   return HashBytes(peer_address, HashBytes(subject));
 }
 
+std::vector<std::string> StrongestOf(
+    const State& state, const std::string& subject, bool self,
+    const std::function<bool(const Member&)>& can) {
+  std::vector<std::tuple<double, std::uint64_t, std::string>> ranked;
+  const auto add = [&](double capacity, const std::string& address) {
+    ranked.emplace_back(capacity, RankOf(address, subject), address);
+  };
+  if (self) add(state.options.capacity, state.options.peer_address);
+  for (const auto& [address, member] : state.members) {
+    if (can(member)) add(member.snapshot.capacity, address);
+  }
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  std::vector<std::string> strongest;
+  strongest.reserve(ranked.size());
+  for (auto& it : ranked) {
+    strongest.push_back(std::move(std::get<std::string>(it)));
+  }
+  return strongest;
+}
+
 bool IsPlacer(const State& state, const std::string& peer_address) {
   const auto& placers = state.dispatch.placers;
   return std::find(placers.begin(), placers.end(), peer_address) !=
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -315,17 +315,6 @@
   }
 }
 
-bool IsSuspect(const State& state, const Backend& backend) {
-  if (backend.avoided_until() > state.now) return true;
-  for (const auto& [address, member] : state.members) {
-    if (!IsHeard(state, member) || !member.snapshot.serving) continue;
-    for (const Suspicion& it : member.snapshot.suspicions) {
-      if (it.backend == backend.id && it.until > state.now) return true;
-    }
-  }
-  return false;
-}
-
 std::set<BackendId> Suspects(const State& state) {
   std::set<BackendId> suspects;
   for (const auto& [name, it] : state.backends) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -1,6 +1,7 @@
 #ifndef SCALESHED_SERVING_INTERNAL_STEPS_H_
 #define SCALESHED_SERVING_INTERNAL_STEPS_H_
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
@@ -25,6 +26,8 @@
 void Forget(State& state, RequestKey key);
 // Ends the attempt at its backend server, if there is one.
 void DropAttempt(State& state, Request& request, bool cancel);
+// Gives up an attempt that was not sent; another is made after `pause`.
+void Requeue(State& state, Request& request, Duration pause);
 
 // starting.cc: where and when requests go.
 void TryStart(State& state, Request& request);
@@ -77,6 +80,12 @@
 // audience.cc: who hears what of whom.
 std::uint64_t RankOf(const std::string& peer_address,
                      const std::string& subject);
+// Those of the daemons that are known, and this one itself, that can have a
+// duty, by peer address: the strongest machines first, equal ones by a hash of
+// the duty's subject. Daemons that know the same agree on it without a word.
+std::vector<std::string> StrongestOf(
+    const State& state, const std::string& subject, bool self,
+    const std::function<bool(const Member&)>& can);
 bool IsPlacer(const State& state, const std::string& peer_address);
 // Whether this daemon hears what all have at engines.
 bool PlacesItself(const State& state);
@@ -141,7 +150,6 @@
              const std::string& why);
 // The same for an engine that reports to be slow, until it reports otherwise.
 void AvoidSlow(State& state, Backend& backend, Duration length);
-bool IsSuspect(const State& state, const Backend& backend);
 // All that this daemon or another one that serves suspects.
 std::set<BackendId> Suspects(const State& state);
 // Notes that this daemon or another one that it hears suspects that one.
@@ -233,6 +241,10 @@
          std::vector<std::pair<std::string, std::string>> fields,
          bool routine = false);
 std::string Millis(Duration duration);
+// Has just started, and may not have heard yet what it needs.
+bool IsYoung(const State& state);
+// From nothing to that, for moments that are to differ between daemons.
+Duration Drawn(State& state, Duration most);
 
 }  // namespace scaleshed::serving::internal
 
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -17,6 +17,9 @@
 // often: each look goes over all daemons, and what it finds is due in tenths of
 // a second.
 constexpr Duration kLookAround = milliseconds(50);
+// Longer than a first configuration and the first word of others take (some
+// 100 ms): what has not come by then has no way here.
+constexpr Duration kYoungFor = seconds(1);
 // A stopping daemon still takes requests for so long of its grace, as clients
 // keep addresses for a while; then it ends with its last answer.
 constexpr double kTakingPart = 0.8;
@@ -112,6 +115,16 @@
       std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+bool IsYoung(const State& state) {
+  return state.now - state.started_at < kYoungFor;
+}
+
+Duration Drawn(State& state, Duration most) {
+  const auto n =
+      static_cast<std::uint64_t>(std::max<Duration::rep>(most.count(), 1));
+  return Duration(static_cast<Duration::rep>(state.random() % n));
+}
+
 }  // namespace internal
 
 Effects Reduce(State& state, const Event& event) {
--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -39,12 +39,6 @@
       });
 }
 
-bool IsEngine(const State& state, const Backend& backend) {
-  const Service* service =
-      state.configuration->FindService(backend.server.service);
-  return service != nullptr && service->engine;
-}
-
 // Whatever waits for that engine's first event knows that it lives.
 void NoteSigns(State& state, BackendId engine) {
   for (auto& [key, request] : state.requests) {
@@ -61,7 +55,8 @@
   for (auto& [name, backend] : state.backends) {
     if (backend.report_due > state.now || !TakesWork(backend)) continue;
     backend.report_due = state.now + kReportEvery;
-    if (!IsEngine(state, backend) || !IsAsker(state, backend)) continue;
+    const bool is_engine = TimingOf(state, backend.server.service) != nullptr;
+    if (!is_engine || !IsAsker(state, backend)) continue;
     state.effects.emplace_back(
         AskReport{.backend = backend.id, .address = backend.server.address});
   }
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -16,7 +16,6 @@
 // A daemon that has just started says so within this, at a moment that is
 // drawn: who places and who asks the store is agreed by what is heard.
 constexpr Duration kFirstWhole = milliseconds(150);
-constexpr Duration kYoungFor = seconds(1);
 // What an asker proves counts from the last snapshot of ours that it has heard.
 constexpr Duration kWholeToAsker = milliseconds(400);
 // Changes are told at once; while something waits this often without one, as
@@ -96,22 +95,12 @@
                                                    : kWholeEvery;
 }
 
-bool IsYoung(const State& state) {
-  return state.now - state.started_at < kYoungFor;
-}
-
-Duration DrawnWithin(State& state, Duration most) {
-  return Duration(static_cast<Duration::rep>(
-      state.random() % static_cast<std::uint64_t>(most.count())));
-}
-
 // Until the next whole snapshot to that daemon; `first`: to tell it the first.
 Duration NextPause(State& state, const std::string& peer, bool first) {
-  if (first)
-    return DrawnWithin(state, IsYoung(state) ? kFirstWhole : kWholeEvery);
+  if (first) return Drawn(state, IsYoung(state) ? kFirstWhole : kWholeEvery);
   const Duration pause = WholePause(state, peer);
   // After first ones that were told close together the moments differ again.
-  return IsYoung(state) ? DrawnWithin(state, pause) : pause;
+  return IsYoung(state) ? Drawn(state, pause) : pause;
 }
 
 void Apply(const LoadSnapshot& partial, LoadSnapshot& known) {
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -86,9 +86,7 @@
   if (!takes(backend) || !helped || !KnowsBackends(state)) {
     // Whoever placed it may not know yet that this one leaves.
     if (!takes(backend)) request.tried.insert(request.backend);
-    DropAttempt(state, request, false);
-    request.phase = Phase::kWaiting;
-    request.retry_at = state.now + kLookAgain;
+    Requeue(state, request, kLookAgain);
     return;
   }
   request.phase = Phase::kRunning;
@@ -313,10 +311,8 @@
 // Whether the engine that is to write lives, as far as can be known; asks it
 // where that is not known.
 bool HasSign(State& state, Request& request) {
-  const Time sign = std::max(request.sent_at, request.sign_at);
-  if (request.phase != Phase::kRunning || state.now - sign <= kSignWithin) {
-    return true;
-  }
+  const bool lives = state.now - request.sign_at <= kSignWithin;
+  if (request.phase != Phase::kRunning || lives) return true;
   const Backend* backend = FindBackend(state, request.backend);
   if (backend != nullptr && request.ask_sign_at <= state.now) {
     request.ask_sign_at = state.now + kAskSignEvery;
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -1,6 +1,4 @@
 #include <algorithm>
-#include <functional>
-#include <tuple>
 #include <utility>
 
 #include "internal/durations.h"
@@ -58,33 +56,16 @@
   return PartOf(state.options.news_within, kRoundPart);
 }
 
-Duration Drawn(State& state, Duration most) {
-  const auto n =
-      static_cast<std::uint64_t>(std::max<Duration::rep>(most.count(), 1));
-  return Duration(static_cast<Duration::rep>(state.random() % n));
-}
-
 // The daemons of this data centre that ask, as far as this one can tell: they
 // agree on them without a word.
 std::vector<std::string> AskersOf(const State& state) {
   const std::string& here = state.options.data_centre;
-  std::vector<std::tuple<double, std::uint64_t, std::string>> ranked;
-  const auto add = [&](double capacity, const std::string& address) {
-    ranked.emplace_back(capacity, RankOf(address, here), address);
-  };
-  if (ReachesStore(state)) {
-    add(state.options.capacity, state.options.peer_address);
-  }
-  for (const auto& [address, member] : state.members) {
-    const LoadSnapshot& told = member.snapshot;
-    const bool can = told.asks_store && told.data_centre == here;
-    if (can && IsHeard(state, member)) add(told.capacity, address);
-  }
-  std::sort(ranked.begin(), ranked.end(), std::greater<>());
-  std::vector<std::string> askers;
-  for (std::size_t i = 0; i < std::min(kAskers, ranked.size()); ++i) {
-    askers.push_back(std::get<std::string>(ranked[i]));
-  }
+  auto askers =
+      StrongestOf(state, here, ReachesStore(state), [&](const Member& it) {
+        return it.snapshot.asks_store && it.snapshot.data_centre == here &&
+               IsHeard(state, it);
+      });
+  askers.resize(std::min(kAskers, askers.size()));
   return askers;
 }
 
