Sight: what a daemon counted of repeats, its room, of how many daemons

Cause looked for: the bound on repeats was broken, and no line told by what account a daemon allowed one.

Change: a line 'repeat' for each decision (requests and repeats of the window, room, daemons heard and listed), a line 'daemons' when the count changes, two gauges, words for it in 'scaleshed trace'. No decision changes.

--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -69,6 +69,15 @@
   return text;
 }
 
+std::string ExplainRepeat(const TraceLine& line) {
+  const bool allowed = Field(line, "allowed") == "true";
+  return std::string("one more send ") + (allowed ? "allowed" : "denied") +
+         ": " + Field(line, "repeats") + " repeats of " + Field(line, "room") +
+         " by " + Field(line, "requests") + " requests and a share of " +
+         Field(line, "daemons_heard") + " daemons heard, " +
+         Field(line, "daemons_listed") + " others listed";
+}
+
 std::string ExplainRefused(const TraceLine& line) {
   std::string text = "answered " + Field(line, "status") + " by us (" +
                      Field(line, "why") + ") after " + Field(line, "after_ms") +
@@ -86,6 +95,7 @@
 std::string Explain(const TraceLine& line) {
   if (line.event == "sent") return ExplainSent(line);
   if (line.event == "lost") return ExplainLost(line);
+  if (line.event == "repeat") return ExplainRepeat(line);
   if (line.event == "refused") return ExplainRefused(line);
   if (line.event == "gives_up") return ExplainGivesUp(line);
   if (line.event == "waits") return "waits for " + Field(line, "for");
--- a/cli/test/trace_test.cc
+++ b/cli/test/trace_test.cc
@@ -59,6 +59,14 @@
                          {"helpers", "5"},
                          {"resume_after", "4"}}) ==
         "1  a  sent to w after 3 ms, read by 5 more, goes on after event 4\n");
+  CHECK(explain("repeat", {{"allowed", "false"},
+                           {"requests", "40"},
+                           {"repeats", "9"},
+                           {"room", "9"},
+                           {"daemons_heard", "8"},
+                           {"daemons_listed", "7"}}) ==
+        "1  a  one more send denied: 9 repeats of 9 by 40 requests and a share "
+        "of 8 daemons heard, 7 others listed\n");
   CHECK(ExplainTrace({}) == "no line of this request\n");
 }
 
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -101,6 +101,8 @@
       std::count_if(state.members.begin(), state.members.end(),
                     [](const auto& it) { return it.second.snapshot.serving; });
   RenderGauge(out, "other_daemons_serving", static_cast<double>(daemons));
+  RenderGauge(out, "daemons_heard", static_cast<double>(state.counted.heard));
+  RenderGauge(out, "daemons_listed", static_cast<double>(state.counted.listed));
   RenderDispatch(out, state.dispatch);
   RenderRequests(out, state);
   out << "# TYPE scaleshed_loop_late_seconds histogram\n";
--- a/serving/include/scaleshed/serving/repeat_budget.h
+++ b/serving/include/scaleshed/serving/repeat_budget.h
@@ -13,6 +13,14 @@
   Duration window = seconds(10);  // sliding
 };
 
+// What one daemon has counted of a service within the window that ends now, and
+// how many repeats it may have made by that.
+struct RepeatAccount {
+  std::size_t requests = 0;
+  std::size_t repeats = 0;
+  double room = 0;
+};
+
 // Bounds the sends of one daemon to one service that are not the first of their
 // request. Each daemon keeps to the ratio of its own requests and to an even
 // share of the slack, so that the sum over all daemons keeps to both without
@@ -26,6 +34,8 @@
   // Counts a repeat if there is room for one among `daemons`.
   bool Spend(Time now, std::size_t daemons);
 
+  RepeatAccount Account(Time now, std::size_t daemons);
+
  private:
   void Forget(Time now);
 
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -231,6 +231,14 @@
   Time arrived{};
 };
 
+// How many daemons there are: that this one hears, itself among them, and that
+// the store had when it was last listed, without this one.
+struct DaemonCount {
+  std::size_t heard = 0;
+  std::size_t listed = 0;
+  bool operator==(const DaemonCount&) const = default;
+};
+
 struct State {
   explicit State(ServingOptions serving_options)
       : options(std::move(serving_options)), random(options.seed) {}
@@ -251,6 +259,7 @@
   std::map<std::string, Member> members;            // by peer address
   std::map<std::string, std::string> listed_peers;  // to their data centres
   Dispatching dispatch;
+  DaemonCount counted;                          // as last logged
   std::map<std::string, RepeatBudget> budgets;  // by service
 
   std::deque<EarlyRequest> early;  // in the order of their arrival
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -65,6 +65,21 @@
     {NoRepeat::kBudget, "budget"},
 }};
 
+void LogRepeat(State& state, const Request& request, RepeatBudget& budget,
+               bool allowed) {
+  const DaemonCount count = CountOf(state);
+  const RepeatAccount account = budget.Account(state.now, LiveDaemons(state));
+  Log(state, "repeat",
+      {{"request", request.facts.id},
+       {"service", request.service},
+       {"allowed", allowed ? "true" : "false"},
+       {"requests", std::to_string(account.requests)},
+       {"repeats", std::to_string(account.repeats)},
+       {"room", std::to_string(static_cast<std::int64_t>(account.room))},
+       {"daemons_heard", std::to_string(count.heard)},
+       {"daemons_listed", std::to_string(count.listed)}});
+}
+
 // What forbids it to send a request to one more backend server. Spends the
 // budget where nothing does.
 NoRepeat ForbidsRepeat(State& state, Request& request) {
@@ -74,12 +89,11 @@
       state.budgets
           .try_emplace(request.service, RepeatBudget(state.options.repeats))
           .first->second;
-  if (budget.Spend(state.now, LiveDaemons(state))) {
-    state.effects.emplace_back(Count{Counter::kRepeats});
-    return NoRepeat::kNothing;
-  }
-  state.effects.emplace_back(Count{Counter::kRepeatsDenied});
-  return NoRepeat::kBudget;
+  const bool allowed = budget.Spend(state.now, LiveDaemons(state));
+  LogRepeat(state, request, budget, allowed);
+  state.effects.emplace_back(
+      Count{allowed ? Counter::kRepeats : Counter::kRepeatsDenied});
+  return allowed ? NoRepeat::kNothing : NoRepeat::kBudget;
 }
 
 // The same for a request that may have run.
--- a/serving/src/audience.cc
+++ b/serving/src/audience.cc
@@ -136,6 +136,12 @@
 
 void CountDaemons(State& state) {
   state.dispatch.all_place = LiveDaemons(state) <= kMostThatAllPlace;
+  const DaemonCount count = CountOf(state);
+  if (count == state.counted) return;
+  state.counted = count;
+  Log(state, "daemons",
+      {{"heard", std::to_string(count.heard)},
+       {"listed", std::to_string(count.listed)}});
 }
 
 void TakeAudience(State& state) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -177,6 +177,7 @@
 // members.cc: the other daemons and the configuration.
 void OnPeersListed(State& state, const PeersListed& event);
 bool IsHeard(const State& state, const Member& member);
+DaemonCount CountOf(const State& state);
 std::size_t LiveDaemons(const State& state);
 // What all daemons have at backend servers.
 std::vector<const Work*> AllWorks(const State& state);
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -21,12 +21,17 @@
   return state.now - member.heard < kSilence;
 }
 
-std::size_t LiveDaemons(const State& state) {
-  std::size_t n = 1;
+DaemonCount CountOf(const State& state) {
+  DaemonCount count{.heard = 1, .listed = state.listed_peers.size()};
   for (const auto& [address, member] : state.members) {
-    if (IsHeard(state, member)) ++n;
+    if (IsHeard(state, member)) ++count.heard;
   }
-  return std::max(n, state.listed_peers.size());
+  return count;
+}
+
+std::size_t LiveDaemons(const State& state) {
+  const DaemonCount count = CountOf(state);
+  return std::max(count.heard, count.listed);
 }
 
 std::vector<const Work*> AllWorks(const State& state) {
--- a/serving/src/repeat_budget.cc
+++ b/serving/src/repeat_budget.cc
@@ -16,13 +16,19 @@
   requests_.push_back(now);
 }
 
-bool RepeatBudget::Spend(Time now, std::size_t daemons) {
+RepeatAccount RepeatBudget::Account(Time now, std::size_t daemons) {
   Forget(now);
   const auto share = static_cast<double>(std::max<std::size_t>(daemons, 1));
   const double room =
       kUsedPart * (options_.ratio * static_cast<double>(requests_.size()) +
                    options_.slack / share);
-  if (static_cast<double>(repeats_.size()) + 1 > room) return false;
+  return {
+      .requests = requests_.size(), .repeats = repeats_.size(), .room = room};
+}
+
+bool RepeatBudget::Spend(Time now, std::size_t daemons) {
+  const RepeatAccount account = Account(now, daemons);
+  if (static_cast<double>(account.repeats) + 1 > account.room) return false;
   repeats_.push_back(now);
   return true;
 }
