--- /dev/null
+++ b/daemon/src/internal/registration.h
@@ -0,0 +1,54 @@
+#ifndef SCALESHED_DAEMON_INTERNAL_REGISTRATION_H_
+#define SCALESHED_DAEMON_INTERNAL_REGISTRATION_H_
+
+#include <functional>
+#include <optional>
+#include <random>
+
+#include "scaleshed/platform/store_client.h"
+#include "scaleshed/runtime/event_loop.h"
+
+namespace scaleshed {
+
+struct RegistrationOptions {
+  platform::StoredMember self;
+  std::uint64_t seed = 1;
+  // Notes what became of a call, by name; false where it failed.
+  std::function<bool(const char*, std::optional<platform::StoreError>)> noted;
+  // Called whenever the entry has been written.
+  std::function<void()> on_registered;
+};
+
+// Keeps this daemon's entry in the platform's store, under a lease, so that
+// daemons that start find it. Tries again until it stands; ends with Leave().
+class Registration {
+ public:
+  // `store` must outlive this.
+  Registration(EventLoop& loop, platform::StoreClient& store,
+               RegistrationOptions options);
+
+  void Start() { Open(); }
+  // Takes the entry away.
+  void Leave();
+  // The entry was written under a lease that is not known to be over.
+  bool stands() const { return stands_; }
+
+ private:
+  void Open();
+  void Write();
+  void Renew();
+  // Half of `most` and a drawn part of the other half.
+  Duration Drawn(Duration most);
+
+  platform::StoreClient& store_;
+  RegistrationOptions options_;
+  std::mt19937_64 random_;
+  std::uint64_t lease_ = 0;
+  bool stands_ = false;
+  bool leaving_ = false;
+  Timer timer_;
+};
+
+}  // namespace scaleshed
+
+#endif  // SCALESHED_DAEMON_INTERNAL_REGISTRATION_H_
--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <string>
 
+#include "internal/registration.h"
 #include "scaleshed/platform/store_client.h"
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/runtime/http_client.h"
@@ -64,9 +65,7 @@
   void ReadNewest();
   void ListBackends(Time asked);
   void Take(const platform::StoredItem& item, Time asked);
-  void Register();
-  void WriteMember();
-  void Renew();
+  void ListOnceRegistered();
   // All backend servers there are, by a list that was asked for then.
   void TellBackends(const platform::StoredItems& items, Time asked);
   void TellPeers();
@@ -76,7 +75,6 @@
   // The store says something to this daemon.
   void Heard();
   Duration Backoff();
-  Duration LeasePause();
 
   EventLoop& loop_;
   StoreFollowerOptions options_;
@@ -86,8 +84,6 @@
   std::mt19937_64 random_;
   std::map<std::string, std::string> peers_;  // to their data centres
   std::uint64_t at_ = 0;                      // where the watch goes on
-  std::uint64_t lease_ = 0;
-  bool registered_ = false;
   bool listing_ = false;
   bool listed_ = false;  // after this daemon was registered
   bool wants_watch_ = false;
@@ -95,14 +91,13 @@
   Time watched_at_{};
   bool asking_ = false;
   bool listing_backends_ = false;
-  bool leaving_ = false;
   int failures_ = 0;
   bool lost_ = false;
   Time trouble_at_{};
   Time heard_at_{};  // last, something of an answer
+  Registration registration_;
   Timer list_timer_;
   Timer watch_timer_;
-  Timer lease_timer_;
 };
 
 }  // namespace scaleshed
--- /dev/null
+++ b/daemon/src/registration.cc
@@ -0,0 +1,94 @@
+#include "internal/registration.h"
+
+#include <utility>
+
+namespace scaleshed {
+namespace {
+
+using platform::StoreError;
+
+// Who lives is heard from the daemons themselves; an entry serves those that
+// start, and may outlive its daemon for a while.
+constexpr Duration kLeaseTtl = seconds(20);
+constexpr Duration kRenewEvery = seconds(6);
+// After a failed call, half of it drawn. Those that are there hear each other
+// whatever the list says, so a store that refuses is not pressed: at the pace
+// of other calls 295 daemons made 4,000 of these in 6 s.
+constexpr Duration kRetry = seconds(4);
+// A lease that is over is opened anew within this, half of it drawn.
+constexpr Duration kAgain = milliseconds(100);
+
+}  // namespace
+
+Registration::Registration(EventLoop& loop, platform::StoreClient& store,
+                           RegistrationOptions options)
+    : store_(store),
+      options_(std::move(options)),
+      random_(options_.seed),
+      timer_(loop, [this] { Renew(); }) {}
+
+void Registration::Leave() {
+  leaving_ = true;
+  timer_.Cancel();
+  if (lease_ == 0) return;
+  store_.EndLease(lease_, [this](const auto& result) {
+    options_.noted("end_lease", platform::FaultOf(result));
+  });
+}
+
+Duration Registration::Drawn(Duration most) {
+  const auto half = static_cast<std::uint64_t>(most.count()) / 2;
+  return most / 2 + Duration(static_cast<Duration::rep>(random_() % half));
+}
+
+void Registration::Open() {
+  store_.OpenLease(kLeaseTtl, [this](const auto& result) {
+    const auto* lease = ValueOf(result);
+    if (!options_.noted("open_lease", platform::FaultOf(result))) {
+      timer_.Once(Drawn(kRetry));
+      return;
+    }
+    lease_ = *lease;
+    Write();
+  });
+}
+
+// A write without an answer is repeated under the same lease, so that ending
+// that lease takes away whatever was written.
+void Registration::Write() {
+  store_.WriteMember(options_.self, lease_, [this](const auto& result) {
+    const auto fault = platform::FaultOf(result);
+    if (fault == StoreError::kNoLease) lease_ = 0;
+    stands_ = options_.noted("register", fault);
+    if (leaving_) return;
+    timer_.Once(stands_ ? kRenewEvery : Drawn(kRetry));
+    if (stands_) options_.on_registered();
+  });
+}
+
+void Registration::Renew() {
+  if (leaving_) return;
+  if (lease_ == 0) {
+    Open();
+    return;
+  }
+  if (!stands_) {
+    Write();
+    return;
+  }
+  store_.KeepLease(lease_, [this](const auto& result) {
+    const auto fault = platform::FaultOf(result);
+    if (options_.noted("keep_lease", fault)) {
+      timer_.Once(kRenewEvery);
+      return;
+    }
+    const bool over = fault == StoreError::kNoLease;
+    if (over) {
+      lease_ = 0;
+      stands_ = false;
+    }
+    timer_.Once(Drawn(over ? kAgain : kRetry));
+  });
+}
+
+}  // namespace scaleshed
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -9,6 +9,7 @@
 namespace scaleshed {
 namespace {
 
+using platform::FaultOf;
 using platform::StoreError;
 
 // A watch that brings nothing is asked anew; a wait counts as one call.
@@ -27,14 +28,6 @@
 // Entries of backend servers may lapse while the store is away; so long after
 // its return they may still be missing.
 constexpr Duration kAwayFor = milliseconds(2500);
-// Who lives is heard from the daemons themselves; an entry serves those that
-// start, and may outlive its daemon for a while.
-constexpr Duration kLeaseTtl = seconds(20);
-constexpr Duration kRenewEvery = seconds(6);
-// After a failed call for the lease, half of it drawn. Those that are there
-// hear each other whatever the list says, so a store that refuses is not
-// pressed: at the pace of other calls 295 daemons made 4,000 of these in 6 s.
-constexpr Duration kLeaseRetry = seconds(4);
 // A large answer comes in many pieces; that it goes on is told so often.
 constexpr Duration kHeardGrain = milliseconds(20);
 // A daemon of the same data centre tells a configuration within this, as long
@@ -45,13 +38,6 @@
 constexpr Duration kFirstBackoff = milliseconds(100);
 constexpr int kMostDoublings = 3;
 
-// Why there is no answer; nothing where there is one.
-template <typename T>
-std::optional<StoreError> FaultOf(const platform::StoreResult<T>& result) {
-  if (ValueOf(result) != nullptr) return std::nullopt;
-  return ErrorOf(result);
-}
-
 bool HasRevision(const platform::StoredItems& items, std::uint64_t revision) {
   return std::any_of(
       items.items.begin(), items.items.end(), [&](const auto& it) {
@@ -71,22 +57,25 @@
              {.address = options_.store, .on_heard = [this] { Heard(); }}),
       peer_calls_(loop),
       random_(options_.seed),
+      registration_(loop, store_,
+                    {.self = {.peer_address = options_.peer_address,
+                              .data_centre = options_.data_centre},
+                     .seed = options_.seed + 1,
+                     .noted = [this](const char* call,
+                                     auto error) { return Noted(call, error); },
+                     .on_registered = [this] { ListOnceRegistered(); }}),
       list_timer_(loop, [this] { List(); }),
-      watch_timer_(loop, [this] { Watch(); }),
-      lease_timer_(loop, [this] { Renew(); }) {}
+      watch_timer_(loop, [this] { Watch(); }) {}
 
 void StoreFollower::Start() {
-  Register();
+  registration_.Start();
   list_timer_.Once(kRegisterWithin);
 }
 
-void StoreFollower::Leave() {
-  leaving_ = true;
-  lease_timer_.Cancel();
-  if (lease_ == 0) return;
-  store_.EndLease(lease_, [this](const auto& result) {
-    Noted("end_lease", FaultOf(result));
-  });
+void StoreFollower::Leave() { registration_.Leave(); }
+
+void StoreFollower::ListOnceRegistered() {
+  if (!listed_) List();
 }
 
 Duration StoreFollower::Backoff() {
@@ -99,12 +88,6 @@
                   2);
 }
 
-Duration StoreFollower::LeasePause() {
-  const auto half = static_cast<std::uint64_t>(kLeaseRetry.count()) / 2;
-  return kLeaseRetry / 2 +
-         Duration(static_cast<Duration::rep>(random_() % half));
-}
-
 bool StoreFollower::Noted(const char* call, std::optional<StoreError> error) {
   // These are answers of a store that is there.
   const bool there = !error || *error == StoreError::kForgotten ||
@@ -155,7 +138,7 @@
     list_timer_.Once(Backoff());
     return;
   }
-  listed_ = registered_;
+  listed_ = registration_.stands();
   peers_.clear();
   for (const auto& it : items->items) {
     const bool is_backend = std::holds_alternative<platform::StoredBackend>(it);
@@ -371,54 +354,4 @@
   });
 }
 
-void StoreFollower::Register() {
-  store_.OpenLease(kLeaseTtl, [this](const auto& result) {
-    const auto* lease = ValueOf(result);
-    if (!Noted("open_lease", FaultOf(result))) {
-      lease_timer_.Once(LeasePause());
-      return;
-    }
-    lease_ = *lease;
-    WriteMember();
-  });
-}
-
-// A write without an answer is repeated under the same lease, so that ending
-// that lease takes away whatever was written.
-void StoreFollower::WriteMember() {
-  const platform::StoredMember self{.peer_address = options_.peer_address,
-                                    .data_centre = options_.data_centre};
-  store_.WriteMember(self, lease_, [this](const auto& result) {
-    const auto* done = ValueOf(result);
-    if (done == nullptr && ErrorOf(result) == StoreError::kNoLease) lease_ = 0;
-    registered_ = Noted("register", FaultOf(result));
-    if (leaving_) return;
-    lease_timer_.Once(registered_ ? kRenewEvery : LeasePause());
-    if (registered_ && !listed_) List();
-  });
-}
-
-void StoreFollower::Renew() {
-  if (leaving_) return;
-  if (lease_ == 0) {
-    Register();
-    return;
-  }
-  if (!registered_) {
-    WriteMember();
-    return;
-  }
-  store_.KeepLease(lease_, [this](const auto& result) {
-    const auto* done = ValueOf(result);
-    if (done == nullptr && ErrorOf(result) == StoreError::kNoLease) {
-      lease_ = 0;
-      registered_ = false;
-    }
-    const bool kept = Noted("keep_lease", FaultOf(result));
-    // One that is over is opened anew at once.
-    const Duration again = lease_ == 0 ? Backoff() : LeasePause();
-    lease_timer_.Once(kept ? kRenewEvery : again);
-  });
-}
-
 }  // namespace scaleshed
