--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -234,6 +234,8 @@
       report.broken.push_back(std::to_string(callers_->waiting()) +
                               " requests got no answer");
     }
+    // What is still planned would start daemons anew while they stop.
+    plan_.clear();
     for (const std::string& it : daemons_.StopAll())
       report.broken.push_back(it);
     callers_->Tell(report);
