A daemon that is told to stop as it starts; the soak knows which life has begun

Trace: these lives ended by SIGTERM with an empty log, before their main had run, as a stop followed a start within milliseconds; nothing had been taken. The check passes over just these. Beside it the handlers stand before the daemon listens now, so that no connection that was accepted ends without an answer.

--- a/daemon/src/main.cc
+++ b/daemon/src/main.cc
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <optional>
 
 #include "scaleshed/config/settings.h"
 #include "scaleshed/daemon/daemon.h"
@@ -37,10 +38,13 @@
 template <typename DaemonType>
 int RunDaemon(const scaleshed::Settings& settings, const std::string& file) {
   scaleshed::EventLoop loop;
-  DaemonType daemon(loop, settings);
-  loop.OnSignal(SIGTERM, [&] { daemon.Stop(); });
-  loop.OnSignal(SIGINT, [&] { daemon.Stop(); });
+  // Before it listens, so that nothing that was taken is ended without an
+  // answer.
+  std::optional<DaemonType> daemon;
+  loop.OnSignal(SIGTERM, [&] { daemon->Stop(); });
+  loop.OnSignal(SIGINT, [&] { daemon->Stop(); });
   loop.OnSignal(SIGHUP, [&] { CheckSettings(file); });
+  daemon.emplace(loop, settings);
   loop.Run();
   scaleshed::LogInfo("stopped", {});
   return 0;
--- a/testing/include/scaleshed/testing/cluster.h
+++ b/testing/include/scaleshed/testing/cluster.h
@@ -29,6 +29,8 @@
   // Whether it has ended by itself, with success.
   bool EndedWell();
   bool Running();
+  // "running", "status N" or "signal N".
+  std::string HowEnded();
   // What it has written so far.
   std::string Output() const;
 
--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -70,6 +70,9 @@
   Duration warm_up = seconds(3);
   Duration length = seconds(12);
   double requests_per_second = 120;
+  // Entries of backend servers that nobody asks, which daemons read all the
+  // same.
+  std::size_t idle_servers = 0;
   // Shorter than the users' windows, so that a run has many; the slack is to be
   // several a daemon.
   RepeatBound bound{.ratio = 0.2, .slack = 80, .window = seconds(3)};
--- a/testing/src/internal/soak_daemons.h
+++ b/testing/src/internal/soak_daemons.h
@@ -53,6 +53,8 @@
   void WriteSettings(Daemon& daemon, const SoakOptions& options,
                      const std::string& platform);
   void AwaitEnd(std::size_t i);
+  bool EndedInOrder(Daemon& daemon);
+  void NoteBadEnd(Daemon& daemon);
 
   EventLoop& loop_;
   std::string program_;
--- a/testing/src/process.cc
+++ b/testing/src/process.cc
@@ -51,6 +51,14 @@
   return !Running() && WIFEXITED(*status_) && WEXITSTATUS(*status_) == 0;
 }
 
+std::string Process::HowEnded() {
+  if (Running()) return "running";
+  if (WIFEXITED(*status_)) {
+    return "status " + std::to_string(WEXITSTATUS(*status_));
+  }
+  return "signal " + std::to_string(WTERMSIG(*status_));
+}
+
 std::string Process::Output() const {
   std::ostringstream text;
   text << std::ifstream(output_).rdbuf();
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -60,6 +60,7 @@
     Configure();
     for (std::size_t i = 0; i < kEngines; ++i) AddServer("llm");
     for (std::size_t i = 0; i < kPlainServers; ++i) AddServer("app");
+    for (std::size_t i = 0; i < options.idle_servers; ++i) AddIdle(i);
     std::vector<std::string> look_ups;
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       look_ups.push_back(daemons_.look_up_address(i));
@@ -137,6 +138,21 @@
     serving_.push_back({.server = servers_.size() - 1, .service = service});
   }
 
+  // As many have it in a large fleet; the address is nobody's.
+  void AddIdle(std::size_t i) {
+    const std::string id = "idle-" + std::to_string(i);
+    store_.Put("servers/" + id, nlohmann::json{{"service", "idle"},
+                                               {"address", "127.0.0.2:9"},
+                                               {"zone", "dc-0"},
+                                               {"version", "v1"},
+                                               {"slots", 16},
+                                               {"state", "ready"},
+                                               {"cold_remaining_ms", 0},
+                                               {"sequence", 1},
+                                               {"born", 1'700'000'000'000}}
+                                    .dump());
+  }
+
   WorkerMode DrawMode() {
     const double u = std::uniform_real_distribution<double>(0, 1)(random_);
     double from = 0;
--- a/testing/src/soak_daemons.cc
+++ b/testing/src/soak_daemons.cc
@@ -85,8 +85,8 @@
   daemons_[i].timer = std::make_unique<Timer>(loop_, [this, i] {
     Daemon& it = daemons_[i];
     if (it.process && it.process->Running()) return;
-    if (it.process && !it.process->EndedWell()) {
-      faults_.push_back(it.name + " did not end well");
+    if (it.process && !EndedInOrder(it)) {
+      NoteBadEnd(it);
     }
     Start(i);
   });
@@ -111,12 +111,27 @@
   if (daemons_[i].process) daemons_[i].process->Signal(SIGHUP);
 }
 
+// One that is told to end before it has begun, and written its first line, has
+// taken nothing, and ends as any process does.
+bool SoakDaemons::EndedInOrder(Daemon& daemon) {
+  if (daemon.process->EndedWell()) return true;
+  const std::string by_term = "signal " + std::to_string(SIGTERM);
+  return daemon.process->HowEnded() == by_term &&
+         daemon.process->Output().empty();
+}
+
+void SoakDaemons::NoteBadEnd(Daemon& daemon) {
+  faults_.push_back(daemon.name + " in its life " +
+                    std::to_string(daemon.lives) +
+                    " did not end well: " + daemon.process->HowEnded());
+}
+
 std::vector<std::string> SoakDaemons::StopAll() {
   for (Daemon& it : daemons_) {
     it.timer->Cancel();
     if (!it.process) continue;
     if (!it.process->Running()) {
-      if (!it.process->EndedWell()) faults_.push_back(it.name + " has died");
+      if (!EndedInOrder(it)) NoteBadEnd(it);
       it.process.reset();
       continue;
     }
@@ -134,8 +149,8 @@
   poll.Every(kPoll);
   loop_.Run();
   for (Daemon& it : daemons_) {
-    if (it.process && !it.process->EndedWell()) {
-      faults_.push_back(it.name + " did not end well");
+    if (it.process && !EndedInOrder(it)) {
+      NoteBadEnd(it);
     }
     it.process.reset();
   }
--- a/testing/src/soak_main.cc
+++ b/testing/src/soak_main.cc
@@ -18,6 +18,7 @@
 ABSL_FLAG(int, warm_up_ms, 3000, "from the first start to the callers' begin");
 ABSL_FLAG(int, start_gap_ms, 0, "between the starts of two daemons");
 ABSL_FLAG(double, rate, 120, "requests a second");
+ABSL_FLAG(int, idle_servers, 0, "entries of servers that nobody asks");
 ABSL_FLAG(double, slack, 80, "of the repeats, over the fleet");
 ABSL_FLAG(int, window_ms, 3000, "of the bound on repeats");
 ABSL_FLAG(std::string, series, "",
@@ -40,6 +41,8 @@
       .warm_up = milliseconds(absl::GetFlag(FLAGS_warm_up_ms)),
       .length = milliseconds(absl::GetFlag(FLAGS_length_ms)),
       .requests_per_second = absl::GetFlag(FLAGS_rate),
+      .idle_servers =
+          static_cast<std::size_t>(absl::GetFlag(FLAGS_idle_servers)),
       .bound = {.ratio = 0.2,
                 .slack = absl::GetFlag(FLAGS_slack),
                 .window = milliseconds(absl::GetFlag(FLAGS_window_ms))},
