Many backend servers are proved by what changed since, not by lists

Change: it asks for the changes since its revision, without waiting (a watch of 1 ms, whose answer is linearizable as all of the store's are). That proves backend servers, the configuration and the number of entries at once, in one call of a few bytes. Of two answers on their way at once the older one is left out, as it would bring back what went since.

A test with 42 servers: no list is made any more, a leaving one is known while the kept watch is silent, and a forgotten history is made up for. The stand-in store ends watches at their wait now; before, it held them for ever.

--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -63,7 +63,9 @@
                const serving::AskStore& question, Time asked);
   void ReadStored(std::uint64_t revision);
   void ReadNewest();
-  void ListBackends(Time asked);
+  void CatchUp(const serving::AskStore& question);
+  void OnForgotten();
+  void TakeChanges(const platform::StoredItems& changes, Time asked);
   void Take(const platform::StoredItem& item, Time asked);
   void ListOnceRegistered();
   // All backend servers there are, by a list that was asked for then.
@@ -91,7 +93,6 @@
   bool watching_ = false;
   Time watched_at_{};
   bool asking_ = false;
-  bool listing_backends_ = false;
   int failures_ = 0;
   bool lost_ = false;
   Time trouble_at_{};
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -26,6 +26,8 @@
 // start at the same moment one at least sees the other; it waits no longer for
 // that than this.
 constexpr Duration kRegisterWithin = milliseconds(300);
+// The least that the store takes: it says at once what there is.
+constexpr Duration kNoWait = milliseconds(1);
 // Conditions that the store takes in one transaction.
 constexpr std::size_t kMostConditions = 32;
 // Entries of backend servers may lapse while the store is away; so long after
@@ -227,42 +229,81 @@
 void StoreFollower::OnWatch(
     platform::StoreResult<platform::StoredItems> result) {
   watching_ = false;
-  const auto* changes = ValueOf(result);
-  if (changes == nullptr && ErrorOf(result) == StoreError::kForgotten) {
-    Noted("watch", std::nullopt);
-    LogInfo("history_forgotten", {{"after", std::to_string(at_)}});
-    List();
+  const auto fault = FaultOf(result);
+  if (fault == StoreError::kForgotten) {
+    OnForgotten();
     return;
   }
-  if (!Noted("watch", FaultOf(result))) {
+  if (!Noted("watch", fault)) {
     watch_timer_.Once(Backoff());
     return;
   }
-  at_ = changes->at;
-  // What a watch brings may be old; it proves nothing.
-  for (const auto& it : changes->items) Take(it, Time{});
-  feed_(serving::BackendsComplete{.revision = at_});
-  if (!changes->items.empty()) TellPeers();
-  TellCount(watched_at_);
+  TakeChanges(*ValueOf(result), watched_at_);
   const Duration early = watched_at_ + kWatchEvery - loop_.Now();
   watch_timer_.Once(std::max(early, Duration::zero()));
 }
 
+void StoreFollower::OnForgotten() {
+  Noted("watch", std::nullopt);
+  LogInfo("history_forgotten", {{"after", std::to_string(at_)}});
+  List();
+}
+
+// Two answers may be on their way at once: what the older one tells has been
+// told, and would bring back what went since.
+void StoreFollower::TakeChanges(const platform::StoredItems& changes,
+                                Time asked) {
+  if (changes.at > at_) {
+    at_ = changes.at;
+    for (const auto& it : changes.items) Take(it, Time{});
+    feed_(serving::BackendsComplete{.revision = at_});
+    if (!changes.items.empty()) TellPeers();
+  }
+  TellCount(asked);
+}
+
 void StoreFollower::Ask(const serving::AskStore& question) {
   if (std::exchange(asking_, true)) return;
+  const bool by_changes = question.backends.size() >= kMostConditions;
+  if (by_changes && at_ != 0) {
+    CatchUp(question);
+    return;
+  }
   std::vector<platform::KnownRevision> known{
       {platform::ConfigurationKey(), question.configuration}};
   const Time asked = loop_.Now();
-  if (question.backends.size() < kMostConditions) {
-    for (const auto& [id, revision] : question.backends) {
-      known.push_back({platform::BackendKey(id), revision});
-    }
+  for (const auto& [id, revision] : question.backends) {
+    if (by_changes) break;
+    known.push_back({platform::BackendKey(id), revision});
   }
   store_.Confirm(known, [this, known, question, asked](auto result) {
     OnAsked(std::move(result), known, question, asked);
   });
 }
 
+// What has changed since what is known, without waiting for more: a few bytes
+// where nothing has, while a list of 3,000 entries has 1 MB. All that the store
+// had taken when it was asked is known then.
+void StoreFollower::CatchUp(const serving::AskStore& question) {
+  const Time asked = loop_.Now();
+  store_.Watch(at_, kNoWait, [this, question, asked](auto result) {
+    asking_ = false;
+    const auto fault = FaultOf(result);
+    if (fault == StoreError::kForgotten) {
+      OnForgotten();
+      return;
+    }
+    if (!Noted("catch_up", fault)) {
+      feed_(serving::StoreUnreachable{});
+      return;
+    }
+    TakeChanges(*ValueOf(result), asked);
+    feed_(serving::ConfigurationConfirmed{.revision = question.configuration,
+                                          .asked = asked});
+    feed_(serving::BackendsConfirmed{.asked = asked});
+  });
+}
+
 void StoreFollower::OnAsked(
     platform::StoreResult<platform::Confirmation> result,
     const std::vector<platform::KnownRevision>& known,
@@ -274,9 +315,8 @@
     return;
   }
   const bool all_asked = known.size() == question.backends.size() + 1;
-  // A list takes one call for 500 entries, conditions one for 31. Only of a
-  // store that answers.
-  if (!all_asked) ListBackends(loop_.Now());
+  // Where to catch up from is known from the first list only.
+  if (!all_asked) List();
   if (std::holds_alternative<platform::Unchanged>(*confirmation)) {
     feed_(serving::ConfigurationConfirmed{.revision = question.configuration,
                                           .asked = asked});
@@ -293,19 +333,6 @@
   }
 }
 
-void StoreFollower::ListBackends(Time asked) {
-  if (std::exchange(listing_backends_, true)) return;
-  store_.ListBackends([this, asked](auto result) {
-    listing_backends_ = false;
-    const auto* items = ValueOf(result);
-    if (!Noted("list_backends", FaultOf(result))) {
-      feed_(serving::StoreUnreachable{});
-      return;
-    }
-    TellBackends(*items, asked);
-  });
-}
-
 // Read from the store by each, one change would be n calls and n answers over
 // one link.
 void StoreFollower::ReadConfiguration(
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -43,7 +43,7 @@
   void SetPage(std::size_t page) { page_ = page; }
   // From now on leases end at their time, and what was written under them goes.
   void LapseLeases();
-  // Watches bring nothing any more, and stay open.
+  // Watches that wait bring nothing any more, and stay open.
   void MuteWatches(bool mute) { muted_ = mute; }
   // Answers begin at once and end only when this is over, as those that are
   // large do on a link that is full.
@@ -73,6 +73,8 @@
     std::shared_ptr<HttpExchange> exchange;
     std::string prefix;
     std::uint64_t after = 0;
+    Time until = Time::max();
+    bool waits = true;
   };
 
   struct HeldBody {
@@ -90,6 +92,7 @@
   void OnLease(const std::shared_ptr<HttpExchange>& exchange);
   void Write(const std::string& key, Item item);
   void AnswerWatches();
+  void EndWatches();
   void EndLease(std::uint64_t lease);
   void EndLapsed();
   static nlohmann::json ToJson(const std::string& key, const Item& item);
@@ -97,6 +100,7 @@
   EventLoop& loop_;
   HttpServer server_;
   Timer lapse_timer_;
+  Timer watch_timer_;
   std::size_t page_ = 3;
   StoreMode mode_ = StoreMode::kUp;
   bool muted_ = false;
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -12,6 +12,9 @@
   return kHeaders;
 }
 
+// Watches that wait so long are those that a daemon keeps.
+constexpr Duration kLongWait = seconds(1);
+
 bool HasPrefix(const std::string& key, const std::string& prefix) {
   return key.compare(0, prefix.size(), prefix) == 0;
 }
@@ -21,7 +24,8 @@
 FakeStore::FakeStore(EventLoop& loop)
     : loop_(loop),
       server_(loop, {}, [this](auto exchange) { Handle(std::move(exchange)); }),
-      lapse_timer_(loop, [this] { EndLapsed(); }) {}
+      lapse_timer_(loop, [this] { EndLapsed(); }),
+      watch_timer_(loop, [this] { EndWatches(); }) {}
 
 std::string FakeStore::address() const {
   return "127.0.0.1:" + std::to_string(server_.port());
@@ -145,8 +149,21 @@
   Watch watch{.exchange = exchange,
               .prefix = exchange->Query("path_prefix"),
               .after = std::stoull(exchange->Query("start_after"))};
+  const Duration wait = milliseconds(std::stoll(exchange->Query("wait_ms")));
+  watch.until = loop_.Now() + wait;
+  watch.waits = wait >= kLongWait;
   watches_.push_back(std::move(watch));
   AnswerWatches();
+  watch_timer_.Once(milliseconds(1));
+}
+
+// Looks again while some wait.
+void FakeStore::EndWatches() {
+  constexpr Duration kLook = milliseconds(20);
+  if (mode_ == StoreMode::kUp || mode_ == StoreMode::kLosingWrites) {
+    AnswerWatches();
+  }
+  if (!watches_.empty()) watch_timer_.Once(kLook);
 }
 
 void FakeStore::AnswerWatches() {
@@ -158,7 +175,9 @@
       }
     }
     const bool forgotten = it->after < forgotten_;
-    if (muted_ || (events.empty() && !forgotten)) {
+    const bool over = it->until <= loop_.Now();
+    const bool muted = muted_ && it->waits;
+    if (muted || (events.empty() && !forgotten && !over)) {
       ++it;
       continue;
     }
--- a/testing/test/store_trouble_test.cc
+++ b/testing/test/store_trouble_test.cc
@@ -81,6 +81,35 @@
 }
 
 // Read from the store by each of 295 daemons, one change was 320 calls.
+// With as many servers as one question can't name.
+TEST_CASE("Many servers are proved by what changed, not by lists") {
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& leaving = fleet.AddWorker("app");
+  fleet.AddWorker("app");
+  for (int i = 0; i < 40; ++i) {
+    fleet.store().Put("servers/idle-" + std::to_string(i),
+                      leaving.Entry("idle"));
+  }
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  const int lists = fleet.store().list_calls();
+  const int calls = fleet.store().calls();
+  // Questions go on, and prove what is known: it stays ready.
+  REQUIRE(fleet.Until([&] { return fleet.store().calls() > calls + 4; }));
+  CHECK(fleet.IsReady());
+  CHECK(fleet.store().list_calls() == lists);
+  // Where the watch that is kept says nothing, they bring what changed, too.
+  fleet.store().MuteWatches(true);
+  fleet.store().Put("servers/" + leaving.id(),
+                    leaving.Entry("app", "draining"));
+  CHECK(fleet.StopsGetting(leaving, "/plain/safe/a"));
+  // A history that was forgotten is made up for by a list.
+  fleet.store().ForgetHistory();
+  CHECK(fleet.Until([&] { return fleet.store().list_calls() > lists; }));
+  CHECK(fleet.Eventually([&] { return fleet.IsReady(); }));
+}
+
 TEST_CASE("A new configuration is had from a daemon that has it") {
   Fleet fleet;
   fleet.Configure();
