A daemon that has no list yet doesn't take that for an empty one

Cause, seen in the log of one of 300 daemons that were killed together: its list of 3,000 servers came 3.3 s after its start, but its question whether what it knows has changed was answered after 1.7 s, with no server known. That counted as proof that there is none: it was ready, named in look-ups, and refused with no_backend.

Change: no proof of servers before the first list. Lines of servers that are listed are routine ones, at most 200 a second.

Measured: the test fails on the code before (ready without a list) and passes.

--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -314,8 +314,10 @@
     feed_(serving::StoreUnreachable{});
     return;
   }
-  const bool all_asked = known.size() == question.backends.size() + 1;
-  // Where to catch up from is known from the first list only.
+  // Before the first list nothing is known: that none of it has changed proves
+  // no list, and requests were refused for want of servers.
+  const bool all_asked =
+      at_ != 0 && known.size() == question.backends.size() + 1;
   if (!all_asked) List();
   if (std::holds_alternative<platform::Unchanged>(*confirmation)) {
     feed_(serving::ConfigurationConfirmed{.revision = question.configuration,
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -69,7 +69,9 @@
        {"born", std::to_string(server.born)},
        {"revision", std::to_string(server.revision)},
        {"state", what},
-       {"why", why}});
+       {"why", why}},
+      // A first list may have thousands.
+      /*routine=*/what == "listed");
 }
 
 // The entry names no backend server to use. What is known of the one that it
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -48,10 +48,14 @@
   // Answers begin at once and end only when this is over, as those that are
   // large do on a link that is full.
   void HoldBodies(bool hold);
+  // Lists are not answered until this is over.
+  void HoldLists(bool hold);
   bool Has(const std::string& key) const { return items_.contains(key); }
   int calls() const { return calls_; }
   // Of these, single keys that were read.
   int key_reads() const { return key_reads_; }
+  // Of these, questions whether what is known is the newest.
+  int questions() const { return questions_; }
   // Of these, lists.
   int list_calls() const { return list_calls_; }
   // Of these, calls for leases.
@@ -106,10 +110,13 @@
   bool muted_ = false;
   bool hold_bodies_ = false;
   std::vector<HeldBody> held_bodies_;
+  bool hold_lists_ = false;
+  std::vector<std::shared_ptr<HttpExchange>> held_lists_;
   int calls_ = 0;
   int key_reads_ = 0;
   int lease_calls_ = 0;
   int list_calls_ = 0;
+  int questions_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t forgotten_ = 0;
   std::uint64_t last_lease_ = 0;
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -129,7 +129,17 @@
   Answer(exchange, 200, ToJson(key, found->second));
 }
 
+void FakeStore::HoldLists(bool hold) {
+  hold_lists_ = hold;
+  if (hold) return;
+  for (const auto& it : std::exchange(held_lists_, {})) OnRange(it);
+}
+
 void FakeStore::OnRange(const std::shared_ptr<HttpExchange>& exchange) {
+  if (hold_lists_) {
+    held_lists_.push_back(exchange);
+    return;
+  }
   Json items = Json::array();
   const std::string prefix = exchange->Query("path_prefix");
   const std::string after = exchange->Query("start_after");
@@ -193,6 +203,7 @@
 
 void FakeStore::OnTransaction(const std::shared_ptr<HttpExchange>& exchange) {
   const Json body = Json::parse(exchange->TakeBody());
+  if (body.at("put").empty()) ++questions_;
   Json items = Json::array();
   bool holds = true;
   for (const Json& it : body.at("expected_rev")) {
--- a/testing/test/store_trouble_test.cc
+++ b/testing/test/store_trouble_test.cc
@@ -110,6 +110,26 @@
   CHECK(fleet.Eventually([&] { return fleet.IsReady(); }));
 }
 
+// Where 300 daemons start at once a list of 3,000 servers takes seconds. The
+// question whether what is known has changed was answered before, with no
+// server known, and was taken for proof that there is none.
+TEST_CASE("A daemon that has no list yet doesn't take that for an empty one") {
+  Fleet fleet;
+  fleet.Configure();
+  fleet.AddWorker("app");
+  fleet.store().HoldLists(true);
+  fleet.AddDaemon();
+  // Its own question is put 0.9 s after the start, and brings the
+  // configuration.
+  REQUIRE(fleet.Until([&] { return fleet.store().questions() > 1; }));
+  const auto asked = fleet.Ask("/plain/safe/a");
+  CHECK(asked->status() == 503);
+  CHECK_FALSE(fleet.IsReady());
+  fleet.store().HoldLists(false);
+  REQUIRE(fleet.WaitReady());
+  CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
+}
+
 TEST_CASE("A new configuration is had from a daemon that has it") {
   Fleet fleet;
   fleet.Configure();
