--- a/serving/test/fleet_repeats_test.cc
+++ b/serving/test/fleet_repeats_test.cc
@@ -108,7 +108,7 @@
   }
   REQUIRE(daemon.repeats().empty());
   daemon.Pass(milliseconds(20), true);
-  CHECK(daemon.repeats().size() > 0);
+  CHECK_FALSE(daemon.repeats().empty());
   CHECK(daemon.repeats().size() <= kSlack);
 }
 
