--- a/serving/include/scaleshed/serving/repeat_budget.h
+++ b/serving/include/scaleshed/serving/repeat_budget.h
@@ -25,11 +25,11 @@
 
 // Bounds the sends of one daemon to one service that are not the first of their
 // request: to half of the ratio of its own requests and to its part of the
-// slack, so that the sum over all daemons and their lives keeps to both, whoever
-// is killed and wherever callers move. A repeat is planned
-// when it is decided and counts in the window when it leaves, as it arrives
-// then: it may wait for longer than a window in between. Every window of that
-// length is kept, wherever it begins.
+// slack, so that the sum over all daemons and their lives keeps to both,
+// whoever is killed and wherever callers move. A repeat is planned when it is
+// decided and counts in the window when it leaves, as it arrives then: it may
+// wait for longer than a window in between. Every window of that length is
+// kept, wherever it begins.
 class RepeatBudget {
  public:
   explicit RepeatBudget(const RepeatBudgetOptions& options = {})
--- a/serving/src/repeat_budget.cc
+++ b/serving/src/repeat_budget.cc
@@ -9,7 +9,8 @@
 // somebody. The bound allows the ratio of one window's requests, so half of it
 // holds whatever lives and dies.
 constexpr double kRatioPart = 0.5;
-// Of the slack: repeats are counted where they arrive, a little later than here.
+// Of the slack: repeats are counted where they arrive, a little later than
+// here.
 constexpr double kSlackPart = 0.9;
 
 }  // namespace
