The silence of the store is no list of servers

Found by fleet_test with sanitizers beside load (once): a daemon without any list was ready.

Ruled out: a late list (all lists are held back in that test), the revision from which it catches up (set by the first list only).

Change: servers are known only once they were proved.

Measured: proofs_test "The silence of the store" fails before (22 of 32 checks) and passes; serving_test and fleet_test pass.

--- a/serving/src/proofs.cc
+++ b/serving/src/proofs.cc
@@ -72,7 +72,10 @@
 }
 
 bool KnowsBackends(const State& state) {
-  return IsUsable(state, state.store.backends_confirmed_at);
+  // Where no list was ever had there is nothing to go by, however silent the
+  // store is: none would be taken for a list without servers.
+  const Time proved = state.store.backends_confirmed_at;
+  return proved != Time{} && IsUsable(state, proved);
 }
 
 bool KnowsConfiguration(const State& state) {
--- a/serving/test/proofs_test.cc
+++ b/serving/test/proofs_test.cc
@@ -125,5 +125,28 @@
   CHECK_FALSE(daemon.state().backends.contains("app0"));
 }
 
+// A daemon that starts as the store falls silent has no list of servers. Where
+// known lists are gone by in a silence, none is not an empty one: it was ready,
+// and refused for want of servers (on a busy machine, before its first list).
+TEST_CASE("The silence of the store is no list of servers") {
+  State state({.instance = "1.1.1.1:1", .peer_address = "1.1.1.1:2"});
+  Time now = test::kStart;
+  const auto feed = [&](EventBody body) {
+    Reduce(state, {.now = now, .body = std::move(body)});
+  };
+  feed(ConfigurationSeen{.configuration = MakeConfiguration(1), .asked = now});
+  feed(StoreAsked{});
+  // It says nothing, and then something again that is no list.
+  for (int i = 0; i < 30; ++i) {
+    now += milliseconds(100);
+    feed(Tick{});
+    CHECK_FALSE(IsServing(state));
+  }
+  feed(StoreHeard{});
+  CHECK_FALSE(IsServing(state));
+  feed(BackendsListed{.backends = {}, .asked = now});
+  CHECK(IsServing(state));
+}
+
 }  // namespace
 }  // namespace scaleshed::serving
