Findings: the run of fleet_test that failed had an object of an older source

The sanitized fleet_test failed three times on 'A daemon that has no list yet'. Trace: store_follower.cc.o is 4 s younger than its source, which was taken back to its older text and restored in those seconds; the object had the older text.

--- a/serving/test/proofs_test.cc
+++ b/serving/test/proofs_test.cc
@@ -127,7 +127,7 @@
 
 // A daemon that starts as the store falls silent has no list of servers. Where
 // known lists are gone by in a silence, none is not an empty one: it was ready,
-// and refused for want of servers (on a busy machine, before its first list).
+// and refused for want of servers.
 TEST_CASE("The silence of the store is no list of servers") {
   State state({.instance = "1.1.1.1:1", .peer_address = "1.1.1.1:2"});
   Time now = test::kStart;
