One way to a temporary folder; the soak's idle servers and draws said once

Change: NewFolder stood in cluster.cc and in soak.cc; entries of idle servers repeat the stand-in's own Entry no more; a draw is one function; the conditions of a question are gathered under an if in place of a break.

Checked: fleet_test and a short fleet_soak run pass.

--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -272,9 +272,10 @@
   std::vector<platform::KnownRevision> known{
       {platform::ConfigurationKey(), question.configuration}};
   const Time asked = loop_.Now();
-  for (const auto& [id, revision] : question.backends) {
-    if (by_changes) break;
-    known.push_back({platform::BackendKey(id), revision});
+  if (!by_changes) {
+    for (const auto& [id, revision] : question.backends) {
+      known.push_back({platform::BackendKey(id), revision});
+    }
   }
   store_.Confirm(known, [this, known, question, asked](auto result) {
     OnAsked(std::move(result), known, question, asked);
--- a/testing/src/cluster.cc
+++ b/testing/src/cluster.cc
@@ -7,6 +7,7 @@
 #include <regex>
 #include <stdexcept>
 
+#include "internal/temporary_folder.h"
 #include "scaleshed/cli/accept.h"
 #include "scaleshed/cli/sync.h"
 #include "scaleshed/wire/caller_json.h"
@@ -22,15 +23,6 @@
 constexpr int kEngineSpeed = 20;
 constexpr std::string_view kModel = "llm";
 
-std::string NewFolder() {
-  std::string name =
-      (std::filesystem::temp_directory_path() / "scaleshed-XXXXXX").string();
-  if (mkdtemp(name.data()) == nullptr) {
-    throw std::runtime_error("no temporary folder");
-  }
-  return name;
-}
-
 std::string Find(const std::string& text, const std::string& pattern) {
   std::smatch match;
   return std::regex_search(text, match, std::regex(pattern)) ? match[1].str()
@@ -50,7 +42,7 @@
 Cluster::Cluster(const ClusterPrograms& programs, const Scenario& scenario)
     : programs_(programs),
       scenario_(scenario),
-      folder_(NewFolder()),
+      folder_(NewFolder("scaleshed")),
       http_(loop_) {
   members_["platform"].kind = Kind::kPlatform;
   for (const EngineSpec& it : scenario_.engines) {
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -2,17 +2,16 @@
 
 #include <algorithm>
 #include <csignal>
-#include <cstdlib>
 #include <deque>
 #include <filesystem>
 #include <functional>
 #include <list>
 #include <memory>
 #include <random>
-#include <stdexcept>
 
 #include "internal/soak_callers.h"
 #include "internal/soak_daemons.h"
+#include "internal/temporary_folder.h"
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/testing/fleet_stand_ins.h"
 
@@ -27,16 +26,6 @@
 constexpr Duration kLastAnswers = seconds(8);
 constexpr std::size_t kStorePage = 500;
 
-std::string NewFolder() {
-  std::string name =
-      (std::filesystem::temp_directory_path() / "scaleshed-soak-XXXXXX")
-          .string();
-  if (mkdtemp(name.data()) == nullptr) {
-    throw std::runtime_error("no temporary folder");
-  }
-  return name;
-}
-
 // How the requests of a time are treated, by the series that are on.
 struct Trouble {
   WorkerMode mode = WorkerMode::kServing;
@@ -49,7 +38,7 @@
   explicit Soak(const SoakOptions& options)
       : options_(options),
         random_(options.seed),
-        folder_(NewFolder()),
+        folder_(NewFolder("scaleshed-soak")),
         store_(loop_),
         ledger_(options.bound),
         look_(loop_, [this] { Look(); }),
@@ -138,23 +127,19 @@
     serving_.push_back({.server = servers_.size() - 1, .service = service});
   }
 
-  // As many have it in a large fleet; the address is nobody's.
+  // As many have it in a large fleet.
   void AddIdle(std::size_t i) {
-    const std::string id = "idle-" + std::to_string(i);
-    store_.Put("servers/" + id, nlohmann::json{{"service", "idle"},
-                                               {"address", "127.0.0.2:9"},
-                                               {"zone", "dc-0"},
-                                               {"version", "v1"},
-                                               {"slots", 16},
-                                               {"state", "ready"},
-                                               {"cold_remaining_ms", 0},
-                                               {"sequence", 1},
-                                               {"born", 1'700'000'000'000}}
-                                    .dump());
+    store_.Put("servers/idle-" + std::to_string(i),
+               servers_.front()->Entry("idle"));
+  }
+
+  // From nothing to one.
+  double Draw() {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
   }
 
   WorkerMode DrawMode() {
-    const double u = std::uniform_real_distribution<double>(0, 1)(random_);
+    const double u = Draw();
     double from = 0;
     for (const Trouble& it : troubles_) {
       if (it.until < loop_.Now()) continue;
@@ -177,8 +162,7 @@
     };
     const auto some = [&](const std::function<void(std::size_t)>& each) {
       for (std::size_t i = 0; i < daemons_.size(); ++i) {
-        const double u = std::uniform_real_distribution<double>(0, 1)(random_);
-        if (u < series.share) each(i);
+        if (Draw() < series.share) each(i);
       }
     };
     switch (series.fault) {
