Sight: which sends are of one content, whether a server had ended

Cause: not known yet. Ids are new with each send and no line named anything else; nor was it logged whether a server whose answer broke off had ended. Ruled out: to take a refused connection alone for an end (one that is full may refuse), to ask by a request (takes a place). Change: RequestFacts::content in sent, lost, refused; AskLife and LifeSeen, a line life_checked; HttpError::kRefused. http_test now wants the reason, not only that nothing was sent.

--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -8,6 +8,10 @@
 namespace scaleshed {
 namespace {
 
+// A living backend server takes a connection within milliseconds; one that is
+// cut off says nothing.
+constexpr Duration kLifeWithin = milliseconds(300);
+
 // Why an answer's head is not that of the request's own answer; empty if it is.
 std::string FaultOf(const platform::AnswerHead& head,
                     const std::string& request_id) {
@@ -104,8 +108,8 @@
   if (response == nullptr) {
     const HttpError error = ErrorOf(result);
     TellFailed(attempt,
-               error == HttpError::kNotSent ? serving::AttemptError::kNotSent
-                                            : serving::AttemptError::kCut,
+               IsUnsent(error) ? serving::AttemptError::kNotSent
+                               : serving::AttemptError::kCut,
                std::string(NameIn(kHttpErrorNames, error)));
     return;
   }
@@ -172,4 +176,21 @@
   orders_.Start(std::move(call));
 }
 
+// Any answer will do: what counts is whether anybody listens there.
+void BackendCalls::AskLife(const serving::AskLife& question) {
+  HttpCall call = platform::ReportCall(
+      {.backend = question.backend, .address = question.address});
+  call.connect_timeout = kLifeWithin;
+  call.on_done = [this, question](const HttpResult& result) {
+    auto sign = serving::LifeSign::kNothing;
+    if (ValueOf(result) != nullptr) {
+      sign = serving::LifeSign::kAnswered;
+    } else if (ErrorOf(result) == HttpError::kRefused) {
+      sign = serving::LifeSign::kRefused;
+    }
+    feed_(serving::LifeSeen{.backend = question.backend, .sign = sign});
+  };
+  orders_.Start(std::move(call));
+}
+
 }  // namespace scaleshed
--- a/daemon/src/backend_client.cc
+++ b/daemon/src/backend_client.cc
@@ -17,8 +17,7 @@
 HttpHeaders JsonHeaders() { return {{"Content-Type", "application/json"}}; }
 
 AttemptError FromHttp(HttpError error) {
-  return error == HttpError::kNotSent ? AttemptError::kNotSent
-                                      : AttemptError::kCut;
+  return IsUnsent(error) ? AttemptError::kNotSent : AttemptError::kCut;
 }
 
 // What an answer other than 200 says of an attempt. Only a refusal that can be
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -144,6 +144,7 @@
           [&](const serving::ReserveMemory& it) { backends_->Reserve(it); },
           [&](const serving::ReleaseMemory& it) { backends_->Release(it); },
           [&](const serving::AskReport& it) { backends_->AskReport(it); },
+          [&](const serving::AskLife& it) { backends_->AskLife(it); },
           [&](const serving::PublishSnapshot& it) {
             const std::string bytes = EncodeDatagram(it.snapshot, state_.now);
             for (const std::string& to : it.to) {
@@ -229,8 +230,9 @@
     exchanges_.erase(key);
     Feed(serving::ClientGone{.key = key});
   });
-  Feed(serving::RequestArrived{
-      .key = key, .facts = platform::ReadRequest(exchange->request())});
+  serving::RequestFacts facts = platform::ReadRequest(exchange->request());
+  facts.content = platform::ContentOf(exchange->request());
+  Feed(serving::RequestArrived{.key = key, .facts = std::move(facts)});
 }
 
 void FleetDaemon::OnDocument(HttpExchange& exchange) {
--- a/daemon/src/internal/backend_calls.h
+++ b/daemon/src/internal/backend_calls.h
@@ -28,6 +28,7 @@
   void Reserve(const serving::ReserveMemory& order);
   void Release(const serving::ReleaseMemory& order);
   void AskReport(const serving::AskReport& question);
+  void AskLife(const serving::AskLife& question);
 
   // The whole answer of an attempt, or the head of its stream; nullptr where
   // there is none.
--- a/runtime/include/scaleshed/runtime/http_client.h
+++ b/runtime/include/scaleshed/runtime/http_client.h
@@ -12,23 +12,29 @@
 
 namespace scaleshed {
 
-// Why no whole response came. Only `kNotSent` says that the server can't have
-// seen any of the request.
+// Why no whole response came. Only `kNotSent` and `kRefused` say that the
+// server can't have seen any of the request.
 enum class HttpError {
   kNotSent,    // no connection stood
+  kRefused,    // the same: nobody listens at that address
   kCut,        // the connection ended or broke off first
   kTimeout,    // the call's own time ran out
   kCancelled,  // by the caller
   kInvalid,    // the bytes that came are no HTTP response
 };
-inline constexpr NameTable<HttpError, 5> kHttpErrorNames{{
+inline constexpr NameTable<HttpError, 6> kHttpErrorNames{{
     {HttpError::kNotSent, "not_sent"},
+    {HttpError::kRefused, "refused"},
     {HttpError::kCut, "cut"},
     {HttpError::kTimeout, "timeout"},
     {HttpError::kCancelled, "cancelled"},
     {HttpError::kInvalid, "invalid"},
 }};
 
+constexpr bool IsUnsent(HttpError error) {
+  return error == HttpError::kNotSent || error == HttpError::kRefused;
+}
+
 struct HttpResponse {
   int status = 0;
   std::string reason;
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -85,10 +86,13 @@
     }
     bufferevent_setcb(bev_, OnRead, nullptr, OnEvent, this);
     sockaddr_in name = *to;
+    errno = 0;
     if (bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&name),
                                    sizeof(name)) != 0) {
       FinishSoon(HttpError::kNotSent);
     }
+    // Refused at once: the event that tells of it has lost the reason.
+    refused_ = errno == ECONNREFUSED;
   }
 
  private:
@@ -132,7 +136,9 @@
       return;
     }
     if (!self->connected_) {
-      self->Finish(HttpError::kNotSent);
+      const bool refused =
+          self->refused_ || EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+      self->Finish(refused ? HttpError::kRefused : HttpError::kNotSent);
       return;
     }
     self->ReadAll();
@@ -261,6 +267,7 @@
   std::optional<Parser> parser_;
   HttpResponse head_;
   bool connected_ = false;
+  bool refused_ = false;
   bool told_head_ = false;
   bool whole_ = false;  // the answer has come to its end
   bool finished_ = false;
--- a/runtime/src/platform_client.cc
+++ b/runtime/src/platform_client.cc
@@ -10,8 +10,8 @@
 constexpr int kConflictStatus = 409;
 
 PlatformError FromHttp(HttpError error) {
-  return error == HttpError::kNotSent ? PlatformError::kNotSent
-                                      : PlatformError::kUnavailable;
+  return IsUnsent(error) ? PlatformError::kNotSent
+                         : PlatformError::kUnavailable;
 }
 
 // Reads an answer's body with `parse`, or says why there is none.
--- a/runtime/test/http_test.cc
+++ b/runtime/test/http_test.cc
@@ -129,6 +129,8 @@
   switch (ErrorOf(result)) {
     case HttpError::kNotSent:
       return "not_sent";
+    case HttpError::kRefused:
+      return "refused";
     case HttpError::kTimeout:
       return "timeout";
     default:
@@ -213,7 +215,7 @@
         "200 hi");
 }
 
-TEST_CASE("A port on which nobody listens is told as not sent") {
+TEST_CASE("A port on which nobody listens is told as refused") {
   EventLoop loop;
   HttpClient client(loop);
   HttpResult result = HttpError::kCancelled;
@@ -222,7 +224,7 @@
                   loop.Stop();
                 }});
   loop.Run();
-  CHECK(OutcomeOf(result) == "not_sent");
+  CHECK(OutcomeOf(result) == "refused");
 }
 
 // One call to a server that answers with `pieces` of a body, one each 50 ms,
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -121,6 +121,12 @@
   std::string address;
 };
 
+// Asks whether that life of a backend server is over. LifeSeen follows.
+struct AskLife {
+  BackendId backend = 0;
+  std::string address;
+};
+
 // Tells other daemons; each message may be lost.
 struct PublishSnapshot {
   std::vector<std::string> to;
@@ -229,7 +235,7 @@
 using Effect =
     std::variant<StartAttempt, CancelAttempt, DeliverAnswer, BeginStream,
                  PassEvent, EndStream, BreakAnswer, Refuse, ReserveMemory,
-                 ReleaseMemory, AskReport, PublishSnapshot, AskStore,
+                 ReleaseMemory, AskReport, AskLife, PublishSnapshot, AskStore,
                  ReadConfiguration, ListStore, WatchStore, RelayStore,
                  AskPlacer, AnswerPlace, LogDecision, Count, ObserveLatency,
                  ApplyLimits, Exit>;
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -25,6 +25,9 @@
   std::int64_t prompt_tokens = 0;
   std::int64_t answer_tokens = 0;
   std::string last_event_id;
+  // A hash of what a client sends again under a new id: method, host, path,
+  // query and body. Zero: not told.
+  std::uint64_t content = 0;
 };
 
 struct RequestArrived {
@@ -97,6 +100,22 @@
   std::uint64_t born = 0;  // the life that says so; zero: not told
 };
 
+// What became of AskLife.
+enum class LifeSign {
+  kAnswered,  // something listens there and speaks
+  kRefused,   // nobody listens there
+  kNothing,   // neither was seen
+};
+inline constexpr NameTable<LifeSign, 3> kLifeSignNames{{
+    {LifeSign::kAnswered, "answered"},
+    {LifeSign::kRefused, "refused"},
+    {LifeSign::kNothing, "nothing"},
+}};
+struct LifeSeen {
+  BackendId backend = 0;
+  LifeSign sign = LifeSign::kNothing;
+};
+
 // A configuration that is stored. `asked` is when the question was put whose
 // answer it is: then it was the newest.
 struct ConfigurationSeen {
@@ -194,13 +213,13 @@
 
 using EventBody =
     std::variant<RequestArrived, ClientGone, StreamEvent, AttemptAnswered,
-                 AttemptFailed, MemoryAnswered, ReportSeen, ConfigurationSeen,
-                 ConfigurationConfirmed, BackendsConfirmed, BackendsComplete,
-                 StoreAsked, StoreHeard, StoreUnreachable, StoreRelayReceived,
-                 BackendListed, BackendUnlisted, BackendsListed, PeersListed,
-                 EntryHeld, EntryEnded, DaemonsCounted, SnapshotReceived,
-                 PlaceQuestionReceived, PlaceAnswerReceived, Tick,
-                 StopRequested>;
+                 AttemptFailed, MemoryAnswered, ReportSeen, LifeSeen,
+                 ConfigurationSeen, ConfigurationConfirmed, BackendsConfirmed,
+                 BackendsComplete, StoreAsked, StoreHeard, StoreUnreachable,
+                 StoreRelayReceived, BackendListed, BackendUnlisted,
+                 BackendsListed, PeersListed, EntryHeld, EntryEnded,
+                 DaemonsCounted, SnapshotReceived, PlaceQuestionReceived,
+                 PlaceAnswerReceived, Tick, StopRequested>;
 
 struct Event {
   Time now;
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -128,6 +128,17 @@
   std::deque<std::pair<std::uint64_t, Time>> sent_snapshots;
 };
 
+// A backend server at which a request's answer broke off: whether it is over is
+// asked, and what was at it by then counts as present at its end if it is.
+struct LifeCheck {
+  std::string address;
+  Time since{};
+  Time ask_due{};
+  int refusals = 0;  // one after another
+  Time sign_at{};    // it last said something
+  std::set<std::uint64_t> contents;
+};
+
 // A prompt of another daemon that this one places.
 struct AskedPlace {
   PlaceQuestion question;
@@ -264,7 +275,9 @@
   Time confirmed_at{};
   StoreFollowing store;
 
-  std::map<std::string, Backend> backends;          // by instance id
+  std::map<std::string, Backend> backends;  // by instance id
+  std::map<BackendId, LifeCheck> life_checks;
+  std::map<BackendId, Time> ended_lives;            // known to be over, since
   std::map<std::string, Member> members;            // by peer address
   std::map<std::string, std::string> listed_peers;  // to their data centres
   Dispatching dispatch;
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -141,6 +141,9 @@
   Request request{.key = event.key, .facts = event.facts, .route = *route};
   request.service = PickService(state, *route);
   if (account != nullptr) request.account = account->name;
+  if (request.facts.content != 0) {
+    request.facts.content = HashBytes(request.account, request.facts.content);
+  }
   request.arrived = arrived;
   request.due = arrived + route->objective;
   Duration limit = event.facts.deadline;
@@ -221,6 +224,7 @@
   }
   Log(state, request.begun ? "broken" : "refused",
       {{"request", request.facts.id},
+       {"content", ContentText(request.facts.content)},
        {"why", std::string(NameIn(kRefusalNames, why))},
        {"status", std::to_string(status)},
        {"route", request.route.name},
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -65,10 +65,13 @@
 // The send may have run and brought no whole answer.
 void Lost(State& state, Request& request, const std::string& why) {
   request.may_have_run = true;
+  CheckLife(state, request, request.backend);
+  for (const BackendId it : request.work.helpers) CheckLife(state, request, it);
   const NoRepeat forbids = ForbidsRerun(state, request);
   Log(state, "lost",
       {{"request", request.facts.id},
        {"attempt", std::to_string(request.attempt)},
+       {"content", ContentText(request.facts.content)},
        {"backend", request.backend_name},
        {"why", why},
        {"begun", request.begun ? "true" : "false"},
@@ -135,9 +138,11 @@
   Finish(state, request);
 }
 
-void NoteAtFault(State& state, const std::string& address) {
+void NoteAtFault(State& state, const Request& request,
+                 const std::string& address) {
   for (auto& [name, backend] : state.backends) {
     if (backend.server.address == address) {
+      CheckLife(state, request, backend.id);
       NoteFailure(state, backend.id, "at_fault");
       return;
     }
@@ -166,6 +171,7 @@
     request->longest_seen =
         std::max(request->longest_seen, state.now - request->last_event_at);
   }
+  NoteSign(state, request->backend);
   request->last_event_at = state.now;
   request->sign_at = state.now;
   if (!event.id.empty()) request->last_event_id = event.id;
@@ -191,7 +197,7 @@
       NoteGone(state, request->backend, "address_taken");
       break;
     case AnswerKind::kNotRun:
-      NoteAtFault(state, event.at_fault);
+      NoteAtFault(state, *request, event.at_fault);
       break;
   }
   Log(state, "declined",
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -185,6 +185,14 @@
 std::vector<const Backend*> OpenBackends(const State& state,
                                          const std::string& service);
 
+// life_checks.cc: whether a backend server has ended at which answers broke
+// off.
+void CheckLife(State& state, const Request& request, BackendId life);
+void OnLifeSeen(State& state, const LifeSeen& event);
+// It said something just now.
+void NoteSign(State& state, BackendId life);
+void AskLivesAgain(State& state);
+
 // reports.cc: engines that turned slow.
 // Asks those engines whose reports are due and this daemon's to fetch.
 void AskReports(State& state);
@@ -266,6 +274,8 @@
          std::vector<std::pair<std::string, std::string>> fields,
          bool routine = false);
 std::string Millis(Duration duration);
+// As it stands in logs; empty: not told.
+std::string ContentText(std::uint64_t content);
 // Has just started, and may not have heard yet what it needs.
 bool IsYoung(const State& state);
 // From nothing to that, for moments that are to differ between daemons.
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -1,6 +1,8 @@
 #include "scaleshed/serving/reducer.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <utility>
 
 #include "internal/durations.h"
@@ -56,6 +58,7 @@
   // Before anything is sent.
   DropLapsed(state);
   NoteLag(state);
+  AskLivesAgain(state);
   ExpireAttempts(state);
   StartWaiting(state);
   if (state.now >= state.looked_at + kLookAround) {
@@ -78,6 +81,7 @@
           [&](const AttemptFailed& it) { OnFailed(state, it); },
           [&](const MemoryAnswered& it) { OnMemoryAnswered(state, it); },
           [&](const ReportSeen& it) { OnReport(state, it); },
+          [&](const LifeSeen& it) { OnLifeSeen(state, it); },
           [&](const ConfigurationSeen& it) { OnConfiguration(state, it); },
           [&](const ConfigurationConfirmed& it) { OnConfirmed(state, it); },
           [&](const BackendsConfirmed& it) { OnBackendsConfirmed(state, it); },
@@ -123,6 +127,14 @@
       std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+std::string ContentText(std::uint64_t content) {
+  if (content == 0) return "";
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016llx",
+                static_cast<unsigned long long>(content));
+  return text.data();
+}
+
 bool IsYoung(const State& state) {
   return state.now - state.started_at < kYoungFor;
 }
@@ -146,7 +158,8 @@
 
 Time NextWake(const State& state) {
   const bool busy = !state.requests.empty() || !state.early.empty() ||
-                    state.stop_at.has_value() || !state.dispatch.asked.empty();
+                    state.stop_at.has_value() ||
+                    !state.dispatch.asked.empty() || !state.life_checks.empty();
   const Time tick =
       state.ticked_at + (busy ? internal::kBusyTick : internal::kIdleTick);
   const Time due = std::min(tick, internal::StoreDue(state));
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -124,6 +124,7 @@
   }
   Log(state, "sent",
       {{"request", request.facts.id},
+       {"content", ContentText(request.facts.content)},
        {"attempt", std::to_string(request.attempt)},
        {"backend", backend->server.id},
        {"address", backend->server.address},
--- /dev/null
+++ b/serving/test/life_checks_test.cc
@@ -0,0 +1,94 @@
+#include <catch2/catch.hpp>
+
+#include "serving_harness.h"
+
+namespace scaleshed::serving::test {
+namespace {
+
+// The last line on a backend server that was asked, in effects.
+std::string OutcomeIn(const Effects& effects) {
+  for (const Effect& it : effects) {
+    const auto* line = std::get_if<LogDecision>(&it);
+    if (line == nullptr || line->what != "life_checked") continue;
+    for (const auto& [name, value] : line->fields) {
+      if (name == "outcome") return value;
+    }
+  }
+  return "";
+}
+
+// A send that was cut, and the backend server that it was at.
+BackendId CutOne(Daemon& daemon) {
+  daemon.Ask("stream");
+  const auto* sent = daemon.First<StartAttempt>();
+  const BackendId id = daemon.state().backends.at(sent->instance).id;
+  daemon.Feed(AttemptFailed{.attempt = sent->attempt});
+  const auto* asked = daemon.First<AskLife>();
+  REQUIRE(asked != nullptr);
+  CHECK(asked->backend == id);
+  return id;
+}
+
+TEST_CASE("One that refuses twice after an answer broke off has ended") {
+  Daemon daemon;
+  const BackendId id = CutOne(daemon);
+  daemon.Feed(LifeSeen{.backend = id, .sign = LifeSign::kRefused});
+  CHECK(OutcomeIn(daemon.effects()).empty());
+  daemon.Pass(milliseconds(80));
+  REQUIRE(daemon.First<AskLife>() != nullptr);
+  daemon.Feed(LifeSeen{.backend = id, .sign = LifeSign::kRefused});
+  CHECK(OutcomeIn(daemon.effects()) == "over");
+}
+
+TEST_CASE("One that speaks after an answer broke off lives") {
+  Daemon daemon;
+  const BackendId id = CutOne(daemon);
+  daemon.Feed(LifeSeen{.backend = id, .sign = LifeSign::kRefused});
+  daemon.Pass(milliseconds(80));
+  daemon.Feed(LifeSeen{.backend = id, .sign = LifeSign::kAnswered});
+  CHECK(OutcomeIn(daemon.effects()) == "lives");
+}
+
+TEST_CASE("One that is full and goes on with other work lives") {
+  Daemon daemon;
+  const BackendId id = CutOne(daemon);
+  daemon.Pass(milliseconds(40));
+  // Both the send made again and a new one may be at another one: what counts
+  // is that anything of this one comes.
+  AttemptId there = 0;
+  daemon.Observe([&](const Effects& effects) {
+    for (const Effect& it : effects) {
+      const auto* sent = std::get_if<StartAttempt>(&it);
+      if (sent != nullptr &&
+          daemon.state().backends.at(sent->instance).id == id) {
+        there = sent->attempt;
+      }
+    }
+  });
+  daemon.Confirm();
+  daemon.Pass(seconds(1));
+  daemon.Confirm();
+  for (int i = 0; i < 100 && there == 0; ++i) daemon.Ask("stream");
+  REQUIRE(there != 0);
+  daemon.Feed(StreamEvent{.attempt = there, .id = "1", .bytes = "x"});
+  daemon.Feed(LifeSeen{.backend = id, .sign = LifeSign::kRefused});
+  CHECK(OutcomeIn(daemon.effects()) == "lives");
+}
+
+TEST_CASE(
+    "One of which nothing is seen is asked for a while, and not counted") {
+  Daemon daemon;
+  const BackendId id = CutOne(daemon);
+  int asked = 0;
+  for (int i = 0; i < 40 && daemon.state().life_checks.contains(id); ++i) {
+    daemon.Feed(LifeSeen{.backend = id, .sign = LifeSign::kNothing});
+    daemon.Pass(milliseconds(200));
+    if (daemon.First<AskLife>() != nullptr) ++asked;
+  }
+  CHECK(asked > 5);
+  CHECK_FALSE(daemon.state().life_checks.contains(id));
+  CHECK(daemon.state().ended_lives.empty());
+}
+
+}  // namespace
+}  // namespace scaleshed::serving::test
--- a/testing/src/cluster.cc
+++ b/testing/src/cluster.cc
@@ -358,7 +358,7 @@
   const HttpResponse* response = ValueOf(result);
   if (response == nullptr) {
     // The caller can't know; for a refused connection it can.
-    call.outcome = ErrorOf(result) == HttpError::kNotSent ? Outcome::kNotRun
+    call.outcome = IsUnsent(ErrorOf(result)) ? Outcome::kNotRun
                                                           : Outcome::kUnknown;
     call.detail = "the connection broke";
     return;
