Tests of the incident, which fail: a request that ends servers is sent on

Hypothesis: nothing is learned of the request by its content, so copies of it end a server each, at any daemon, for good. Hypothesis 2 (they end by themselves) is not needed; 3 (only the telling is missing) is ruled out by the same daemon sending it on within one client attempt.

--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -51,11 +51,20 @@
     hangs ? (void)hanging_.insert(engine) : (void)hanging_.erase(engine);
   }
 
+  // Each engine that runs that content ends kDeathAfter later, and another life
+  // begins at its address kDownFor after that.
+  void MakeDeadly(std::uint64_t content) { deadly_.insert(content); }
+  // When engines ended, and when the content was sent, in this order.
+  const std::vector<Time>& ends() const { return ends_; }
+  const std::vector<Time>& deadly_sends() const { return deadly_sends_; }
+  Time now() const { return now_; }
+
   // A prompt comes to that daemon.
   RequestKey Ask(int daemon, std::int64_t prompt,
-                 Duration deadline = seconds(15)) {
+                 Duration deadline = seconds(15), std::uint64_t content = 0) {
     const RequestKey key = ++last_key_;
     arrived_[key] = now_;
+    contents_[key] = content;
     Feed(daemon, RequestArrived{.key = key,
                                 .facts = {.id = "r" + std::to_string(key),
                                           .host = "h",
@@ -63,7 +72,8 @@
                                           .keys = {"k"},
                                           .deadline = deadline,
                                           .prompt_tokens = prompt,
-                                          .answer_tokens = 500}});
+                                          .answer_tokens = 500,
+                                          .content = content}});
     return key;
   }
 
@@ -72,6 +82,7 @@
     while (now_ < until) {
       now_ += milliseconds(1);
       Deliver();
+      PlayEngines();
       for (int i = 0; i < options_.daemons; ++i) {
         if (NextWake(state(i)) <= now_) Feed(i, Tick{});
       }
@@ -85,6 +96,8 @@
   const std::map<std::string, int>& sends() const { return sends_; }
   // At one moment, by backend server's address.
   const std::map<RequestKey, int>& refusals() const { return refusals_; }
+  // Whole answers.
+  const std::set<RequestKey>& answered() const { return answered_; }
   // Log lines of that name so far.
   std::size_t lines(const std::string& what) const {
     const auto it = lines_.find(what);
@@ -96,6 +109,21 @@
   }
 
  private:
+  static constexpr Duration kDeathAfter = milliseconds(150);
+  static constexpr Duration kDownFor = seconds(2);
+
+  struct Attempt {
+    int daemon = 0;
+    AttemptId id = 0;
+  };
+  struct Engine {
+    std::string address;
+    int life = 0;
+    Time dies = Time::max();  // while it runs a deadly request
+    Time back = Time::max();  // while it is down
+    std::vector<Attempt> attempts;
+  };
+
   struct Node {
     std::unique_ptr<State> state;
     bool frozen = false;
@@ -143,10 +171,80 @@
                               .data_centre = CentreOf(k),
                               .slots = 16,
                               .revision = 1});
+      engines_[id] = {.address = id};
     }
     Feed(i, all);
   }
 
+  // Those that run a deadly request end, and those that ended come back.
+  void PlayEngines() {
+    if (deadly_.empty()) return;
+    std::vector<std::string> back;
+    for (auto& [id, it] : engines_) {
+      if (it.dies <= now_) EndEngine(it);
+      if (it.back <= now_) back.push_back(id);
+    }
+    for (const std::string& it : back) StartAgain(it);
+  }
+
+  void EndEngine(Engine& engine) {
+    ends_.push_back(now_);
+    engine.dies = Time::max();
+    engine.back = now_ + kDownFor;
+    for (const Attempt& it : std::exchange(engine.attempts, {})) {
+      After(milliseconds(1), it.daemon, AttemptFailed{.attempt = it.id});
+    }
+  }
+
+  void StartAgain(const std::string& id) {
+    Engine engine = engines_.at(id);
+    engines_.erase(id);
+    engine.back = Time::max();
+    const std::string next =
+        engine.address + "-" + std::to_string(++engine.life);
+    ++revision_;
+    for (int i = 0; i < options_.daemons; ++i) {
+      Feed(i, BackendUnlisted{.id = id, .revision = revision_});
+      Feed(i, BackendListed{{.id = next,
+                             .service = "llm",
+                             .address = engine.address,
+                             .slots = 16,
+                             .revision = revision_}});
+    }
+    engines_[next] = std::move(engine);
+  }
+
+  bool IsDown(const std::string& id) const {
+    const auto it = engines_.find(id);
+    return it == engines_.end() || it->second.back != Time::max();
+  }
+
+  void StartAt(int daemon, const StartAttempt& start) {
+    ++sends_[start.instance];
+    waits_[start.key] = now_ - arrived_.at(start.key);
+    const bool deadly = deadly_.contains(contents_.at(start.key));
+    if (deadly) deadly_sends_.push_back(now_);
+    if (hanging_.contains(start.instance)) return;
+    if (IsDown(start.instance)) {
+      After(milliseconds(1), daemon,
+            AttemptFailed{.attempt = start.attempt,
+                          .error = AttemptError::kNotSent});
+      return;
+    }
+    Engine& engine = engines_.at(start.instance);
+    engine.attempts.push_back({.daemon = daemon, .id = start.attempt});
+    if (deadly) {
+      engine.dies = std::min(engine.dies, now_ + kDeathAfter);
+      return;
+    }
+    After(milliseconds(100), daemon,
+          StreamEvent{.attempt = start.attempt, .id = "1", .bytes = "x"});
+    After(milliseconds(400), daemon,
+          AttemptAnswered{.attempt = start.attempt,
+                          .kind = AnswerKind::kSuccess,
+                          .status = 200});
+  }
+
   void ProveAll() {
     for (int i = 0; i < options_.daemons; ++i) {
       Feed(i, ConfigurationConfirmed{.revision = 1, .asked = now_});
@@ -176,15 +274,18 @@
         SendTo(IndexOf(to), StoreRelayReceived{relay});
       }
     } else if (const auto* it = std::get_if<StartAttempt>(&effect)) {
-      ++sends_[it->instance];
-      waits_[it->key] = now_ - arrived_.at(it->key);
-      if (hanging_.contains(it->instance)) return;
-      After(milliseconds(100), from,
-            StreamEvent{.attempt = it->attempt, .id = "1", .bytes = "x"});
-      After(milliseconds(400), from,
-            AttemptAnswered{.attempt = it->attempt,
-                            .kind = AnswerKind::kSuccess,
-                            .status = 200});
+      StartAt(from, *it);
+    } else if (const auto* it = std::get_if<EndStream>(&effect)) {
+      answered_.insert(it->key);
+    } else if (const auto* it = std::get_if<AskLife>(&effect)) {
+      bool listens = false;
+      for (const auto& [id, engine] : engines_) {
+        listens = listens || (engine.address == it->address && !IsDown(id));
+      }
+      After(
+          milliseconds(2), from,
+          LifeSeen{.backend = it->backend,
+                   .sign = listens ? LifeSign::kAnswered : LifeSign::kRefused});
     } else if (const auto* it = std::get_if<ReserveMemory>(&effect)) {
       After(milliseconds(1), from,
             MemoryAnswered{
@@ -216,6 +317,13 @@
   }
 
   HallOptions options_;
+  std::map<std::string, Engine> engines_;  // by instance id
+  std::uint64_t revision_ = 1;
+  std::set<std::uint64_t> deadly_;
+  std::vector<Time> ends_;
+  std::vector<Time> deadly_sends_;
+  std::map<RequestKey, std::uint64_t> contents_;
+  std::set<RequestKey> answered_;
   std::vector<Node> nodes_;
   std::multimap<Time, Message> messages_underway_;
   Time now_ = kStart;
