What an end teaches is noted for the request, at all daemons

What callers saw: their streams cut and cut again, 502, a third of the engines down at a time, for as long as one request came. Cause: a cut was put down to the server alone. What was learned of the request went with that one send of it: nothing knew it by its content, and no daemon told another. Class: knowledge of a request that lives and dies with one send, at one daemon. Until then copies go where one is in work, or all to the same server, one without other work if there is one; a request under which a server ended waits for the verdict on the next. A whole answer forgives all. Not yet: kills of all.

--- a/serving/include/scaleshed/serving/dispatch.h
+++ b/serving/include/scaleshed/serving/dispatch.h
@@ -34,6 +34,10 @@
   Time deadline{};
   Duration longest_pause{};      // that keeps its answer in time
   std::vector<BackendId> tried;  // not there again
+  std::uint64_t content = 0;     // zero: not told
+  // Who asks has seen that a server may have ended under it, and the placer may
+  // hear that later than this.
+  bool doubtful = false;
 };
 
 enum class PlaceOutcome {
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -78,8 +78,9 @@
   kNotRun,   // every backend server that was asked declined
   kUnknown,  // it may have run, and no answer came
   kTimeLimit,
+  kQuarantined,  // too many backend servers have ended under its content
 };
-inline constexpr NameTable<Refusal, 12> kRefusalNames{{
+inline constexpr NameTable<Refusal, 13> kRefusalNames{{
     {Refusal::kNoConfiguration, "no_configuration"},
     {Refusal::kNotFresh, "configuration_not_fresh"},
     {Refusal::kListNotFresh, "list_not_fresh"},
@@ -92,6 +93,7 @@
     {Refusal::kNotRun, "not_run"},
     {Refusal::kUnknown, "unknown"},
     {Refusal::kTimeLimit, "time_limit"},
+    {Refusal::kQuarantined, "quarantined"},
 }};
 
 struct Refuse {
@@ -192,8 +194,10 @@
   kPlacersSilent,
   kPlacedAlone,
   kPlacedForOthers,
+  kEndings,
+  kQuarantined,
 };
-inline constexpr NameTable<Counter, 16> kCounterNames{{
+inline constexpr NameTable<Counter, 18> kCounterNames{{
     {Counter::kRequests, "requests"},
     {Counter::kDelivered, "delivered"},
     {Counter::kRefused, "refused"},
@@ -210,6 +214,8 @@
     {Counter::kPlacersSilent, "placers_silent"},
     {Counter::kPlacedAlone, "placed_alone"},
     {Counter::kPlacedForOthers, "placed_for_others"},
+    {Counter::kEndings, "endings"},
+    {Counter::kQuarantined, "quarantined"},
 }};
 
 struct Count {
--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -73,14 +73,16 @@
   kTickets,   // nor have several together
   kBackends,  // none takes work
   kProof,     // who takes work is not known well enough
+  kVerdict,   // whether a server has ended under it is being asked
 };
-inline constexpr NameTable<Shortage, 6> kShortageNames{{
+inline constexpr NameTable<Shortage, 7> kShortageNames{{
     {Shortage::kTurn, "turn"},
     {Shortage::kEngines, "engines"},
     {Shortage::kMemory, "memory"},
     {Shortage::kTickets, "tickets"},
     {Shortage::kBackends, "backends"},
     {Shortage::kProof, "proof"},
+    {Shortage::kVerdict, "verdict"},
 }};
 
 // Room is expected later.
--- /dev/null
+++ b/serving/include/scaleshed/serving/quarantine.h
@@ -0,0 +1,95 @@
+#ifndef SCALESHED_SERVING_QUARANTINE_H_
+#define SCALESHED_SERVING_QUARANTINE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "scaleshed/core/types.h"
+#include "scaleshed/serving/work.h"
+
+namespace scaleshed::serving {
+
+// The lives that the store holds for a content, or is to hold; none: no entry.
+struct StoredEndings {
+  std::uint64_t content = 0;
+  std::vector<BackendId> lives;
+  // At which the store came to hold that. To be written: only if the entry
+  // still has that one; zero: only if there is none.
+  std::uint64_t revision = 0;
+  bool operator==(const StoredEndings&) const = default;
+};
+
+// What ended under which content, as far as one daemon knows, so that a request
+// that ends the servers that run it is sent to no more of them.
+//
+// What is told may come in any order, late and twice: a life is added once, and
+// one that is forgiven stays so. The store keeps what has to outlast all
+// daemons; whoever finds that it knows other than the store holds may write.
+// There is no end in time: a request that ends a server a day is held too. Of
+// more than kMostContents those with the fewest ends, then the oldest, are
+// forgiven.
+class Quarantine {
+ public:
+  // Ends from which on a content is held.
+  static constexpr std::size_t kMostEnds = 3;
+  static constexpr std::size_t kMostContents = 4096;
+
+  // False where it was known.
+  bool Take(const Ending& ending, Time now);
+  // All that is known to have ended under it.
+  void Forgive(std::uint64_t content, Time now);
+
+  std::size_t EndsOf(std::uint64_t content) const;
+  bool Holds(std::uint64_t content) const {
+    return EndsOf(content) >= kMostEnds;
+  }
+  bool empty() const { return records_.empty(); }
+  // Contents with any end that counts.
+  std::size_t size() const;
+  std::size_t held() const;
+
+  // What the others are to be told: news of the last seconds, the newest last.
+  std::vector<Ending> News(Time now);
+
+  // The store held that at its revision. Older than what is known: passed over.
+  void TakeStored(const StoredEndings& stored, Time now);
+  // Contents for which it holds anything.
+  std::vector<std::uint64_t> StoredContents() const;
+  // Of all that the store is known to hold.
+  std::uint64_t digest() const { return digest_; }
+  // What the store is to hold and doesn't, the oldest first; since when at the
+  // earliest.
+  std::vector<StoredEndings> Unsaved(std::size_t most) const;
+  Time unsaved_since() const;
+
+ private:
+  struct Life {
+    bool forgiven = false;
+    Time learned{};
+  };
+  struct Record {
+    std::map<BackendId, Life> lives;
+    std::set<BackendId> stored;
+    std::uint64_t revision = 0;  // of the store, at which it held these
+    Time learned{};              // last
+  };
+
+  static std::vector<BackendId> Counting(const Record& record);
+  void NoteChanged(std::uint64_t content, Time now);
+  void MakeRoom(Time now);
+  // Those that were forgiven are remembered while news of them may be underway.
+  void DropOld(Time now);
+
+  std::map<std::uint64_t, Record> records_;
+  std::map<std::uint64_t, Time> unsaved_;
+  std::deque<std::pair<Time, Ending>> news_;
+  std::uint64_t digest_ = 0;
+};
+
+}  // namespace scaleshed::serving
+
+#endif  // SCALESHED_SERVING_QUARANTINE_H_
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -17,6 +17,7 @@
 #include "scaleshed/serving/effects.h"
 #include "scaleshed/serving/events.h"
 #include "scaleshed/serving/placement.h"
+#include "scaleshed/serving/quarantine.h"
 #include "scaleshed/serving/repeat_budget.h"
 #include "scaleshed/serving/slack_share.h"
 #include "scaleshed/serving/work.h"
@@ -276,6 +277,8 @@
   StoreFollowing store;
 
   std::map<std::string, Backend> backends;  // by instance id
+  Quarantine quarantine;
+  bool endings_news = false;  // since the last snapshot
   std::map<BackendId, LifeCheck> life_checks;
   std::map<BackendId, Time> ended_lives;            // known to be over, since
   std::map<std::string, Member> members;            // by peer address
--- a/serving/include/scaleshed/serving/store_relay.h
+++ b/serving/include/scaleshed/serving/store_relay.h
@@ -8,6 +8,7 @@
 
 #include "scaleshed/core/types.h"
 #include "scaleshed/serving/configuration.h"
+#include "scaleshed/serving/quarantine.h"
 
 namespace scaleshed::serving {
 
@@ -33,6 +34,7 @@
 struct StoreDigest {
   std::uint64_t configuration = 0;  // its revision
   std::uint64_t backends = 0;       // a hash of ids and revisions
+  std::uint64_t endings = 0;        // Quarantine::digest
   bool operator==(const StoreDigest&) const = default;
 };
 
@@ -51,6 +53,7 @@
   std::string peer_address;  // who asked
   StoreDigest digest;        // of what it knows
   std::vector<BackendChange> changes;
+  std::vector<StoredEndings> endings;
   // The store's revision up to which it has been told of every change.
   std::uint64_t complete_at = 0;
   // How long ago it put the question whose answer was that `digest` is the
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -27,6 +27,7 @@
   Duration longest_pause{};        // that keeps its answer in time
   // Tokens of its memory that lie at helpers, in their order.
   std::vector<std::int64_t> helper_tokens;
+  std::uint64_t content = 0;  // of its request; zero: not told
   bool operator==(const Work&) const = default;
 };
 
@@ -47,6 +48,16 @@
   bool operator==(const Suspicion&) const = default;
 };
 
+// A life of a backend server that ended while it had a request of that content
+// (RequestFacts::content) in work. `forgiven`: a whole answer or an operator
+// has shown since that the content is not the cause.
+struct Ending {
+  std::uint64_t content = 0;
+  BackendId life = 0;
+  bool forgiven = false;
+  bool operator==(const Ending&) const = default;
+};
+
 // What a daemon tells the others about itself: now and then all of it, at each
 // change only what changed. One that is lost does harm only until the next
 // whole one.
@@ -72,6 +83,9 @@
   std::vector<std::uint64_t> ended;
   std::vector<Waiting> waiting;
   std::vector<Suspicion> suspicions;
+  std::vector<Ending> endings;  // news of the last seconds
+  // Contents of which it asks right now whether one more has ended under them.
+  std::vector<std::uint64_t> asked;
 };
 
 }  // namespace scaleshed::serving
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -37,6 +37,7 @@
     case Refusal::kUnknownKey:
       return kUnauthorized;
     case Refusal::kInvalid:
+    case Refusal::kQuarantined:
       return kBadRequest;
     case Refusal::kUnknown:
       return kBadGateway;
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -123,6 +123,7 @@
 }
 
 void OnSuccess(State& state, Request& request, const AttemptAnswered& event) {
+  Acquit(state, request);
   NoteSuccess(state, request.backend);
   if (!IsStream(request.route.kind)) {
     ObserveFirst(state, request);
@@ -227,6 +228,7 @@
 }
 
 void LoseWorkAt(State& state, BackendId life) {
+  EndLife(state, life);
   // News of the new life may have taken so long: what was sent since may be in
   // work there.
   const Time sent_before = state.now - state.options.news_within;
--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "internal/pool.h"
 #include "internal/steps.h"
 #include "scaleshed/serving/reducer.h"
 
@@ -23,12 +24,26 @@
   }
 }
 
+// An engine that has what ended two is left to it.
+void KeepAway(const State& state, const Demand& demand,
+              const std::vector<const Work*>& works,
+              std::set<BackendId>& suspects) {
+  constexpr std::size_t kEndsToKeepFrom = 2;
+  if (state.quarantine.empty()) return;
+  for (const Work* it : works) {
+    const bool keep = it->content != demand.content &&
+                      state.quarantine.EndsOf(it->content) >= kEndsToKeepFrom;
+    if (keep) suspects.insert(it->backend);
+  }
+}
+
 Placing PlacePrompt(State& state, const Demand& demand,
                     const EngineTiming& timing,
                     const std::vector<const Backend*>& open) {
   const auto works = AllWorks(state);
   EndProbations(state, works);
-  const auto suspects = Suspects(state);
+  auto suspects = Suspects(state);
+  KeepAway(state, demand, works, suspects);
   std::vector<EngineView> engines;
   engines.reserve(open.size());
   for (const Backend* it : open) {
@@ -76,13 +91,22 @@
           .due = request.due,
           .deadline = request.deadline,
           .read = request.read,
-          .tried = request.tried};
+          .tried = request.tried,
+          .content = request.facts.content};
 }
 
 Verdict Decide(State& state, const Demand& demand) {
   const EngineTiming* timing = TimingOf(state, demand.service);
   const auto open = OpenBackends(state, demand.service);
   if (timing == nullptr || open.empty()) return NoRoomNow{Shortage::kBackends};
+  const bool fits =
+      demand.prompt_tokens + demand.answer_tokens <= MostMemory(*timing);
+  const Companions with =
+      fits ? CompanionsOf(state, demand, open) : Companions{};
+  if (with.wait) return NoRoomNow{Shortage::kVerdict};
+  if (with.backend != nullptr) {
+    return Placed{.backend = with.backend->id, .first_token = demand.read};
+  }
   if (demand.read > kShortRead) {
     const Outlook outlook = OutlookOf(state, demand, *timing, open.size());
     if (const auto given_up = GivesUp(state, demand, outlook)) return *given_up;
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -74,7 +74,9 @@
           .due = request.due,
           .deadline = request.deadline,
           .longest_pause = request.route.longest_pause,
-          .tried = {request.tried.begin(), request.tried.end()}};
+          .tried = {request.tried.begin(), request.tried.end()},
+          .content = request.facts.content,
+          .doubtful = IsDoubtful(state, request.facts.content)};
 }
 
 Demand DemandOf(const AskedPlace& asked) {
@@ -87,7 +89,9 @@
           .due = it.due,
           .deadline = it.deadline,
           .read = asked.read,
-          .tried = {it.tried.begin(), it.tried.end()}};
+          .tried = {it.tried.begin(), it.tried.end()},
+          .content = it.content,
+          .doubtful = it.doubtful};
 }
 
 void Reply(State& state, const AskedPlace& asked, PlaceOutcome outcome,
@@ -122,7 +126,8 @@
                 .started = state.now,
                 .writing = false,
                 .longest_pause = question.longest_pause,
-                .helper_tokens = placed.helper_tokens};
+                .helper_tokens = placed.helper_tokens,
+                .content = question.content};
   state.effects.emplace_back(Count{Counter::kPlacedForOthers});
   Log(state, "placed",
       {{"request", question.request},
--- /dev/null
+++ b/serving/src/endings.cc
@@ -0,0 +1,194 @@
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "internal/pool.h"
+#include "internal/steps.h"
+
+// Requests under which backend servers end. What an end teaches is noted for
+// the content of each request that was there, told to all daemons and kept in
+// the store, as the next copy comes under a new id, at any daemon.
+namespace scaleshed::serving::internal {
+namespace {
+
+// A request under which a server ended before waits for so long to learn
+// whether this one has ended too, which takes 50 to 70 ms; others are sent on
+// at once.
+constexpr Duration kVerdictWithin = milliseconds(200);
+
+void LogEnding(State& state, std::uint64_t content, BackendId life,
+               const std::string& from) {
+  const Backend* backend = FindBackend(state, life);
+  const std::size_t n = state.quarantine.EndsOf(content);
+  Log(state, "ended_under",
+      {{"content", ContentText(content)},
+       {"backend", backend == nullptr ? "" : backend->server.id},
+       {"life", ContentText(life)},
+       {"told_by", from},
+       {"ends", std::to_string(n)},
+       {"held", state.quarantine.Holds(content) ? "true" : "false"}});
+}
+
+void TakeEnding(State& state, const Ending& ending, const std::string& from) {
+  if (!state.quarantine.Take(ending, state.now)) return;
+  state.changed = true;
+  // Of many daemons the others hear it of the hubs.
+  state.endings_news = state.endings_news || from.empty() ||
+                       (state.dispatch.is_hub && !state.dispatch.all_place);
+  if (ending.forgiven) {
+    Log(state, "forgiven",
+        {{"content", ContentText(ending.content)},
+         {"life", ContentText(ending.life)},
+         {"told_by", from}});
+    return;
+  }
+  state.effects.emplace_back(Count{Counter::kEndings});
+  LogEnding(state, ending.content, ending.life, from);
+}
+
+// What is known of a backend server for a request that has to go alone, or to
+// where all copies of it go.
+struct Candidate {
+  const Backend* backend = nullptr;
+  std::uint64_t rank = 0;  // the same at all daemons
+  std::int64_t works = 0;
+  std::int64_t alike = 0;  // of these, copies
+  bool avoided = false;
+};
+
+std::vector<Candidate> CandidatesFor(const State& state, const Demand& demand,
+                                     const std::vector<const Backend*>& open,
+                                     const std::vector<const Work*>& works) {
+  const auto suspects = Suspects(state);
+  std::map<BackendId, Candidate> by_id;
+  for (const Backend* it : open) {
+    by_id[it->id] = {
+        .backend = it,
+        .rank = HashBytes(it->server.id, demand.content),
+        .avoided = suspects.contains(it->id) || demand.tried.contains(it->id)};
+  }
+  for (const Work* work : works) {
+    const auto it = by_id.find(work->backend);
+    if (it == by_id.end()) continue;
+    ++it->second.works;
+    if (work->content == demand.content) ++it->second.alike;
+  }
+  std::vector<Candidate> all;
+  for (const auto& [id, it] : by_id) all.push_back(it);
+  std::sort(all.begin(), all.end(),
+            [](const auto& a, const auto& b) { return a.rank < b.rank; });
+  return all;
+}
+
+bool HasPlace(const Candidate& it) {
+  return !it.avoided && it.works < it.backend->server.slots;
+}
+
+// Whether another daemon asks right now if one more has ended under it.
+bool IsAskedElsewhere(const State& state, std::uint64_t content) {
+  return std::any_of(
+      state.members.begin(), state.members.end(), [&](const auto& it) {
+        const Member& member = it.second;
+        const auto& asked = member.snapshot.asked;
+        return state.now < member.heard + kVerdictWithin &&
+               std::find(asked.begin(), asked.end(), content) != asked.end();
+      });
+}
+
+bool IsAskedHere(const State& state, std::uint64_t content) {
+  return std::any_of(state.life_checks.begin(), state.life_checks.end(),
+                     [&](const auto& it) {
+                       const LifeCheck& check = it.second;
+                       return check.contents.contains(content) &&
+                              state.now < check.since + kVerdictWithin;
+                     });
+}
+
+}  // namespace
+
+void NoteEnding(State& state, std::uint64_t content, BackendId life) {
+  if (content == 0) return;
+  TakeEnding(state, {.content = content, .life = life}, "");
+}
+
+void Acquit(State& state, const Request& request) {
+  const std::uint64_t content = request.facts.content;
+  for (auto& [life, check] : state.life_checks) check.contents.erase(content);
+  if (state.quarantine.EndsOf(content) == 0) return;
+  state.quarantine.Forgive(content, state.now);
+  state.changed = true;
+  state.endings_news = true;
+  Log(state, "acquitted",
+      {{"request", request.facts.id},
+       {"content", ContentText(content)},
+       {"backend", request.backend_name}});
+}
+
+void TakeEndings(State& state, const std::vector<Ending>& endings) {
+  for (const Ending& it : endings) {
+    TakeEnding(state, it, "peer");
+    if (!it.forgiven) EndLife(state, it.life);
+  }
+}
+
+bool RefusedForEndings(State& state, Request& request) {
+  if (!state.quarantine.Holds(request.facts.content)) return false;
+  state.effects.emplace_back(Count{Counter::kQuarantined});
+  RefuseRequest(state, request, Refusal::kQuarantined, {});
+  return true;
+}
+
+bool AwaitsVerdict(const State& state, std::uint64_t content) {
+  if (state.quarantine.EndsOf(content) == 0) return false;
+  return IsAskedHere(state, content) || IsAskedElsewhere(state, content);
+}
+
+bool IsDoubtful(const State& state, std::uint64_t content) {
+  if (content == 0) return false;
+  return state.quarantine.EndsOf(content) > 0 || IsAskedHere(state, content) ||
+         IsAskedElsewhere(state, content);
+}
+
+std::vector<std::uint64_t> AskedContents(const State& state) {
+  std::set<std::uint64_t> contents;
+  for (const auto& [life, check] : state.life_checks) {
+    if (state.now >= check.since + kVerdictWithin) continue;
+    contents.insert(check.contents.begin(), check.contents.end());
+  }
+  return {contents.begin(), contents.end()};
+}
+
+// Copies that come together at several daemons are not to end a server each:
+// they go where one is in work. In doubt they go nowhere else, and to one that
+// has nothing else where there is one, so that they take nobody with them; the
+// first of an order that is the same everywhere.
+Companions CompanionsOf(const State& state, const Demand& demand,
+                        const std::vector<const Backend*>& open) {
+  if (demand.content == 0) return {};
+  const bool doubtful = demand.doubtful || IsDoubtful(state, demand.content);
+  const bool is_long = demand.read > kShortRead;
+  const bool plain = demand.read == Duration::zero();
+  // Two long ones at one engine would be late for nothing.
+  if (!doubtful && (is_long || plain)) return {};
+  const auto works = AllWorks(state);
+  const bool any_alike = std::any_of(
+      works.begin(), works.end(),
+      [&](const Work* it) { return it->content == demand.content; });
+  if (!doubtful && !any_alike) return {};
+  auto all = CandidatesFor(state, demand, open, works);
+  std::erase_if(all, [](const Candidate& it) { return !HasPlace(it); });
+  const auto like = std::find_if(
+      all.begin(), all.end(), [](const Candidate& it) { return it.alike > 0; });
+  if (like != all.end()) return {.backend = like->backend};
+  if (!doubtful) return {};
+  if (any_alike) return {.wait = true};
+  const auto best = std::min_element(
+      all.begin(), all.end(), [](const Candidate& a, const Candidate& b) {
+        return std::pair(a.works, a.rank) < std::pair(b.works, b.rank);
+      });
+  if (best == all.end()) return {};
+  return {.backend = best->backend};
+}
+
+}  // namespace scaleshed::serving::internal
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -54,6 +54,8 @@
   Time deadline{};
   Duration read{};
   std::set<BackendId> tried;
+  std::uint64_t content = 0;
+  bool doubtful = false;  // as another daemon sees it
 };
 Demand DemandOf(const Request& request);
 // Can't be served before its deadline.
@@ -185,10 +187,35 @@
 std::vector<const Backend*> OpenBackends(const State& state,
                                          const std::string& service);
 
+// endings.cc: requests under which backend servers end.
+// That life ended with a request of that content in work.
+void NoteEnding(State& state, std::uint64_t content, BackendId life);
+// A whole answer came: whatever ended with it in work did so by itself.
+void Acquit(State& state, const Request& request);
+// What another daemon tells.
+void TakeEndings(State& state, const std::vector<Ending>& endings);
+// Refuses a request that has ended as many as are enough. True if it did.
+bool RefusedForEndings(State& state, Request& request);
+// Whether it is being asked if one more has ended under it.
+bool AwaitsVerdict(const State& state, std::uint64_t content);
+// It may be what ends servers.
+bool IsDoubtful(const State& state, std::uint64_t content);
+// What this daemon asks about, for the others to wait for too.
+std::vector<std::uint64_t> AskedContents(const State& state);
+// Where a request goes because of its content; neither: wherever is best.
+struct Companions {
+  const Backend* backend = nullptr;
+  bool wait = false;
+};
+Companions CompanionsOf(const State& state, const Demand& demand,
+                        const std::vector<const Backend*>& open);
+
 // life_checks.cc: whether a backend server has ended at which answers broke
 // off.
 void CheckLife(State& state, const Request& request, BackendId life);
 void OnLifeSeen(State& state, const LifeSeen& event);
+// That life is over, whoever found out.
+void EndLife(State& state, BackendId life);
 // It said something just now.
 void NoteSign(State& state, BackendId life);
 void AskLivesAgain(State& state);
--- a/serving/src/life_checks.cc
+++ b/serving/src/life_checks.cc
@@ -39,14 +39,18 @@
 }  // namespace
 
 void CheckLife(State& state, const Request& request, BackendId life) {
-  if (state.ended_lives.contains(life)) return;
+  const std::uint64_t content = request.facts.content;
+  if (state.ended_lives.contains(life)) {
+    NoteEnding(state, content, life);
+    return;
+  }
   const Backend* backend = FindBackend(state, life);
   if (backend == nullptr) return;
   const auto [it, is_new] = state.life_checks.try_emplace(
       life, LifeCheck{.address = backend->server.address, .since = state.now});
-  if (request.facts.content != 0) {
-    it->second.contents.insert(request.facts.content);
-  }
+  const bool news = content != 0 && it->second.contents.insert(content).second;
+  state.endings_news = state.endings_news || news;
+  state.changed = state.changed || news;
   if (is_new) Ask(state, life, it->second);
 }
 
@@ -66,8 +70,22 @@
   }
   LogCheck(state, event.backend, check,
            speaks ? "lives" : (over ? "over" : "unknown"));
-  if (over && !speaks) state.ended_lives[event.backend] = state.now;
-  state.life_checks.erase(it);
+  if (over && !speaks) {
+    EndLife(state, event.backend);
+  } else {
+    state.life_checks.erase(it);
+  }
+  // Some wait for this.
+  StartWaiting(state);
+}
+
+void EndLife(State& state, BackendId life) {
+  state.ended_lives[life] = state.now;
+  const auto check = state.life_checks.extract(life);
+  if (check.empty()) return;
+  for (const std::uint64_t it : check.mapped().contents) {
+    NoteEnding(state, it, life);
+  }
 }
 
 void NoteSign(State& state, BackendId life) {
--- /dev/null
+++ b/serving/src/quarantine.cc
@@ -0,0 +1,175 @@
+#include "scaleshed/serving/quarantine.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace scaleshed::serving {
+namespace {
+
+// Each snapshot within this carries what is new: several, of which some may be
+// lost.
+constexpr Duration kTellFor = seconds(3);
+// In one message, of 18 bytes each. What ended together with one that had 16
+// requests is told whole.
+constexpr std::size_t kMostTold = 64;
+// Longer than news are told and late writes of the store may take together.
+constexpr Duration kRememberForgiven = seconds(30);
+
+std::uint64_t HashOf(std::uint64_t content, BackendId life) {
+  return HashBytes({reinterpret_cast<const char*>(&life), sizeof(life)},
+                   content);
+}
+
+}  // namespace
+
+std::vector<BackendId> Quarantine::Counting(const Record& record) {
+  std::vector<BackendId> lives;
+  for (const auto& [life, it] : record.lives) {
+    if (!it.forgiven) lives.push_back(life);
+  }
+  return lives;
+}
+
+bool Quarantine::Take(const Ending& ending, Time now) {
+  DropOld(now);
+  Record& record = records_[ending.content];
+  const auto [it, is_new] = record.lives.try_emplace(ending.life);
+  const bool news = is_new || (ending.forgiven && !it->second.forgiven);
+  if (!news) return false;
+  it->second = {.forgiven = ending.forgiven, .learned = now};
+  record.learned = now;
+  news_.emplace_back(now, ending);
+  NoteChanged(ending.content, now);
+  if (!ending.forgiven) MakeRoom(now);
+  return true;
+}
+
+void Quarantine::Forgive(std::uint64_t content, Time now) {
+  const auto record = records_.find(content);
+  if (record == records_.end()) return;
+  for (const BackendId it : Counting(record->second)) {
+    Take({.content = content, .life = it, .forgiven = true}, now);
+  }
+}
+
+std::size_t Quarantine::EndsOf(std::uint64_t content) const {
+  const auto it = records_.find(content);
+  return it == records_.end() ? 0 : Counting(it->second).size();
+}
+
+std::size_t Quarantine::size() const {
+  return static_cast<std::size_t>(std::count_if(
+      records_.begin(), records_.end(),
+      [](const auto& it) { return !Counting(it.second).empty(); }));
+}
+
+std::size_t Quarantine::held() const {
+  return static_cast<std::size_t>(std::count_if(
+      records_.begin(), records_.end(),
+      [](const auto& it) { return Counting(it.second).size() >= kMostEnds; }));
+}
+
+std::vector<Ending> Quarantine::News(Time now) {
+  while (!news_.empty() && news_.front().first < now - kTellFor) {
+    news_.pop_front();
+  }
+  const std::size_t n = std::min(news_.size(), kMostTold);
+  std::vector<Ending> news;
+  for (auto it = news_.end() - static_cast<std::ptrdiff_t>(n);
+       it != news_.end(); ++it) {
+    news.push_back(it->second);
+  }
+  return news;
+}
+
+void Quarantine::TakeStored(const StoredEndings& stored, Time now) {
+  const std::set<BackendId> held(stored.lives.begin(), stored.lives.end());
+  if (held.empty() && !records_.contains(stored.content)) return;
+  Record& record = records_[stored.content];
+  if (stored.revision < record.revision) return;
+  record.revision = stored.revision;
+  const std::set<BackendId> before = std::exchange(record.stored, held);
+  for (const BackendId it : before) digest_ ^= HashOf(stored.content, it);
+  for (const BackendId it : held) digest_ ^= HashOf(stored.content, it);
+  for (const BackendId it : held) {
+    Take({.content = stored.content, .life = it}, now);
+  }
+  // Whoever took them away knew that they don't count: by a whole answer, or as
+  // an operator.
+  for (const BackendId it : before) {
+    const Ending gone{.content = stored.content, .life = it, .forgiven = true};
+    if (!held.contains(it)) Take(gone, now);
+  }
+  NoteChanged(stored.content, now);
+}
+
+std::vector<std::uint64_t> Quarantine::StoredContents() const {
+  std::vector<std::uint64_t> contents;
+  for (const auto& [content, record] : records_) {
+    if (!record.stored.empty()) contents.push_back(content);
+  }
+  return contents;
+}
+
+void Quarantine::NoteChanged(std::uint64_t content, Time now) {
+  const Record& record = records_.at(content);
+  const std::vector<BackendId> lives = Counting(record);
+  const bool saved = std::equal(lives.begin(), lives.end(),
+                                record.stored.begin(), record.stored.end());
+  if (saved) {
+    unsaved_.erase(content);
+  } else {
+    unsaved_.try_emplace(content, now);
+  }
+}
+
+std::vector<StoredEndings> Quarantine::Unsaved(std::size_t most) const {
+  std::vector<std::pair<Time, std::uint64_t>> oldest;
+  for (const auto& [content, since] : unsaved_) {
+    oldest.emplace_back(since, content);
+  }
+  std::sort(oldest.begin(), oldest.end());
+  if (oldest.size() > most) oldest.resize(most);
+  std::vector<StoredEndings> unsaved;
+  for (const auto& [since, content] : oldest) {
+    const Record& record = records_.at(content);
+    unsaved.push_back(
+        {.content = content,
+         .lives = Counting(record),
+         .revision = record.stored.empty() ? 0 : record.revision});
+  }
+  return unsaved;
+}
+
+Time Quarantine::unsaved_since() const {
+  Time since = Time::max();
+  for (const auto& [content, at] : unsaved_) since = std::min(since, at);
+  return since;
+}
+
+void Quarantine::MakeRoom(Time now) {
+  if (records_.size() <= kMostContents) return;
+  const auto worth = [](const auto& it) {
+    return std::pair(Counting(it.second).size(), it.second.learned);
+  };
+  const auto least = std::min_element(
+      records_.begin(), records_.end(),
+      [&](const auto& a, const auto& b) { return worth(a) < worth(b); });
+  const std::uint64_t content = least->first;
+  Forgive(content, now);
+  if (least->second.stored.empty()) {
+    unsaved_.erase(content);
+    records_.erase(content);
+  }
+}
+
+void Quarantine::DropOld(Time now) {
+  std::erase_if(records_, [&](const auto& it) {
+    const Record& record = it.second;
+    const bool old = record.learned < now - kRememberForgiven;
+    return old && record.stored.empty() && Counting(record).empty();
+  });
+}
+
+}  // namespace scaleshed::serving
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -41,6 +41,8 @@
                         .places = PlacesForOthers(state),
                         .capacity = state.options.capacity,
                         .revision = RevisionOf(state)};
+  snapshot.endings = state.quarantine.News(state.now);
+  snapshot.asked = AskedContents(state);
   // A placer's line is its own.
   if (state.dispatch.all_place) snapshot.waiting = WaitingOf(state);
   for (const auto& [name, backend] : state.backends) {
@@ -127,6 +129,8 @@
 void OnSnapshot(State& state, const SnapshotReceived& event) {
   const LoadSnapshot& snapshot = event.snapshot;
   if (snapshot.peer_address == state.options.peer_address) return;
+  // These hold whatever else it says, and however late.
+  TakeEndings(state, snapshot.endings);
   const auto known = state.members.find(snapshot.peer_address);
   const bool same_life = known != state.members.end() &&
                          known->second.snapshot.life == snapshot.life;
@@ -174,7 +178,9 @@
   PublishSnapshot effect{.to = {}, .snapshot = OwnSnapshot(state)};
   TellWorks(state, effect.snapshot);
   const ToldHeader header = HeaderOf(effect.snapshot);
-  const bool all_hear = std::exchange(state.told_header, header) != header;
+  const bool news_of_endings = std::exchange(state.endings_news, false);
+  const bool all_hear =
+      std::exchange(state.told_header, header) != header || news_of_endings;
   const bool suspects =
       std::exchange(state.told_suspicions, effect.snapshot.suspicions) !=
       effect.snapshot.suspicions;
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -46,6 +46,12 @@
 // first among equals.
 Verdict PlacePlain(State& state, const Request& request) {
   const auto open = OpenBackends(state, request.service);
+  const Companions with = CompanionsOf(state, DemandOf(request), open);
+  if (with.wait) return NoRoomNow{Shortage::kVerdict};
+  if (with.backend != nullptr) {
+    return Placed{.backend = with.backend->id,
+                  .first_token = request.route.objective};
+  }
   const auto works = AllWorks(state);
   const auto suspects = Suspects(state);
   const Backend* best = nullptr;
@@ -90,6 +96,7 @@
     Requeue(state, request, kLookAgain);
     return;
   }
+  if (RefusedForEndings(state, request)) return;
   if (!TakeRepeat(state, request)) {
     // Room that was set aside is gone where requests have become fewer, or this
     // daemon has lost its part of the slack.
@@ -195,7 +202,8 @@
                   .started = state.now,
                   .writing = false,
                   .longest_pause = request.route.longest_pause,
-                  .helper_tokens = placed.helper_tokens};
+                  .helper_tokens = placed.helper_tokens,
+                  .content = request.facts.content};
   request.expected_first = placed.first_token;
   state.changed = true;
   const bool tickets =
@@ -237,6 +245,11 @@
     Wait(state, request, kLookAgain, Shortage::kProof);
     return;
   }
+  if (RefusedForEndings(state, request)) return;
+  if (AwaitsVerdict(state, request.facts.content)) {
+    Wait(state, request, kLookAgain, Shortage::kVerdict);
+    return;
+  }
   // After waiting and failing the configuration may be another one; the
   // backend servers of the chosen service are still those that may run it.
   const auto open = OpenBackends(state, request.service);
--- a/serving/test/deadly_requests_test.cc
+++ b/serving/test/deadly_requests_test.cc
@@ -28,6 +28,7 @@
 Outcome Play(const HallOptions& options, Duration gap, int copies) {
   Hall hall(options);
   hall.MakeDeadly(kDeadly);
+  for (int i = 0; i < options.daemons; ++i) HoldSlack(hall.state(i).slack);
   std::mt19937_64 random(7);
   const auto any = [&] {
     return static_cast<int>(random() %
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -17,6 +17,7 @@
   to.set_writing(work.writing);
   to.set_longest_pause_us(work.longest_pause.count());
   for (const auto it : work.helper_tokens) to.add_helper_tokens(it);
+  to.set_content(work.content);
 }
 
 serving::Work ReadWork(const wire::Work& from, Time now) {
@@ -29,7 +30,8 @@
           .writing = from.writing(),
           .longest_pause = Duration(from.longest_pause_us()),
           .helper_tokens = {from.helper_tokens().begin(),
-                            from.helper_tokens().end()}};
+                            from.helper_tokens().end()},
+          .content = from.content()};
 }
 
 void WriteSnapshot(const serving::LoadSnapshot& snapshot, Time now,
@@ -64,6 +66,13 @@
     suspicion.set_left_us((it.until - now).count());
     suspicion.set_failed(it.failed);
   }
+  for (const auto& it : snapshot.endings) {
+    wire::Ending& ending = *to.add_endings();
+    ending.set_content(it.content);
+    ending.set_life(it.life);
+    ending.set_forgiven(it.forgiven);
+  }
+  for (const auto it : snapshot.asked) to.add_asked(it);
 }
 
 serving::LoadSnapshot ReadSnapshot(const wire::LoadSnapshot& from, Time now) {
@@ -83,7 +92,9 @@
       .works = {},
       .ended = {from.ended().begin(), from.ended().end()},
       .waiting = {},
-      .suspicions = {}};
+      .suspicions = {},
+      .endings = {},
+      .asked = {from.asked().begin(), from.asked().end()}};
   for (const auto& it : from.works()) {
     snapshot.works.push_back(ReadWork(it, now));
   }
@@ -98,6 +109,11 @@
                                    .until = now + Duration(it.left_us()),
                                    .failed = it.failed()});
   }
+  for (const auto& it : from.endings()) {
+    snapshot.endings.push_back({.content = it.content(),
+                                .life = it.life(),
+                                .forgiven = it.forgiven()});
+  }
   return snapshot;
 }
 
@@ -138,8 +154,10 @@
 serving::StoreRelay ReadRelay(const wire::StoreRelay& from) {
   serving::StoreRelay relay{.peer_address = from.peer_address(),
                             .digest = {.configuration = from.configuration(),
-                                       .backends = from.backends()},
+                                       .backends = from.backends(),
+                                       .endings = from.endings_digest()},
                             .changes = {},
+                            .endings = {},
                             .complete_at = from.complete_at(),
                             .age = {},
                             .daemons = 0,
@@ -147,6 +165,11 @@
                             .heard_life = from.heard_life(),
                             .heard_sequence = from.heard_sequence()};
   for (const auto& it : from.changes()) relay.changes.push_back(ReadChange(it));
+  for (const auto& it : from.endings()) {
+    relay.endings.push_back({.content = it.content(),
+                             .lives = {it.lives().begin(), it.lives().end()},
+                             .revision = it.revision()});
+  }
   // An age below zero would make the proof younger than it is.
   if (from.has_age_us() && from.age_us() >= 0) {
     relay.age = Duration(from.age_us());
@@ -172,7 +195,9 @@
           .due = now + Duration(from.due_in_us()),
           .deadline = now + Duration(from.deadline_in_us()),
           .longest_pause = Duration(from.longest_pause_us()),
-          .tried = {from.tried().begin(), from.tried().end()}};
+          .tried = {from.tried().begin(), from.tried().end()},
+          .content = from.content(),
+          .doubtful = from.doubtful()};
 }
 
 // Nothing where it names what this version does not know.
@@ -217,6 +242,8 @@
   to.set_deadline_in_us((question.deadline - now).count());
   to.set_longest_pause_us(question.longest_pause.count());
   for (const auto it : question.tried) to.add_tried(it);
+  to.set_content(question.content);
+  to.set_doubtful(question.doubtful);
   return datagram.SerializeAsString();
 }
 
@@ -250,6 +277,13 @@
   to.set_configuration(relay.digest.configuration);
   to.set_backends(relay.digest.backends);
   for (const auto& it : relay.changes) WriteChange(it, *to.add_changes());
+  to.set_endings_digest(relay.digest.endings);
+  for (const auto& it : relay.endings) {
+    wire::StoredEndings& endings = *to.add_endings();
+    endings.set_content(it.content);
+    for (const auto life : it.lives) endings.add_lives(life);
+    endings.set_revision(it.revision);
+  }
   if (relay.age) to.set_age_us(relay.age->count());
   if (relay.daemons_age) {
     to.set_daemons(relay.daemons);
--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -22,7 +22,9 @@
 TEST_CASE("A relay comes back as it was") {
   serving::StoreRelay relay{
       .peer_address = "1.1.1.1:2",
-      .digest = {.configuration = 7, .backends = 0xfedc'ba98'7654'3210},
+      .digest = {.configuration = 7,
+                 .backends = 0xfedc'ba98'7654'3210,
+                 .endings = 13},
       .changes = {{.id = "a",
                    .revision = 8,
                    .server = serving::BackendServer{.id = "a",
@@ -33,6 +35,8 @@
                                                     .leaving = true,
                                                     .revision = 8}},
                   {.id = "b", .revision = 9, .server = {}, .certain = false}},
+      .endings = {{.content = 14, .lives = {15, 16}, .revision = 17},
+                  {.content = 18, .lives = {}, .revision = 19}},
       .complete_at = 10,
       .age = milliseconds(3),
       .daemons = 75,
@@ -43,6 +47,7 @@
       Back<serving::StoreRelayReceived>(EncodeDatagram(relay)).relay;
   CHECK(back.peer_address == relay.peer_address);
   CHECK(back.digest == relay.digest);
+  CHECK(back.endings == relay.endings);
   CHECK(back.complete_at == 10);
   CHECK(back.age == relay.age);
   CHECK(back.daemons == 75);
@@ -79,13 +84,17 @@
                                  .life = 3,
                                  .sequence = 4,
                                  .asks_store = true};
-  snapshot.works = {{.id = 5, .started = kNow - seconds(1)}};
+  snapshot.works = {{.id = 5, .started = kNow - seconds(1), .content = 7}};
   snapshot.ended = {6};
+  snapshot.endings = {{.content = 7, .life = 8},
+                      {.content = 9, .life = 8, .forgiven = true}};
+  snapshot.asked = {7, 9};
   const Time elsewhere{seconds(9000)};
   auto back =
       Back<serving::SnapshotReceived>(EncodeDatagram(snapshot, kNow), elsewhere)
           .snapshot;
   REQUIRE(back.works.size() == 1);
+  CHECK(back.works[0].content == 7);
   CHECK(back.works[0].started == elsewhere - seconds(1));
   CHECK(back.instance == "1.1.1.1:1");
   CHECK(back.asks_store);
@@ -96,6 +105,8 @@
           .snapshot;
   CHECK(back.partial);
   CHECK(back.ended == snapshot.ended);
+  CHECK(back.endings == snapshot.endings);
+  CHECK(back.asked == snapshot.asked);
   CHECK(back.instance.empty());
 }
 
@@ -119,7 +130,9 @@
                                         .due = kNow - milliseconds(1),
                                         .deadline = kNow + milliseconds(9),
                                         .longest_pause = milliseconds(10),
-                                        .tried = {11, 12}};
+                                        .tried = {11, 12},
+                                        .content = 13,
+                                        .doubtful = true};
   // Times stand as far from now on the other daemon's clock.
   const Time there = kNow + seconds(100);
   const auto asked = Back<serving::PlaceQuestionReceived>(
@@ -139,6 +152,8 @@
   CHECK(asked.deadline == there + milliseconds(9));
   CHECK(asked.longest_pause == milliseconds(10));
   CHECK(asked.tried == question.tried);
+  CHECK(asked.content == 13);
+  CHECK(asked.doubtful);
 
   const serving::PlaceAnswer answer{.peer_address = "2.2.2.2:2",
                                     .life = 3,
