The store keeps what ended under a content, so that it outlasts all daemons

What callers saw: with all daemons killed, the request began anew with its ends. Cause: the quarantine was told from daemon to daemon only, and went with the last. Ruled out: a document for each daemon (who takes those of the dead away?), writes without a condition (one that comes late takes away what another wrote). Change: scaleshed/endings/CONTENT names the lives; a write holds only while the entry has the revision that its writer knew, so that whatever goes was forgiven by who took it away. Who leads the asking of its data centre writes, one after another, others when none has; after a kill of all at once. Lists tell it before the servers, watches and relays as changes; a digest in the relays shows where it differs. Drawn kills of all (8 seeds): 3 late sends at most. Store away for 6 s and all killed 3 s later, daemons started late: 0. An answer takes the entries of innocent ones away, in 4 writes at most. Why it holds: news merge in any order, and each daemon writes what it knows and the store lacks.

--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -164,6 +164,7 @@
           },
           [&](const serving::ListStore&) { store_->List(); },
           [&](const serving::WatchStore& it) { store_->SetWatch(it.on); },
+          [&](const serving::SaveEndings& it) { store_->Save(it); },
           [&](const serving::RelayStore& it) {
             for (const auto& [to, relay] : it.messages) {
               Tell(DatagramKind::kRelay, to, EncodeDatagram(relay));
--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -51,6 +51,7 @@
   // All that there is, again and again until it is told.
   void List();
   void SetWatch(bool on);
+  void Save(const serving::SaveEndings& save);
 
   std::uint64_t calls() const { return store_.calls(); }
 
@@ -70,6 +71,7 @@
   void ListOnceRegistered();
   // All backend servers there are, by a list that was asked for then.
   void TellBackends(const platform::StoredItems& items, Time asked);
+  void TellEndings(const platform::StoredItems& items);
   void TellPeers();
   void TellCount(Time asked);
   // Notes what became of a call. False where it failed.
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -147,9 +147,13 @@
   listed_ = registration_.stands();
   peers_.clear();
   for (const auto& it : items->items) {
-    const bool is_backend = std::holds_alternative<platform::StoredBackend>(it);
-    if (!is_backend) Take(it, asked);
+    const bool told_below =
+        std::holds_alternative<platform::StoredBackend>(it) ||
+        std::holds_alternative<platform::StoredEndingsItem>(it);
+    if (!told_below) Take(it, asked);
   }
+  // First what must not be sent, then to whom.
+  TellEndings(*items);
   TellBackends(*items, asked);
   TellPeers();
   TellCount(asked);
@@ -170,6 +174,25 @@
   feed_(std::move(all));
 }
 
+void StoreFollower::TellEndings(const platform::StoredItems& items) {
+  serving::AllEndingsListed all{.endings = {}, .revision = items.at};
+  for (const auto& it : items.items) {
+    const auto* endings = std::get_if<platform::StoredEndingsItem>(&it);
+    if (endings != nullptr) all.endings.push_back(endings->endings);
+  }
+  feed_(std::move(all));
+}
+
+void StoreFollower::Save(const serving::SaveEndings& save) {
+  store_.WriteEndings(save.endings, [this](auto result) {
+    const bool done = Noted("save_endings", FaultOf(result));
+    const bool conflict = FaultOf(result) == StoreError::kConflict;
+    // Others wrote first; or no watch tells this daemon what it wrote.
+    if (conflict || (done && !wants_watch_)) List();
+    feed_(serving::EndingsSaved{});
+  });
+}
+
 void StoreFollower::TellPeers() {
   serving::PeersListed listed;
   for (const auto& [address, data_centre] : peers_) {
@@ -204,6 +227,9 @@
                  [&](const platform::MemberGone& it) {
                    peers_.erase(it.peer_address);
                  },
+                 [&](const platform::StoredEndingsItem& it) {
+                   feed_(serving::EndingsStored{it.endings});
+                 },
                  [&](const platform::Unreadable& it) {
                    LogWarn("store_entry_unreadable",
                            {{"key", it.key}, {"fault", it.fault}});
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -10,6 +10,7 @@
 #include "scaleshed/core/types.h"
 #include "scaleshed/serving/configuration.h"
 #include "scaleshed/serving/dispatch.h"
+#include "scaleshed/serving/quarantine.h"
 #include "scaleshed/serving/store_relay.h"
 #include "scaleshed/serving/work.h"
 
@@ -156,6 +157,12 @@
   bool on = false;
 };
 
+// Writes these to the store, all or none, each under its condition; those
+// without lives are taken away. EndingsSaved follows.
+struct SaveEndings {
+  std::vector<StoredEndings> endings;
+};
+
 // One message to each; any may be lost.
 struct RelayStore {
   std::vector<std::pair<std::string, StoreRelay>> messages;  // by receiver
@@ -242,9 +249,9 @@
     std::variant<StartAttempt, CancelAttempt, DeliverAnswer, BeginStream,
                  PassEvent, EndStream, BreakAnswer, Refuse, ReserveMemory,
                  ReleaseMemory, AskReport, AskLife, PublishSnapshot, AskStore,
-                 ReadConfiguration, ListStore, WatchStore, RelayStore,
-                 AskPlacer, AnswerPlace, LogDecision, Count, ObserveLatency,
-                 ApplyLimits, Exit>;
+                 ReadConfiguration, ListStore, WatchStore, SaveEndings,
+                 RelayStore, AskPlacer, AnswerPlace, LogDecision, Count,
+                 ObserveLatency, ApplyLimits, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace scaleshed::serving
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -173,6 +173,19 @@
   Time asked{};                // when the question was put
 };
 
+// What the store holds for a content, as a watch or a conflict tells it.
+struct EndingsStored {
+  StoredEndings endings;
+};
+// All that it holds; others have no entry.
+struct AllEndingsListed {
+  std::vector<StoredEndings> endings;
+  std::uint64_t revision = 0;  // of the store
+};
+// The call of SaveEndings is over. What it wrote comes as EndingsStored, or in a
+// list.
+struct EndingsSaved {};
+
 // Where other daemons take snapshots, as registered at the platform.
 struct ListedPeer {
   std::string peer_address;
@@ -217,9 +230,10 @@
                  ConfigurationSeen, ConfigurationConfirmed, BackendsConfirmed,
                  BackendsComplete, StoreAsked, StoreHeard, StoreUnreachable,
                  StoreRelayReceived, BackendListed, BackendUnlisted,
-                 BackendsListed, PeersListed, EntryHeld, EntryEnded,
-                 DaemonsCounted, SnapshotReceived, PlaceQuestionReceived,
-                 PlaceAnswerReceived, Tick, StopRequested>;
+                 BackendsListed, EndingsStored, AllEndingsListed, EndingsSaved,
+                 PeersListed, EntryHeld, EntryEnded, DaemonsCounted,
+                 SnapshotReceived, PlaceQuestionReceived, PlaceAnswerReceived,
+                 Tick, StopRequested>;
 
 struct Event {
   Time now;
--- a/serving/include/scaleshed/serving/quarantine.h
+++ b/serving/include/scaleshed/serving/quarantine.h
@@ -55,8 +55,8 @@
   // What the others are to be told: news of the last seconds, the newest last.
   std::vector<Ending> News(Time now);
 
-  // The store held that at its revision. Older than what is known: passed over.
-  void TakeStored(const StoredEndings& stored, Time now);
+  // The store held that at its revision. False where that is known or older.
+  bool TakeStored(const StoredEndings& stored, Time now);
   // Contents for which it holds anything.
   std::vector<std::uint64_t> StoredContents() const;
   // Of all that the store is known to hold.
@@ -65,6 +65,7 @@
   // earliest.
   std::vector<StoredEndings> Unsaved(std::size_t most) const;
   Time unsaved_since() const;
+  bool has_unsaved() const { return !unsaved_.empty(); }
 
  private:
   struct Life {
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -79,6 +79,13 @@
   bool told = false;  // to those that don't ask
 };
 
+// The same of what it holds for a content.
+struct SeenEndings {
+  StoredEndings endings;
+  Time seen{};
+  bool told = false;
+};
+
 struct GoneEntry {
   std::uint64_t revision = 0;
   Time seen{};
@@ -113,6 +120,10 @@
   std::optional<Time> list_due;     // entries differ from an asker's
   Time listed_at{};                 // last
   std::deque<SeenChange> changes;   // of the last seconds
+  std::deque<SeenEndings> endings;  // of the last seconds
+  // What this daemon writes of the quarantine: not before; under way.
+  Time save_due{};
+  bool saving = false;
   // The store's revision up to which all changes are known: what is older and
   // not known here had gone by then.
   std::uint64_t complete_at = 0;
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -190,6 +190,12 @@
 // endings.cc: requests under which backend servers end.
 // That life ended with a request of that content in work.
 void NoteEnding(State& state, std::uint64_t content, BackendId life);
+// What the store holds of them, by watch, relay or list.
+void OnEndingsStored(State& state, const StoredEndings& stored);
+void OnAllEndingsListed(State& state, const AllEndingsListed& event);
+void OnEndingsSaved(State& state);
+// Writes what the store lacks, where it is this daemon's turn.
+void SaveEndingsDue(State& state);
 // A whole answer came: whatever ended with it in work did so by itself.
 void Acquit(State& state, const Request& request);
 // What another daemon tells.
--- a/serving/src/quarantine.cc
+++ b/serving/src/quarantine.cc
@@ -83,11 +83,11 @@
   return news;
 }
 
-void Quarantine::TakeStored(const StoredEndings& stored, Time now) {
+bool Quarantine::TakeStored(const StoredEndings& stored, Time now) {
   const std::set<BackendId> held(stored.lives.begin(), stored.lives.end());
-  if (held.empty() && !records_.contains(stored.content)) return;
+  if (held.empty() && !records_.contains(stored.content)) return false;
   Record& record = records_[stored.content];
-  if (stored.revision < record.revision) return;
+  if (stored.revision <= record.revision) return false;
   record.revision = stored.revision;
   const std::set<BackendId> before = std::exchange(record.stored, held);
   for (const BackendId it : before) digest_ ^= HashOf(stored.content, it);
@@ -102,6 +102,7 @@
     if (!held.contains(it)) Take(gone, now);
   }
   NoteChanged(stored.content, now);
+  return true;
 }
 
 std::vector<std::uint64_t> Quarantine::StoredContents() const {
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -68,6 +68,7 @@
     TakeRoles(state);
   }
   FollowStore(state);
+  SaveEndingsDue(state);
   FinishStop(state);
 }
 
@@ -93,6 +94,9 @@
           [&](const BackendListed& it) { OnListed(state, it.backend); },
           [&](const BackendUnlisted& it) { OnUnlisted(state, it); },
           [&](const BackendsListed& it) { OnAllListed(state, it); },
+          [&](const EndingsStored& it) { OnEndingsStored(state, it.endings); },
+          [&](const AllEndingsListed& it) { OnAllEndingsListed(state, it); },
+          [&](const EndingsSaved&) { OnEndingsSaved(state); },
           [&](const PeersListed& it) { OnPeersListed(state, it); },
           [&](const EntryHeld& it) {
             if (state.stop_at) return;
@@ -157,9 +161,10 @@
 }
 
 Time NextWake(const State& state) {
-  const bool busy = !state.requests.empty() || !state.early.empty() ||
-                    state.stop_at.has_value() ||
-                    !state.dispatch.asked.empty() || !state.life_checks.empty();
+  const bool busy =
+      !state.requests.empty() || !state.early.empty() ||
+      state.stop_at.has_value() || !state.dispatch.asked.empty() ||
+      !state.life_checks.empty() || state.quarantine.has_unsaved();
   const Time tick =
       state.ticked_at + (busy ? internal::kBusyTick : internal::kIdleTick);
   const Time due = std::min(tick, internal::StoreDue(state));
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -70,7 +70,8 @@
 }
 
 StoreDigest DigestOf(const State& state) {
-  StoreDigest digest{.configuration = RevisionOf(state)};
+  StoreDigest digest{.configuration = RevisionOf(state),
+                     .endings = state.quarantine.digest()};
   for (const auto& [id, backend] : state.backends) {
     if (backend.gone_at) continue;
     digest.backends ^= HashBytes(id, backend.server.revision);
@@ -100,6 +101,8 @@
 bool HasNews(const State& state) {
   const StoreFollowing& store = state.store;
   return RevisionOf(state) != store.told_configuration ||
+         std::any_of(store.endings.begin(), store.endings.end(),
+                     [](const SeenEndings& it) { return !it.told; }) ||
          std::any_of(store.changes.begin(), store.changes.end(),
                      [](const SeenChange& it) { return !it.told; });
 }
@@ -186,6 +189,16 @@
   return changes;
 }
 
+std::vector<StoredEndings> EndingsToTell(const State& state, bool all) {
+  std::vector<StoredEndings> endings;
+  for (const SeenEndings& it : state.store.endings) {
+    if (all || !it.told) endings.push_back(it.endings);
+  }
+  // The newest; a list brings the rest.
+  const std::size_t n = std::min(endings.size(), kMostChanges);
+  return {endings.end() - static_cast<std::ptrdiff_t>(n), endings.end()};
+}
+
 void Relay(State& state) {
   StoreFollowing& store = state.store;
   const bool proof = HasProof(state);
@@ -193,6 +206,7 @@
   StoreRelay relay{.peer_address = state.options.peer_address,
                    .digest = DigestOf(state),
                    .changes = ChangesToTell(state, proof),
+                   .endings = EndingsToTell(state, proof),
                    .complete_at = store.complete_at,
                    .age = {},
                    .daemons = 0,
@@ -214,6 +228,7 @@
   store.relayed_proof = ProvedAt(state);
   store.told_configuration = RevisionOf(state);
   for (SeenChange& it : store.changes) it.told = true;
+  for (SeenEndings& it : store.endings) it.told = true;
   if (!effect.messages.empty()) state.effects.emplace_back(std::move(effect));
 }
 
@@ -223,6 +238,9 @@
   while (!store.changes.empty() && store.changes.front().seen < tell_from) {
     store.changes.pop_front();
   }
+  while (!store.endings.empty() && store.endings.front().seen < tell_from) {
+    store.endings.pop_front();
+  }
   // News of an entry are not on their way for longer than a list is apart.
   std::erase_if(store.gone, [&](const auto& it) {
     return it.second.seen < state.now - kListEvery;
@@ -252,9 +270,12 @@
   } else {
     AwaitConfiguration(state, relay.digest.configuration, asked);
   }
-  if (relay.digest.backends == own.backends) {
+  const bool same_backends = relay.digest.backends == own.backends;
+  if (same_backends) {
     ConfirmBackends(state, asked);
     NoteComplete(state, relay.complete_at);
+  }
+  if (same_backends && relay.digest.endings == own.endings) {
     store.list_due.reset();
   } else if (!store.list_due) {
     store.list_due =
@@ -357,6 +378,7 @@
                  {.id = it.id, .certain = it.certain, .revision = it.revision});
     }
   }
+  for (const StoredEndings& it : relay.endings) OnEndingsStored(state, it);
   PlanReading(state, relay);
   if (!relay.age) return;
   NoteHeardByOthers(state, *relay.age);
--- /dev/null
+++ b/serving/src/stored_endings.cc
@@ -0,0 +1,90 @@
+#include <algorithm>
+#include <set>
+
+#include "internal/durations.h"
+#include "internal/steps.h"
+
+// What the store holds of the quarantine, so that it outlasts all daemons.
+namespace scaleshed::serving::internal {
+namespace {
+
+// A write may wait for others that follow at once: all requests that were at
+// one server are cut within some ms.
+constexpr Duration kSaveAfter = milliseconds(40);
+// Those who lead the asking in their data centres write one after another,
+constexpr Duration kSaveTurn = milliseconds(300);
+// and anybody else when none of them has, at a moment that is drawn.
+constexpr Duration kSaveAnyhow = milliseconds(1500);
+// After one, until which its own news have come back.
+constexpr Duration kSaveAgain = milliseconds(400);
+// The store takes 32 in a transaction.
+constexpr std::size_t kMostSaved = 32;
+
+// How long what the store lacks waits for this daemon to write it.
+Duration SaveAfter(State& state) {
+  // Where it is not known yet who leads, as after a kill of all, a late write may
+  // never be made.
+  if (!state.store.has_role) return kSaveAfter + Drawn(state, kSaveAfter);
+  if (!state.store.leads) return kSaveAnyhow + Drawn(state, kSaveAnyhow);
+  std::set<std::string> before;
+  for (const auto& [address, member] : state.members) {
+    const LoadSnapshot& told = member.snapshot;
+    const bool asks = told.asks_store && IsHeard(state, member);
+    if (asks && told.data_centre < state.options.data_centre) {
+      before.insert(told.data_centre);
+    }
+  }
+  return kSaveAfter + kSaveTurn * before.size();
+}
+
+}  // namespace
+
+void OnEndingsStored(State& state, const StoredEndings& stored) {
+  const std::size_t known = state.quarantine.EndsOf(stored.content);
+  if (!state.quarantine.TakeStored(stored, state.now)) return;
+  if (state.store.watching) {
+    state.store.endings.push_back({.endings = stored, .seen = state.now});
+  }
+  const std::size_t n = state.quarantine.EndsOf(stored.content);
+  if (n == known) return;
+  Log(state, "endings_stored",
+      {{"content", ContentText(stored.content)},
+       {"ends_before", std::to_string(known)},
+       {"ends", std::to_string(n)},
+       {"revision", std::to_string(stored.revision)},
+       {"held", state.quarantine.Holds(stored.content) ? "true" : "false"}});
+}
+
+void OnAllEndingsListed(State& state, const AllEndingsListed& event) {
+  std::set<std::uint64_t> there;
+  for (const StoredEndings& it : event.endings) {
+    there.insert(it.content);
+    OnEndingsStored(state, it);
+  }
+  for (const std::uint64_t it : state.quarantine.StoredContents()) {
+    if (there.contains(it)) continue;
+    OnEndingsStored(state,
+                    {.content = it, .lives = {}, .revision = event.revision});
+  }
+}
+
+void SaveEndingsDue(State& state) {
+  StoreFollowing& store = state.store;
+  const Time since = state.quarantine.unsaved_since();
+  if (store.saving || since == Time::max()) return;
+  if (store.save_due < since) store.save_due = since + SaveAfter(state);
+  if (store.save_due > state.now) return;
+  SaveEndings save{.endings = state.quarantine.Unsaved(kMostSaved)};
+  Log(state, "saves_endings",
+      {{"contents", std::to_string(save.endings.size())},
+       {"waited_ms", Millis(state.now - since)}});
+  store.saving = true;
+  state.effects.emplace_back(std::move(save));
+}
+
+void OnEndingsSaved(State& state) {
+  state.store.saving = false;
+  state.store.save_due = state.now + kSaveAgain + Drawn(state, kSaveAgain);
+}
+
+}  // namespace scaleshed::serving::internal
--- a/serving/test/deadly_requests_test.cc
+++ b/serving/test/deadly_requests_test.cc
@@ -6,6 +6,7 @@
 // alone, and of the request it went with the one send.
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <random>
 
 #include "hall.h"
@@ -24,11 +25,14 @@
   std::size_t served = 0;
 };
 
-// Copies come at drawn daemons, one each `gap`, and beside them others.
-Outcome Play(const HallOptions& options, Duration gap, int copies) {
+// Copies come at drawn daemons, one each `gap`, and beside them others. `at` is
+// called at each step.
+Outcome Play(
+    HallOptions options, Duration gap, int copies,
+    const std::function<void(Hall&)>& at = [](Hall& /*hall*/) {}) {
+  options.slack = true;
   Hall hall(options);
   hall.MakeDeadly(kDeadly);
-  for (int i = 0; i < options.daemons; ++i) HoldSlack(hall.state(i).slack);
   std::mt19937_64 random(7);
   const auto any = [&] {
     return static_cast<int>(random() %
@@ -47,6 +51,7 @@
     if (step % kInnocentEach == 0) {
       innocent.push_back(hall.Ask(any(), 3000, seconds(10), 1000 + random()));
     }
+    at(hall);
     hall.Pass(kStep);
   }
   hall.Pass(seconds(12));
@@ -86,5 +91,87 @@
   CHECK(outcome.ends <= 3);
 }
 
+void RestartAll(Hall& hall, int daemons) {
+  for (int i = 0; i < daemons; ++i) hall.Restart(i);
+}
+
+constexpr HallOptions kFew{.daemons = 8, .data_centres = 3, .engines = 18};
+// From a server's end until all is noted: the verdict, the write, its way.
+constexpr Duration kNoted = milliseconds(300);
+
+// Knowledge that only daemons have goes with them: with all of them killed
+// after each end, the request began anew each time.
+TEST_CASE("What has ended three is held though all daemons are killed") {
+  std::size_t ends = 0;
+  Time kill = Time::max();
+  const Outcome outcome = Play(kFew, milliseconds(60), 200, [&](Hall& hall) {
+    if (hall.ends().size() > ends) kill = hall.now() + kNoted;
+    ends = hall.ends().size();
+    if (hall.now() < kill) return;
+    kill = Time::max();
+    RestartAll(hall, kFew.daemons);
+  });
+  CHECK(outcome.late == 0);
+}
+
+// An end is not known for the first moments after it. Daemons that are killed
+// in these can't tell of it; a copy each may follow, and no more.
+TEST_CASE("Kills of all at drawn moments let few copies through") {
+  for (const unsigned seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+    std::mt19937 random(seed);
+    int kills = 3;
+    Time kill = Time::min();
+    const Outcome outcome = Play(kFew, milliseconds(60), 120, [&](Hall& hall) {
+      if (kill == Time::min())
+        kill = hall.now() + milliseconds(random() % 1500);
+      if (hall.now() < kill || kills == 0) return;
+      --kills;
+      kill = hall.now() + milliseconds(500 + random() % 2500);
+      RestartAll(hall, kFew.daemons);
+    });
+    INFO("seed " << seed);
+    CHECK(outcome.late <= 3);
+  }
+}
+
+TEST_CASE("A store that is away for a while is told when it is back") {
+  const Outcome outcome = Play(kFew, milliseconds(60), 250, [&](Hall& hall) {
+    static Time begun{};
+    if (begun == Time{}) begun = hall.now();
+    hall.CutStore(hall.now() < begun + seconds(6));
+    static bool restarted = false;
+    if (restarted || hall.now() < begun + seconds(9)) return;
+    restarted = true;
+    RestartAll(hall, kFew.daemons);
+  });
+  CHECK(outcome.late == 0);
+}
+
+TEST_CASE("A daemon that starts late, and one that heard nothing, send none") {
+  int restarts = 0;
+  const Outcome outcome = Play(kFew, milliseconds(60), 200, [&](Hall& hall) {
+    if (hall.ends().size() < 3 || ++restarts % 40 != 0) return;
+    hall.Restart(restarts / 40 % kFew.daemons);
+  });
+  CHECK(outcome.late == 0);
+}
+
+// Requests that end nothing are not to be held for having been there: an answer
+// forgives, in the store too.
+TEST_CASE("What ended by itself leaves no trace once the others are answered") {
+  HallOptions options = kFew;
+  options.slack = true;
+  Hall hall(options);
+  hall.MakeDeadly(kDeadly);
+  for (int i = 0; i < 10; ++i) hall.Ask(i % 8, 3000, seconds(10), 100 + i);
+  hall.Ask(0, 2000, seconds(10), kDeadly);
+  hall.Pass(seconds(8));
+  CHECK(hall.ends().size() <= 2);
+  CHECK(hall.stored().size() == 1);
+  CHECK(hall.state(3).quarantine.size() == 1);
+  // Two ends and what was forgiven after each: not a write for each daemon.
+  CHECK(hall.saves() <= 4);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -17,7 +17,8 @@
   int daemons = 32;
   int data_centres = 4;
   int engines = 24;
-  int strong = 1;  // machines of each data centre with more capacity
+  int strong = 1;      // machines of each data centre with more capacity
+  bool slack = false;  // daemons hold their parts of the slack of repeats
 };
 
 // Many daemons under one scripted clock, which send each other messages that
@@ -51,6 +52,27 @@
     hangs ? (void)hanging_.insert(engine) : (void)hanging_.erase(engine);
   }
 
+  // Its process is killed and starts anew, with what the store holds.
+  void Restart(int i) {
+    Node& node = nodes_.at(static_cast<std::size_t>(i));
+    const std::uint64_t life = node.state->options.life + 1;
+    node.state = NewState(i, life);
+    std::erase_if(messages_underway_,
+                  [&](const auto& it) { return it.second.to == i; });
+    for (auto& [id, engine] : engines_) {
+      std::erase_if(engine.attempts,
+                    [&](const Attempt& it) { return it.daemon == i; });
+    }
+    TellAll(i);
+    Feed(i, Peers());
+  }
+  // Writes are refused, and nobody is told of any, as long as it is.
+  void CutStore(bool cut) { store_cut_ = cut; }
+  const std::map<std::uint64_t, StoredEndings>& stored() const {
+    return stored_;
+  }
+  std::size_t saves() const { return saves_; }
+
   // Each engine that runs that content ends kDeathAfter later, and another life
   // begins at its address kDownFor after that.
   void MakeDeadly(std::uint64_t content) { deadly_.insert(content); }
@@ -118,6 +140,8 @@
   };
   struct Engine {
     std::string address;
+    std::string data_centre;
+    std::uint64_t revision = 1;
     int life = 0;
     Time dies = Time::max();  // while it runs a deadly request
     Time back = Time::max();  // while it is down
@@ -147,35 +171,86 @@
     return std::stoi(peer.substr(1));
   }
 
-  void AddDaemon(int i) {
+  std::unique_ptr<State> NewState(int i, std::uint64_t life) const {
     const bool strong = i / options_.data_centres < options_.strong;
-    Node node;
-    node.state = std::make_unique<State>(
+    auto state = std::make_unique<State>(
         ServingOptions{.instance = "f" + std::to_string(i),
                        .peer_address = PeerOf(i),
                        .data_centre = CentreOf(i),
-                       .life = 1,
-                       .seed = static_cast<std::uint64_t>(i) + 1,
+                       .life = life,
+                       .seed = static_cast<std::uint64_t>(i) + life,
                        .capacity = strong ? 4.0 : 1.0,
                        .news_within = seconds(3),
                        .repeats = {.slack = 1000}});
-    nodes_.push_back(std::move(node));
-    Feed(i, ConfigurationSeen{.configuration = MakeConfiguration(1),
-                              .asked = now_});
-    BackendsListed all{.revision = 1, .asked = now_};
+    if (options_.slack) HoldSlack(state->slack);
+    return state;
+  }
+
+  void AddDaemon(int i) {
+    if (engines_.empty()) AddEngines();
+    nodes_.push_back({.state = NewState(i, 1)});
+    TellAll(i);
+  }
+
+  void AddEngines() {
     for (int k = 0; k < options_.engines; ++k) {
       const std::string id = "llm" + std::to_string(k);
+      engines_[id] = {.address = id, .data_centre = CentreOf(k)};
+    }
+  }
+
+  // All that the store holds.
+  void TellAll(int i) {
+    Feed(i, ConfigurationSeen{.configuration = MakeConfiguration(1),
+                              .asked = now_});
+    AllEndingsListed endings{.endings = {}, .revision = revision_};
+    for (const auto& [content, it] : stored_) endings.endings.push_back(it);
+    Feed(i, std::move(endings));
+    BackendsListed all{.revision = revision_, .asked = now_};
+    for (const auto& [id, engine] : engines_) {
       all.backends.push_back({.id = id,
                               .service = "llm",
-                              .address = id,
-                              .data_centre = CentreOf(k),
+                              .address = engine.address,
+                              .data_centre = engine.data_centre,
                               .slots = 16,
-                              .revision = 1});
-      engines_[id] = {.address = id};
+                              .revision = engine.revision});
     }
     Feed(i, all);
   }
 
+  // As the store does it: all or none, and those who watch are told.
+  void Save(int from, const SaveEndings& save) {
+    ++saves_;
+    const bool holds = std::all_of(
+        save.endings.begin(), save.endings.end(), [&](const auto& it) {
+          const auto found = stored_.find(it.content);
+          return it.revision ==
+                 (found == stored_.end() ? 0 : found->second.revision);
+        });
+    if (!store_cut_ && holds) {
+      for (StoredEndings it : save.endings) {
+        it.revision = ++revision_;
+        stored_[it.content] = it;
+        if (it.lives.empty()) stored_.erase(it.content);
+        TellWatchers(it);
+      }
+    }
+    After(milliseconds(5), from, EndingsSaved{});
+    // A list where it conflicts, or where no watch tells what was written.
+    if (!holds || !state(from).store.watching) {
+      AllEndingsListed all{.endings = {}, .revision = revision_};
+      for (const auto& [content, it] : stored_) all.endings.push_back(it);
+      if (!store_cut_) After(milliseconds(10), from, std::move(all));
+    }
+  }
+
+  void TellWatchers(const StoredEndings& stored) {
+    for (int i = 0; i < options_.daemons; ++i) {
+      if (!state(i).store.watching) continue;
+      After(milliseconds(5), i, EndingsStored{stored});
+    }
+  }
+
   // Those that run a deadly request end, and those that ended come back.
   void PlayEngines() {
     if (deadly_.empty()) return;
@@ -202,7 +277,7 @@
     engine.back = Time::max();
     const std::string next =
         engine.address + "-" + std::to_string(++engine.life);
-    ++revision_;
+    engine.revision = ++revision_;
     for (int i = 0; i < options_.daemons; ++i) {
       Feed(i, BackendUnlisted{.id = id, .revision = revision_});
       Feed(i, BackendListed{{.id = next,
@@ -277,6 +352,8 @@
       StartAt(from, *it);
     } else if (const auto* it = std::get_if<EndStream>(&effect)) {
       answered_.insert(it->key);
+    } else if (const auto* it = std::get_if<SaveEndings>(&effect)) {
+      Save(from, *it);
     } else if (const auto* it = std::get_if<AskLife>(&effect)) {
       bool listens = false;
       for (const auto& [id, engine] : engines_) {
@@ -319,6 +396,9 @@
   HallOptions options_;
   std::map<std::string, Engine> engines_;  // by instance id
   std::uint64_t revision_ = 1;
+  std::map<std::uint64_t, StoredEndings> stored_;
+  bool store_cut_ = false;
+  std::size_t saves_ = 0;
   std::set<std::uint64_t> deadly_;
   std::vector<Time> ends_;
   std::vector<Time> deadly_sends_;
--- a/testing/src/cluster.cc
+++ b/testing/src/cluster.cc
@@ -358,8 +358,8 @@
   const HttpResponse* response = ValueOf(result);
   if (response == nullptr) {
     // The caller can't know; for a refused connection it can.
-    call.outcome = IsUnsent(ErrorOf(result)) ? Outcome::kNotRun
-                                                          : Outcome::kUnknown;
+    call.outcome =
+        IsUnsent(ErrorOf(result)) ? Outcome::kNotRun : Outcome::kUnknown;
     call.detail = "the connection broke";
     return;
   }
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -228,6 +228,7 @@
     absl::Base64Unescape(it.at("value").get<std::string>(), &value);
     Write(it.at("key"), {.value = value, .lease = lease});
   }
+  for (const Json& it : body.at("remove")) Remove(it.get<std::string>());
   AnswerWatches();
   if (mode_ == StoreMode::kLosingWrites && !body.at("put").empty()) {
     exchange->Abort();
