What ages is decided by a clock that counts a suspension of the machine

What callers saw: nothing yet; the pages now say that a machine may be suspended. Cause: the loop's clock was the steady clock, which stands still meanwhile, so that proofs of the list, accounts' keys, parts of the slack, time limits were taken for younger by as much. Ruled out: the time of day (jumps by seconds either way); jumps told by comparing two clocks (one reading does). Change: ElapsedNow() reads CLOCK_BOOTTIME; Time has a clock of its own, so that no other one mixes in. Timers stay with libevent and only say when to look. Not run: a real suspension, which needs root.

--- a/cli/src/load_command.cc
+++ b/cli/src/load_command.cc
@@ -151,8 +151,7 @@
     if (call.reader.final()) return call.reader.final()->outcome;
     const HttpResponse* response = ValueOf(result);
     if (response == nullptr) {
-      return IsUnsent(ErrorOf(result)) ? Outcome::kNotRun
-                                                    : Outcome::kUnknown;
+      return IsUnsent(ErrorOf(result)) ? Outcome::kNotRun : Outcome::kUnknown;
     }
     const auto header = response->headers.find("x-outcome");
     if (header == response->headers.end()) return Outcome::kUnknown;
--- a/core/include/scaleshed/core/types.h
+++ b/core/include/scaleshed/core/types.h
@@ -11,10 +11,13 @@
 
 namespace scaleshed {
 
-// Time inside the core is monotonic and is always handed in with an event; the
-// core never reads a clock.
+// Time inside the core is always handed in with an event; the core never reads
+// a clock. It never goes back, and it counts while the machine is suspended:
+// what is gone by for a while only (proofs, keys, leases, time limits) ends for
+// all others meanwhile.
+struct ElapsedClock;
 using Duration = std::chrono::microseconds;
-using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using Time = std::chrono::time_point<ElapsedClock, Duration>;
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/runtime/include/scaleshed/runtime/event_loop.h
+++ b/runtime/include/scaleshed/runtime/event_loop.h
@@ -11,6 +11,10 @@
 
 namespace scaleshed {
 
+// The clock of `Time`, which the steady clock of C++ is not: it stands still
+// while the machine is suspended. Throws std::system_error where there is none.
+Time ElapsedNow();
+
 // One libevent loop. Everything on it runs in the thread that calls Run().
 //
 // Not thread safe. Timers and clients must not outlive their loop.
@@ -30,7 +34,9 @@
   // Calls `handler` for each `signal`.
   void OnSignal(int signal, std::function<void()> handler);
 
-  Time Now() const;
+  // ElapsedNow(). Timers stand still while the machine is suspended: they only
+  // say when to look, and what is due is decided by this.
+  Time Now() const { return ElapsedNow(); }
   event_base* base() const { return base_; }
 
  private:
--- a/runtime/src/event_loop.cc
+++ b/runtime/src/event_loop.cc
@@ -1,6 +1,9 @@
 #include "scaleshed/runtime/event_loop.h"
 
+#include <cerrno>
+#include <ctime>
 #include <stdexcept>
+#include <system_error>
 #include <utility>
 
 namespace scaleshed {
@@ -60,9 +63,13 @@
   signals_.push_back(std::move(watch));
 }
 
-Time EventLoop::Now() const {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+Time ElapsedNow() {
+  timespec now{};
+  if (clock_gettime(CLOCK_BOOTTIME, &now) != 0) {
+    throw std::system_error(errno, std::generic_category(), "CLOCK_BOOTTIME");
+  }
+  return Time(seconds(now.tv_sec) + std::chrono::duration_cast<Duration>(
+                                        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 struct Timer::Shared {
--- a/runtime/src/log.cc
+++ b/runtime/src/log.cc
@@ -15,6 +15,7 @@
 #include <sstream>
 
 #include "scaleshed/runtime/bounded_writer.h"
+#include "scaleshed/runtime/event_loop.h"
 
 namespace scaleshed {
 namespace {
@@ -36,11 +37,6 @@
   return limit;
 }
 
-Time SteadyNow() {
-  return Time(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 void AppendEscaped(std::string& to, const std::string& text) {
   constexpr unsigned char kFirstPrintable = 0x20;
   for (const char it : text) {
@@ -139,7 +135,7 @@
 }
 
 void LogRoutine(const std::string& event, const LogFields& fields) {
-  if (!TheRoutineLimit().Allows(SteadyNow())) return;
+  if (!TheRoutineLimit().Allows(ElapsedNow())) return;
   const std::uint64_t left_out = TheRoutineLimit().TakeLeftOut();
   if (left_out > 0) {
     LogInfo("routine_left_out", {{"count", std::to_string(left_out)}});
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -182,8 +182,8 @@
   std::vector<StoredEndings> endings;
   std::uint64_t revision = 0;  // of the store
 };
-// The call of SaveEndings is over. What it wrote comes as EndingsStored, or in a
-// list.
+// The call of SaveEndings is over. What it wrote comes as EndingsStored, or in
+// a list.
 struct EndingsSaved {};
 
 // Where other daemons take snapshots, as registered at the platform.
--- a/serving/include/scaleshed/serving/slack_share.h
+++ b/serving/include/scaleshed/serving/slack_share.h
@@ -36,10 +36,8 @@
 //     shared with this one for a whole window;
 //   - only while the store's number of entries was heard so short a time ago
 //     that no daemon which it lacks uses a part yet;
-//   - by the largest number of the last window and `count_within`, so that
-//   those
-//     who are left take the parts of others only after these are out of the
-//     window.
+//   - by the largest number of the last window and `count_within`: those who
+//     are left take the parts of others only after these are out of the window.
 // Where one of these lacks, the part is nothing, and repeats keep to the ratio.
 class SlackShare {
  public:
--- a/serving/src/stored_endings.cc
+++ b/serving/src/stored_endings.cc
@@ -22,8 +22,8 @@
 
 // How long what the store lacks waits for this daemon to write it.
 Duration SaveAfter(State& state) {
-  // Where it is not known yet who leads, as after a kill of all, a late write may
-  // never be made.
+  // Where it is not known yet who leads, as after a kill of all, a late write
+  // may never be made.
   if (!state.store.has_role) return kSaveAfter + Drawn(state, kSaveAfter);
   if (!state.store.leads) return kSaveAnyhow + Drawn(state, kSaveAnyhow);
   std::set<std::string> before;
