Gauges: contents under which servers ended, and those that are held

Cause: an operator could see a hold in the log only. Change: contents_doubtful and contents_held. Ruled out: a series for each content (unbounded).

--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -103,6 +103,11 @@
   RenderGauge(out, "other_daemons_serving", static_cast<double>(daemons));
   RenderGauge(out, "daemons_heard", static_cast<double>(state.counted.heard));
   RenderGauge(out, "daemons_listed", static_cast<double>(state.counted.listed));
+  // Contents under which servers ended; of these, those that are sent to none.
+  RenderGauge(out, "contents_doubtful",
+              static_cast<double>(state.quarantine.size()));
+  RenderGauge(out, "contents_held",
+              static_cast<double>(state.quarantine.held()));
   RenderDispatch(out, state.dispatch);
   RenderRequests(out, state);
   out << "# TYPE scaleshed_loop_late_seconds histogram\n";
