Two doubts at once are settled before a third server; release by an operator

What callers saw: nothing; found by a whole-daemon test whose servers end 20 ms after they begin: five of six ended before the first end was proved (each takes 50 to 70 ms), as only proved ends made a request wait. Cause: a doubt that is being asked about counted for where a request goes, not for whether it goes. Ruled out: waiting at the first doubt (innocent requests would pause for 60 ms each time a connection is reset; most doubts are of that kind). Change: a request waits where proved ends and doubts are two or more. FakeWorker ends under a body and comes back.

--- a/cli/src/internal/commands.h
+++ b/cli/src/internal/commands.h
@@ -24,6 +24,7 @@
 ExitCode RunExplain(const Arguments& arguments);
 ExitCode RunLookup(const Arguments& arguments);
 ExitCode RunLoad(const Arguments& arguments);
+ExitCode RunQuarantine(const Arguments& arguments);
 ExitCode RunTrace(const Arguments& arguments);
 
 // Whether --format=json was given. Any format but text and json is refused
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -48,6 +48,9 @@
   bool operator==(const Suspicion&) const = default;
 };
 
+// A content as it stands in logs, the store and for operators; empty: zero.
+std::string ContentText(std::uint64_t content);
+
 // A life of a backend server that ended while it had a request of that content
 // (RequestFacts::content) in work. `forgiven`: a whole answer or an operator
 // has shown since that the content is not the cause.
--- a/serving/src/endings.cc
+++ b/serving/src/endings.cc
@@ -96,13 +96,14 @@
       });
 }
 
-bool IsAskedHere(const State& state, std::uint64_t content) {
-  return std::any_of(state.life_checks.begin(), state.life_checks.end(),
-                     [&](const auto& it) {
-                       const LifeCheck& check = it.second;
-                       return check.contents.contains(content) &&
-                              state.now < check.since + kVerdictWithin;
-                     });
+// Of how many servers this daemon asks right now if they ended under it.
+std::size_t AskedHere(const State& state, std::uint64_t content) {
+  return static_cast<std::size_t>(std::count_if(
+      state.life_checks.begin(), state.life_checks.end(), [&](const auto& it) {
+        const LifeCheck& check = it.second;
+        return check.contents.contains(content) &&
+               state.now < check.since + kVerdictWithin;
+      }));
 }
 
 }  // namespace
@@ -140,14 +141,17 @@
 }
 
 bool AwaitsVerdict(const State& state, std::uint64_t content) {
-  if (state.quarantine.EndsOf(content) == 0) return false;
-  return IsAskedHere(state, content) || IsAskedElsewhere(state, content);
+  if (content == 0) return false;
+  const std::size_t asked =
+      AskedHere(state, content) + (IsAskedElsewhere(state, content) ? 1 : 0);
+  constexpr std::size_t kSentOn = 1;
+  return asked > 0 && state.quarantine.EndsOf(content) + asked > kSentOn;
 }
 
 bool IsDoubtful(const State& state, std::uint64_t content) {
   if (content == 0) return false;
-  return state.quarantine.EndsOf(content) > 0 || IsAskedHere(state, content) ||
-         IsAskedElsewhere(state, content);
+  return state.quarantine.EndsOf(content) > 0 ||
+         AskedHere(state, content) > 0 || IsAskedElsewhere(state, content);
 }
 
 std::vector<std::uint64_t> AskedContents(const State& state) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -307,8 +307,6 @@
          std::vector<std::pair<std::string, std::string>> fields,
          bool routine = false);
 std::string Millis(Duration duration);
-// As it stands in logs; empty: not told.
-std::string ContentText(std::uint64_t content);
 // Has just started, and may not have heard yet what it needs.
 bool IsYoung(const State& state);
 // From nothing to that, for moments that are to differ between daemons.
--- a/serving/src/quarantine.cc
+++ b/serving/src/quarantine.cc
@@ -1,6 +1,8 @@
 #include "scaleshed/serving/quarantine.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <string_view>
 #include <utility>
 
@@ -23,6 +25,14 @@
 
 }  // namespace
 
+std::string ContentText(std::uint64_t content) {
+  if (content == 0) return "";
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016llx",
+                static_cast<unsigned long long>(content));
+  return text.data();
+}
+
 std::vector<BackendId> Quarantine::Counting(const Record& record) {
   std::vector<BackendId> lives;
   for (const auto& [life, it] : record.lives) {
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -1,8 +1,6 @@
 #include "scaleshed/serving/reducer.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 #include "internal/durations.h"
@@ -131,14 +129,6 @@
       std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
-std::string ContentText(std::uint64_t content) {
-  if (content == 0) return "";
-  std::array<char, 17> text{};
-  std::snprintf(text.data(), text.size(), "%016llx",
-                static_cast<unsigned long long>(content));
-  return text.data();
-}
-
 bool IsYoung(const State& state) {
   return state.now - state.started_at < kYoungFor;
 }
--- a/serving/src/stored_endings.cc
+++ b/serving/src/stored_endings.cc
@@ -16,7 +16,7 @@
 // and anybody else when none of them has, at a moment that is drawn.
 constexpr Duration kSaveAnyhow = milliseconds(1500);
 // After one, until which its own news have come back.
-constexpr Duration kSaveAgain = milliseconds(400);
+constexpr Duration kSaveAgain = milliseconds(200);
 // The store takes 32 in a transaction.
 constexpr std::size_t kMostSaved = 32;
 
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -51,6 +51,17 @@
   // Lists are not answered until this is over.
   void HoldLists(bool hold);
   bool Has(const std::string& key) const { return items_.contains(key); }
+  // The first key that begins so; empty: none.
+  std::string KeyWith(const std::string& prefix) const {
+    const auto it = items_.lower_bound(prefix);
+    const bool found = it != items_.end() && it->first.starts_with(prefix);
+    return found ? it->first : "";
+  }
+  // Of that key; empty: there is none.
+  std::string Value(const std::string& key) const {
+    const auto it = items_.find(key);
+    return it == items_.end() ? "" : it->second.value;
+  }
   int calls() const { return calls_; }
   // Of these, single keys that were read.
   int key_reads() const { return key_reads_; }
@@ -173,6 +184,17 @@
   }
   // Another life at the same address, under another id.
   void Restart(std::string id) { id_ = std::move(id); }
+  // Its process ends: every connection breaks, and nobody listens there until
+  // it begins another life under that id.
+  void End();
+  bool has_ended() const { return server_ == nullptr; }
+  void Begin(std::string id);
+  // It ends so long after it began to run a request with that body.
+  void EndUnder(std::string body, Duration after, std::function<void()> ended) {
+    deadly_ = std::move(body);
+    ends_after_ = after;
+    ended_ = std::move(ended);
+  }
   // The same under the same id: it knows nothing of before.
   void StartAgain();
   void SetEvents(int events) { events_ = events; }
@@ -199,12 +221,20 @@
   void OnStream(const std::shared_ptr<HttpExchange>& exchange);
   void Answer(const std::shared_ptr<HttpExchange>& exchange);
   void AnswerLater(const std::shared_ptr<HttpExchange>& exchange);
+  void Listen(const std::string& address);
+  // True where that request is its end.
+  bool EndsUnder(const HttpRequest& request);
   void Tell(const HttpExchange& exchange, bool ran);
   HttpHeaders AnswerHeaders(const HttpExchange& exchange) const;
 
   EventLoop& loop_;
-  HttpServer server_;
+  std::unique_ptr<HttpServer> server_;  // nothing: it has ended
+  std::string address_;
   std::string id_;
+  std::string deadly_;
+  Duration ends_after_{};
+  std::function<void()> ended_;
+  std::unique_ptr<Timer> end_;
   std::function<WorkerMode()> draw_;
   std::function<void(const BackendArrival&)> tell_;
   Duration work_{};
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -8,12 +8,42 @@
 }  // namespace
 
 FakeWorker::FakeWorker(EventLoop& loop, std::string id)
-    : loop_(loop),
-      server_(loop, {}, [this](const auto& exchange) { Handle(exchange); }),
-      id_(std::move(id)) {}
+    : loop_(loop), id_(std::move(id)) {
+  Listen("127.0.0.1:0");
+  address_ = "127.0.0.1:" + std::to_string(server_->port());
+}
+
+std::string FakeWorker::address() const { return address_; }
+
+void FakeWorker::Listen(const std::string& address) {
+  server_ = std::make_unique<HttpServer>(
+      loop_, HttpServerOptions{.address = address},
+      [this](const auto& exchange) { Handle(exchange); });
+}
+
+void FakeWorker::End() {
+  end_.reset();
+  at_work_.clear();
+  held_.clear();
+  tickets_.clear();
+  // Not from within its own callbacks.
+  server_->StopAccepting();
+  loop_.Defer([server = std::shared_ptr<HttpServer>(std::move(server_))] {});
+  if (ended_) ended_();
+}
+
+void FakeWorker::Begin(std::string id) {
+  id_ = std::move(id);
+  Listen(address_);
+}
 
-std::string FakeWorker::address() const {
-  return "127.0.0.1:" + std::to_string(server_.port());
+bool FakeWorker::EndsUnder(const HttpRequest& request) {
+  if (deadly_.empty() || request.body != deadly_) return false;
+  if (end_ != nullptr) return true;
+  end_ = std::make_unique<Timer>(loop_,
+                                 [this] { loop_.Defer([this] { End(); }); });
+  end_->Once(ends_after_);
+  return true;
 }
 
 std::string FakeWorker::Entry(const std::string& service,
@@ -71,6 +101,10 @@
   ++runs_;
   ++runs_by_id_[exchange->Header("X-Request-Id")];
   Tell(*exchange, true);
+  if (EndsUnder(last_request_)) {
+    held_.push_back(exchange);
+    return;
+  }
   switch (mode_) {
     case WorkerMode::kResetting:
       exchange->Abort();
--- /dev/null
+++ b/testing/test/deadly_requests_test.cc
@@ -0,0 +1,90 @@
+// Whole daemons, a store and workers that end under a request; see
+// serving/test/deadly_requests_test.cc for the incident.
+
+#include "fleet_harness.h"
+
+namespace scaleshed::testing {
+namespace {
+
+// Workers that end under a body "deadly", and come back under another id.
+class DeadlyFleet : public Fleet {
+ public:
+  DeadlyFleet() {
+    Configure();
+    for (std::size_t i = 0; i < kWorkers; ++i) {
+      AddWorker("llm").EndUnder("deadly", milliseconds(20),
+                                [this, i] { OnEnd(i); });
+    }
+  }
+  int ends() const { return ends_; }
+
+ private:
+  static constexpr std::size_t kWorkers = 6;
+  static constexpr Duration kDownFor = milliseconds(1200);
+
+  void OnEnd(std::size_t i) {
+    ++ends_;
+    timers_.push_back(std::make_unique<Timer>(loop(), [this, i] {
+      store().Remove("servers/" + worker(i).id());
+      worker(i).Begin("life-" + std::to_string(ends_) + std::to_string(i));
+      store().Put("servers/" + worker(i).id(), worker(i).Entry("llm"));
+    }));
+    timers_.back()->Once(kDownFor);
+  }
+
+  int ends_ = 0;
+  std::vector<std::unique_ptr<Timer>> timers_;
+};
+
+// Asks for it at daemons in turn until it is held.
+bool IsHeldAfterThree(DeadlyFleet& fleet, std::size_t daemons) {
+  for (std::size_t n = 0; n < 12; ++n) {
+    if (fleet.AskWith("/chat/x", "deadly", n % daemons) == 400) return true;
+  }
+  return false;
+}
+
+// The store names as many lives as ended.
+bool IsStored(DeadlyFleet& fleet) {
+  constexpr std::size_t kThreeLives = 3 * 16 + 2;
+  return fleet.Until([&] {
+    const std::string key = fleet.store().KeyWith("scaleshed/endings/");
+    return fleet.store().Value(key).size() == kThreeLives;
+  });
+}
+
+TEST_CASE("A request that ends workers is held by all daemons, for good") {
+  DeadlyFleet fleet;
+  fleet.AddDaemon();
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady(0));
+  REQUIRE(fleet.WaitReady(1));
+  REQUIRE(IsHeldAfterThree(fleet, 2));
+  CHECK(fleet.ends() == 3);
+  for (std::size_t i = 0; i < 2; ++i) {
+    CHECK(fleet.AskWith("/chat/x", "deadly", i) == 400);
+    // Another body at the same path is served.
+    CHECK(fleet.AskWith("/chat/x", "harmless", i) == 200);
+  }
+  REQUIRE(IsStored(fleet));
+  // One that starts later knows it from the store alone.
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady(2));
+  CHECK(fleet.AskWith("/chat/x", "deadly", 2) == 400);
+  CHECK(fleet.ends() == 3);
+}
+
+TEST_CASE("An operator releases a content by its entry in the store") {
+  DeadlyFleet fleet;
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  REQUIRE(IsHeldAfterThree(fleet, 1));
+  REQUIRE(IsStored(fleet));
+  fleet.store().Remove(fleet.store().KeyWith("scaleshed/endings/"));
+  REQUIRE(fleet.Eventually(
+      [&] { return fleet.AskWith("/chat/x", "deadly", 0) != 400; }));
+  CHECK(fleet.ends() > 3);
+}
+
+}  // namespace
+}  // namespace scaleshed::testing
--- a/testing/test/fleet_harness.h
+++ b/testing/test/fleet_harness.h
@@ -109,7 +109,8 @@
   }
 
   std::shared_ptr<Asked> Send(const std::string& path, HttpHeaders headers = {},
-                              std::size_t to = 0) {
+                              std::size_t to = 0,
+                              const std::string& body = "question") {
     auto asked = std::make_shared<Asked>();
     const bool has_id = headers.Count("X-Request-Id") > 0;
     if (!has_id) {
@@ -123,7 +124,7 @@
          .method = "POST",
          .path = path,
          .headers = headers,
-         .body = "question",
+         .body = body,
          .timeout = kHangLimit,
          .on_chunk = [asked](const std::string& it) { asked->streamed += it; },
          .on_done =
@@ -140,6 +141,13 @@
     REQUIRE(Until([&] { return asked->done; }));
     return asked;
   }
+  // The same with another body, at that daemon; the status.
+  int AskWith(const std::string& path, const std::string& body,
+              std::size_t to) {
+    const auto asked = Send(path, {}, to, body);
+    REQUIRE(Until([&] { return asked->done; }));
+    return asked->status();
+  }
   void Leave(const Asked& asked) { client_.Cancel(asked.call); }
 
   std::shared_ptr<Asked> Get(const std::string& address,
