--- a/serving/test/quarantine_test.cc
+++ b/serving/test/quarantine_test.cc
@@ -43,8 +43,10 @@
 TEST_CASE("News told in any order, twice or late make the same") {
   std::mt19937_64 random(3);
   for (int run = 0; run < 200; ++run) {
+    constexpr int kTold = 12;
     std::vector<Ending> told;
-    for (int i = 0; i < 12; ++i) {
+    told.reserve(kTold);
+    for (int i = 0; i < kTold; ++i) {
       told.push_back({.content = random() % 3,
                       .life = random() % 4,
                       .forgiven = random() % 4 == 0});
