Sight: limits that servers name in answers, as they are heard

What could not be told: when a daemon was first told of a limit, by which answer, and which value; nothing read the header.

Change: the head of each proxied answer is read for it and told to the reducer (AnswerBegun), which logs server_limit when it is named, changes or ends, and counts those in force (gauge backends_limited). Words in a refusal of another life (421) and in an answer of another request don't count. Reports and orders aren't read: their answers don't say which life speaks, and an address may be another server's by then. A value that can't be read (text, negative, nan, with an exponent) is logged and says neither that there is a limit nor that there is none. No decision goes by it yet.

--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -12,6 +12,8 @@
 // cut off says nothing.
 constexpr Duration kLifeWithin = milliseconds(300);
 
+constexpr std::string_view kOfAnother = "answer_of_another_request";
+
 // Why an answer's head is not that of the request's own answer; empty if it is.
 std::string FaultOf(const platform::AnswerHead& head,
                     const std::string& request_id) {
@@ -21,7 +23,7 @@
                        head.kind == serving::AnswerKind::kGone;
   const bool unnamed = refusal && head.request_id.empty();
   if (head.request_id != request_id && !unnamed) {
-    return "answer_of_another_request";
+    return std::string(kOfAnother);
   }
   if (head.encoded) return "encoded_body";
   if (head.kind == serving::AnswerKind::kSuccess && !head.sealed) {
@@ -30,6 +32,12 @@
   return "";
 }
 
+// Whether an answer's head speaks for the backend server that was asked. That
+// its body can't be used takes nothing from that.
+bool IsOwnWord(const platform::AnswerHead& head, const std::string& fault) {
+  return head.kind != serving::AnswerKind::kGone && fault != kOfAnother;
+}
+
 // The status of an answer, or why there is none.
 std::string OutcomeText(const HttpResult& result) {
   const auto* response = ValueOf(result);
@@ -80,13 +88,27 @@
   const auto it = attempts_.find(attempt);
   if (it == attempts_.end()) return;
   it->second.answer = head;
-  const std::string fault =
-      FaultOf(platform::ReadAnswer(head), it->second.request_id);
+  const platform::AnswerHead answer = platform::ReadAnswer(head);
+  const std::string fault = FaultOf(answer, it->second.request_id);
+  if (IsOwnWord(answer, fault)) TellWord(attempt, head);
   if (!fault.empty()) {
     TellFailed(attempt, serving::AttemptError::kCut, fault);
   }
 }
 
+void BackendCalls::TellWord(AttemptId attempt, const HttpResponse& head) {
+  const platform::AnswerWord read = platform::ReadWord(head);
+  if (!read.fault.empty()) {
+    LogInfo("server_word_unreadable",
+            {{"request", attempts_.at(attempt).request_id},
+             {"attempt", std::to_string(attempt)},
+             {"fault", read.fault}});
+    // Says neither that there is a limit nor that there is none.
+    if (!read.word.limit) return;
+  }
+  feed_(serving::AnswerBegun{.attempt = attempt, .word = read.word});
+}
+
 void BackendCalls::OnBytes(AttemptId attempt, const std::string& bytes) {
   const auto it = attempts_.find(attempt);
   if (it == attempts_.end()) return;
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -24,6 +24,8 @@
   RenderGauge(out, "backends_open", open);
   RenderGauge(out, "backends_leaving", leaving);
   RenderGauge(out, "backends_suspect", suspect);
+  RenderGauge(out, "backends_limited",
+              static_cast<double>(state.limits.size()));
 }
 
 void RenderDispatch(std::ostream& out, const serving::Dispatching& dispatch) {
--- a/daemon/src/internal/backend_calls.h
+++ b/daemon/src/internal/backend_calls.h
@@ -45,6 +45,7 @@
   };
 
   void OnHead(AttemptId attempt, const HttpResponse& head);
+  void TellWord(AttemptId attempt, const HttpResponse& head);
   void OnBytes(AttemptId attempt, const std::string& bytes);
   void OnDone(AttemptId attempt, HttpResult result);
   void TellFailed(AttemptId attempt, serving::AttemptError error,
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -86,6 +86,21 @@
   std::string detail;
 };
 
+// What a backend server says of itself in the head of an answer.
+struct ServerWord {
+  // Requests a second that it takes from all daemons together; nothing: as many
+  // as come.
+  std::optional<double> limit;
+  bool operator==(const ServerWord&) const = default;
+};
+
+// The head of an answer has come, whether or not the rest can be used. For a
+// stream: long before AttemptAnswered.
+struct AnswerBegun {
+  AttemptId attempt = 0;
+  ServerWord word;
+};
+
 // The answer to ReserveMemory.
 struct MemoryAnswered {
   AttemptId attempt = 0;
@@ -224,16 +239,15 @@
 struct Tick {};
 struct StopRequested {};
 
-using EventBody =
-    std::variant<RequestArrived, ClientGone, StreamEvent, AttemptAnswered,
-                 AttemptFailed, MemoryAnswered, ReportSeen, LifeSeen,
-                 ConfigurationSeen, ConfigurationConfirmed, BackendsConfirmed,
-                 BackendsComplete, StoreAsked, StoreHeard, StoreUnreachable,
-                 StoreRelayReceived, BackendListed, BackendUnlisted,
-                 BackendsListed, EndingsStored, AllEndingsListed, EndingsSaved,
-                 PeersListed, EntryHeld, EntryEnded, DaemonsCounted,
-                 SnapshotReceived, PlaceQuestionReceived, PlaceAnswerReceived,
-                 Tick, StopRequested>;
+using EventBody = std::variant<
+    RequestArrived, ClientGone, StreamEvent, AttemptAnswered, AttemptFailed,
+    AnswerBegun, MemoryAnswered, ReportSeen, LifeSeen, ConfigurationSeen,
+    ConfigurationConfirmed, BackendsConfirmed, BackendsComplete, StoreAsked,
+    StoreHeard, StoreUnreachable, StoreRelayReceived, BackendListed,
+    BackendUnlisted, BackendsListed, EndingsStored, AllEndingsListed,
+    EndingsSaved, PeersListed, EntryHeld, EntryEnded, DaemonsCounted,
+    SnapshotReceived, PlaceQuestionReceived, PlaceAnswerReceived, Tick,
+    StopRequested>;
 
 struct Event {
   Time now;
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -192,6 +192,12 @@
   std::map<std::pair<std::string, std::uint64_t>, AskedPlace> asked;
 };
 
+// What a backend server last said of how many requests it takes.
+struct ServerLimit {
+  double per_second = 0;  // from all daemons together
+  Time heard{};
+};
+
 struct Memory {
   std::string address;
   std::string ticket;
@@ -292,6 +298,7 @@
   bool endings_news = false;  // since the last snapshot
   std::map<BackendId, LifeCheck> life_checks;
   std::map<BackendId, Time> ended_lives;            // known to be over, since
+  std::map<BackendId, ServerLimit> limits;          // in force, by life
   std::map<std::string, Member> members;            // by peer address
   std::map<std::string, std::string> listed_peers;  // to their data centres
   Dispatching dispatch;
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -226,6 +226,9 @@
 void NoteSign(State& state, BackendId life);
 void AskLivesAgain(State& state);
 
+// server_words.cc: what backend servers say of themselves in their answers.
+void OnAnswerBegun(State& state, const AnswerBegun& event);
+
 // reports.cc: engines that turned slow.
 // Asks those engines whose reports are due and this daemon's to fetch.
 void AskReports(State& state);
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -78,6 +78,7 @@
           [&](const StreamEvent& it) { OnStreamEvent(state, it); },
           [&](const AttemptAnswered& it) { OnAnswered(state, it); },
           [&](const AttemptFailed& it) { OnFailed(state, it); },
+          [&](const AnswerBegun& it) { OnAnswerBegun(state, it); },
           [&](const MemoryAnswered& it) { OnMemoryAnswered(state, it); },
           [&](const ReportSeen& it) { OnReport(state, it); },
           [&](const LifeSeen& it) { OnLifeSeen(state, it); },
