Tests of the limits, which fail: servers get the traffic's share

A ledger counts, as the servers see it, the requests of any 4 s from daemons that were told half a second before. Ruled out as the only cause: repeats, reports, orders.

--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -3,12 +3,14 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "scaleshed/testing/server_ledger.h"
 #include "serving_harness.h"
 
 namespace scaleshed::serving::test {
@@ -19,11 +21,13 @@
   int engines = 24;
   int strong = 1;      // machines of each data centre with more capacity
   bool slack = false;  // daemons hold their parts of the slack of repeats
+  int plain = 0;       // servers of a plain service
 };
 
 // Many daemons under one scripted clock, which send each other messages that
-// take a millisecond, before a store that answers at once and engines that give
-// a first event after 100 ms and end after 400 ms. Counts what is sent.
+// take a millisecond, before a store that answers at once, engines that give a
+// first event after 100 ms and end after 400 ms, and plain servers that answer
+// after 60 ms. Counts what is sent.
 class Hall {
  public:
   explicit Hall(const HallOptions& options) : options_(options) {
@@ -52,8 +56,20 @@
     hangs ? (void)hanging_.insert(engine) : (void)hanging_.erase(engine);
   }
 
+  // That server names a limit in its answers from now on, or none.
+  void NameLimit(const std::string& server, std::optional<double> per_second) {
+    engines_.at(server).limit = per_second;
+  }
+  const testing::ServerLedger& ledger() const { return ledger_; }
+  // No message of another daemon reaches it, and none of its reaches any.
+  void Isolate(int i, bool isolated) {
+    nodes_.at(static_cast<std::size_t>(i)).isolated = isolated;
+    if (isolated) ledger_.Excuse(static_cast<std::size_t>(i));
+  }
+
   // Its process is killed and starts anew, with what the store holds.
   void Restart(int i) {
+    ledger_.Excuse(static_cast<std::size_t>(i));
     Node& node = nodes_.at(static_cast<std::size_t>(i));
     const std::uint64_t life = node.state->options.life + 1;
     node.state = NewState(i, life);
@@ -84,19 +100,15 @@
   // A prompt comes to that daemon.
   RequestKey Ask(int daemon, std::int64_t prompt,
                  Duration deadline = seconds(15), std::uint64_t content = 0) {
-    const RequestKey key = ++last_key_;
-    arrived_[key] = now_;
-    contents_[key] = content;
-    Feed(daemon, RequestArrived{.key = key,
-                                .facts = {.id = "r" + std::to_string(key),
-                                          .host = "h",
-                                          .path = "/stream/x",
-                                          .keys = {"k"},
-                                          .deadline = deadline,
-                                          .prompt_tokens = prompt,
-                                          .answer_tokens = 500,
-                                          .content = content}});
-    return key;
+    return Arrive(daemon, {.path = "/stream/x",
+                           .deadline = deadline,
+                           .prompt_tokens = prompt,
+                           .answer_tokens = 500,
+                           .content = content});
+  }
+  // A call of the plain service.
+  RequestKey AskPlain(int daemon, Duration deadline = seconds(4)) {
+    return Arrive(daemon, {.path = "/safe/x", .deadline = deadline});
   }
 
   void Pass(Duration time) {
@@ -118,6 +130,11 @@
   const std::map<std::string, int>& sends() const { return sends_; }
   // At one moment, by backend server's address.
   const std::map<RequestKey, int>& refusals() const { return refusals_; }
+  struct Refused {
+    Refuse refusal;
+    Duration after{};
+  };
+  const std::vector<Refused>& refused() const { return refused_; }
   // Whole answers.
   const std::set<RequestKey>& answered() const { return answered_; }
   // Log lines of that name so far.
@@ -139,6 +156,8 @@
     AttemptId id = 0;
   };
   struct Engine {
+    std::string service = "llm";
+    std::optional<double> limit;
     std::string address;
     std::string data_centre;
     std::uint64_t revision = 1;
@@ -151,11 +170,13 @@
   struct Node {
     std::unique_ptr<State> state;
     bool frozen = false;
+    bool isolated = false;
     std::size_t heard = 0;  // messages
   };
   struct Message {
     int to = 0;
     EventBody body;
+    std::string server;
   };
 
   PeersListed Peers() const {
@@ -197,6 +218,11 @@
       const std::string id = "llm" + std::to_string(k);
       engines_[id] = {.address = id, .data_centre = CentreOf(k)};
     }
+    for (int k = 0; k < options_.plain; ++k) {
+      const std::string id = "app" + std::to_string(k);
+      engines_[id] = {
+          .service = "app", .address = id, .data_centre = CentreOf(k)};
+    }
   }
 
   // All that the store holds.
@@ -207,7 +233,7 @@
     BackendsListed all{.revision = revision_, .asked = now_};
     for (const auto& [id, engine] : engines_) {
       all.backends.push_back({.id = id,
-                              .service = "llm",
+                              .service = engine.service,
                               .address = engine.address,
                               .data_centre = engine.data_centre,
                               .slots = 16,
@@ -310,17 +336,25 @@
       return;
     }
     Engine& engine = engines_.at(start.instance);
+    ledger_.Arrived(now_, start.instance, static_cast<std::size_t>(daemon));
     engine.attempts.push_back({.daemon = daemon, .id = start.attempt});
     if (deadly) {
       engine.dies = std::min(engine.dies, now_ + kDeathAfter);
       return;
     }
+    const AnswerBegun begun{.attempt = start.attempt,
+                            .word = {.limit = engine.limit}};
+    const AttemptAnswered answered{
+        .attempt = start.attempt, .kind = AnswerKind::kSuccess, .status = 200};
+    if (!start.stream) {
+      After(milliseconds(60), daemon, begun, start.instance);
+      After(milliseconds(60), daemon, answered);
+      return;
+    }
+    After(milliseconds(100), daemon, begun, start.instance);
     After(milliseconds(100), daemon,
           StreamEvent{.attempt = start.attempt, .id = "1", .bytes = "x"});
-    After(milliseconds(400), daemon,
-          AttemptAnswered{.attempt = start.attempt,
-                          .kind = AnswerKind::kSuccess,
-                          .status = 200});
+    After(milliseconds(400), daemon, answered);
   }
 
   void ProveAll() {
@@ -341,20 +375,22 @@
   void Carry(int from, const Effect& effect) {
     if (const auto* it = std::get_if<PublishSnapshot>(&effect)) {
       for (const auto& to : it->to) {
-        SendTo(IndexOf(to), SnapshotReceived{it->snapshot});
+        SendTo(from, IndexOf(to), SnapshotReceived{it->snapshot});
       }
     } else if (const auto* it = std::get_if<AskPlacer>(&effect)) {
-      SendTo(IndexOf(it->to), PlaceQuestionReceived{it->question});
+      SendTo(from, IndexOf(it->to), PlaceQuestionReceived{it->question});
     } else if (const auto* it = std::get_if<AnswerPlace>(&effect)) {
-      SendTo(IndexOf(it->to), PlaceAnswerReceived{it->answer});
+      SendTo(from, IndexOf(it->to), PlaceAnswerReceived{it->answer});
     } else if (const auto* it = std::get_if<RelayStore>(&effect)) {
       for (const auto& [to, relay] : it->messages) {
-        SendTo(IndexOf(to), StoreRelayReceived{relay});
+        SendTo(from, IndexOf(to), StoreRelayReceived{relay});
       }
     } else if (const auto* it = std::get_if<StartAttempt>(&effect)) {
       StartAt(from, *it);
     } else if (const auto* it = std::get_if<EndStream>(&effect)) {
       answered_.insert(it->key);
+    } else if (const auto* it = std::get_if<DeliverAnswer>(&effect)) {
+      answered_.insert(it->key);
     } else if (const auto* it = std::get_if<SaveEndings>(&effect)) {
       Save(from, *it);
     } else if (const auto* it = std::get_if<AskLife>(&effect)) {
@@ -374,17 +410,36 @@
       ++lines_[it->what];
     } else if (const auto* it = std::get_if<Refuse>(&effect)) {
       ++refusals_[it->key];
+      refused_.push_back({.refusal = *it, .after = now_ - arrived_[it->key]});
     }
   }
 
-  void SendTo(int to, EventBody body) {
+  RequestKey Arrive(int daemon, RequestFacts facts) {
+    const RequestKey key = ++last_key_;
+    facts.id = "r" + std::to_string(key);
+    facts.host = "h";
+    facts.keys = {"k"};
+    arrived_[key] = now_;
+    contents_[key] = facts.content;
+    Feed(daemon, RequestArrived{.key = key, .facts = std::move(facts)});
+    return key;
+  }
+
+  void SendTo(int from, int to, EventBody body) {
+    const auto isolated = [&](int i) {
+      return nodes_.at(static_cast<std::size_t>(i)).isolated;
+    };
+    if (isolated(from) || isolated(to)) return;
     ++messages_;
     ++nodes_.at(static_cast<std::size_t>(to)).heard;
     After(milliseconds(1), to, std::move(body));
   }
-  void After(Duration delay, int to, EventBody body) {
-    messages_underway_.emplace(now_ + delay,
-                               Message{.to = to, .body = std::move(body)});
+  // `server`: whose answer it is the head of.
+  void After(Duration delay, int to, EventBody body,
+             const std::string& server = "") {
+    messages_underway_.emplace(
+        now_ + delay,
+        Message{.to = to, .body = std::move(body), .server = server});
   }
 
   void Deliver() {
@@ -392,6 +447,10 @@
            messages_underway_.begin()->first <= now_) {
       Message message = std::move(messages_underway_.begin()->second);
       messages_underway_.erase(messages_underway_.begin());
+      if (const auto* it = std::get_if<AnswerBegun>(&message.body)) {
+        ledger_.Answered(now_, message.server,
+                         static_cast<std::size_t>(message.to), it->word.limit);
+      }
       Feed(message.to, std::move(message.body));
     }
   }
@@ -415,7 +474,9 @@
   std::map<RequestKey, Duration> waits_;
   std::map<std::string, int> sends_;
   std::map<RequestKey, int> refusals_;
+  std::vector<Refused> refused_;
   std::set<std::string> hanging_;
+  testing::ServerLedger ledger_;
   std::map<std::string, std::size_t> lines_;
   std::size_t messages_ = 0;
 };
