Sight: leaving and rest that servers ask for in answers, as they are heard

What could not be told: whether a daemon had heard that a server leaves, or asks for rest, by which answer and until when. Change: both are read from the heads of proxied answers, also failures and such as can't be used; lines server_leaving and server_rest, gauge backends_resting. A limit that can't be read no longer hides the other words of its answer. No decision goes by these yet.

--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -103,10 +103,10 @@
             {{"request", attempts_.at(attempt).request_id},
              {"attempt", std::to_string(attempt)},
              {"fault", read.fault}});
-    // Says neither that there is a limit nor that there is none.
-    if (!read.word.limit) return;
   }
-  feed_(serving::AnswerBegun{.attempt = attempt, .word = read.word});
+  feed_(serving::AnswerBegun{.attempt = attempt,
+                             .word = read.word,
+                             .limit_unknown = read.limit_unknown});
 }
 
 void BackendCalls::OnBytes(AttemptId attempt, const std::string& bytes) {
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -28,6 +28,10 @@
       state.limits.begin(), state.limits.end(),
       [](const auto& it) { return it.second.named.per_second.has_value(); });
   RenderGauge(out, "backends_limited", static_cast<double>(limited));
+  const auto resting =
+      std::count_if(state.rests.begin(), state.rests.end(),
+                    [&](const auto& it) { return it.second > state.now; });
+  RenderGauge(out, "backends_resting", static_cast<double>(resting));
 }
 
 void RenderDispatch(std::ostream& out, const serving::Dispatching& dispatch) {
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -91,6 +91,10 @@
   // Requests a second that it takes from all daemons together; nothing: as many
   // as come.
   std::optional<double> limit;
+  // It is about to end and wants no new work. Never taken back by a life.
+  bool leaving = false;
+  // It refused, and wants nothing from this daemon for so long.
+  Duration rest{};
   bool operator==(const ServerWord&) const = default;
 };
 
@@ -99,6 +103,8 @@
 struct AnswerBegun {
   AttemptId attempt = 0;
   ServerWord word;
+  // That it names no limit doesn't count: it names something.
+  bool limit_unknown = false;
 };
 
 // The answer to ReserveMemory.
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -303,6 +303,10 @@
   std::map<BackendId, LifeCheck> life_checks;
   std::map<BackendId, Time> ended_lives;            // known to be over, since
   std::map<BackendId, KnownLimit> limits;           // by life
+  // Lives that said that they leave, and when; that asked this daemon for rest,
+  // and until when.
+  std::map<BackendId, Time> leaving;
+  std::map<BackendId, Time> rests;
   std::map<std::string, Member> members;            // by peer address
   std::map<std::string, std::string> listed_peers;  // to their data centres
   Dispatching dispatch;
--- a/serving/src/server_words.cc
+++ b/serving/src/server_words.cc
@@ -43,12 +43,38 @@
        {"sent_ms_ago", Millis(state.now - request.sent_at)}});
 }
 
+void TakeLeaving(State& state, const Request& request) {
+  if (!state.leaving.try_emplace(request.backend, state.now).second) return;
+  Log(state, "server_leaving",
+      {{"backend", request.backend_name},
+       {"life", std::to_string(request.backend)},
+       {"request", request.facts.id}});
+}
+
+void TakeRest(State& state, const Request& request, Duration rest) {
+  Time& until = state.rests[request.backend];
+  const bool is_new = until <= state.now;
+  until = std::max(until, state.now + rest);
+  Log(state, "server_rest",
+      {{"backend", request.backend_name},
+       {"life", std::to_string(request.backend)},
+       {"what", is_new ? "asked" : "renewed"},
+       {"for_ms", Millis(until - state.now)},
+       {"request", request.facts.id}});
+}
+
 }  // namespace
 
 void OnAnswerBegun(State& state, const AnswerBegun& event) {
   const auto found = state.attempts.find(event.attempt);
   if (found == state.attempts.end()) return;
-  TakeLimitWord(state, state.requests.at(found->second), event.word.limit);
+  const Request& request = state.requests.at(found->second);
+  const ServerWord& word = event.word;
+  if (word.limit || !event.limit_unknown) {
+    TakeLimitWord(state, request, word.limit);
+  }
+  if (word.leaving) TakeLeaving(state, request);
+  if (word.rest > Duration::zero()) TakeRest(state, request, word.rest);
 }
 
 }  // namespace scaleshed::serving::internal
