Tests of leaving and rest in answers, which fail

The ledger counts what a caller sent 2 s after its daemon had passed on that the server leaves, and what comes from half a second after a refusal with a time until that is over.

--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -64,6 +64,12 @@
     engines_.at(server).limit = per_second;
     ledger_.NameLimit(now_, server, per_second);
   }
+  // It says in its answers from now on that it leaves.
+  void Leave(const std::string& server) { engines_.at(server).leaving = true; }
+  // It turns all requests away and asks for that rest each time, or no longer.
+  void AskRest(const std::string& server, Duration rest) {
+    engines_.at(server).rest = rest;
+  }
   const testing::ServerLedger& ledger() const { return ledger_; }
   // No message of another daemon reaches it, and none of its reaches any.
   void Isolate(int i, bool isolated) {
@@ -162,6 +168,8 @@
   struct Engine {
     std::string service = "llm";
     std::optional<double> limit;
+    bool leaving = false;
+    Duration rest{};
     std::string address;
     std::string data_centre;
     std::uint64_t revision = 1;
@@ -340,14 +348,28 @@
       return;
     }
     Engine& engine = engines_.at(start.instance);
-    ledger_.Arrived(now_, now_, start.instance, PeerOf(daemon));
+    ledger_.Arrived({.sent = arrived_.at(start.key),
+                     .after = now_,
+                     .now = now_,
+                     .server = start.instance,
+                     .daemon = PeerOf(daemon)});
     engine.attempts.push_back({.daemon = daemon, .id = start.attempt});
     if (deadly) {
       engine.dies = std::min(engine.dies, now_ + kDeathAfter);
       return;
     }
     const AnswerBegun begun{.attempt = start.attempt,
-                            .word = {.limit = engine.limit}};
+                            .word = {.limit = engine.limit,
+                                     .leaving = engine.leaving,
+                                     .rest = engine.rest}};
+    if (engine.rest > Duration::zero()) {
+      After(milliseconds(1), daemon, begun, start.instance);
+      After(milliseconds(1), daemon,
+            AttemptAnswered{.attempt = start.attempt,
+                            .kind = AnswerKind::kNotRun,
+                            .status = 503});
+      return;
+    }
     const AttemptAnswered answered{
         .attempt = start.attempt, .kind = AnswerKind::kSuccess, .status = 200};
     if (!start.stream) {
@@ -452,14 +474,21 @@
       Message message = std::move(messages_underway_.begin()->second);
       messages_underway_.erase(messages_underway_.begin());
       if (const auto* it = std::get_if<AnswerBegun>(&message.body)) {
-        if (it->word.limit) {
-          ledger_.ToldLimit(now_, message.server, PeerOf(message.to));
-        }
+        NoteWord(message, it->word);
       }
       Feed(message.to, std::move(message.body));
     }
   }
 
+  void NoteWord(const Message& message, const ServerWord& word) {
+    const std::string daemon = PeerOf(message.to);
+    if (word.limit) ledger_.ToldLimit(now_, message.server, daemon);
+    if (word.leaving) ledger_.ToldLeaving(now_, message.server, daemon);
+    if (word.rest > Duration::zero()) {
+      ledger_.AskRest(now_, message.server, daemon, word.rest);
+    }
+  }
+
   HallOptions options_;
   std::map<std::string, Engine> engines_;  // by instance id
   std::uint64_t revision_ = 1;
--- /dev/null
+++ b/serving/test/hall_load.h
@@ -0,0 +1,73 @@
+#ifndef SCALESHED_SERVING_TEST_HALL_LOAD_H_
+#define SCALESHED_SERVING_TEST_HALL_LOAD_H_
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <random>
+#include <vector>
+
+#include "hall.h"
+
+// Load for a Hall, and what has to hold whatever its servers say.
+namespace scaleshed::serving::test {
+
+struct Load {
+  double prompts = 40;  // a second
+  double calls = 0;     // of the plain service
+  Duration length = seconds(12);
+  Duration deadline = seconds(10);
+};
+
+struct Outcome {
+  std::size_t asked = 0;
+  std::size_t served = 0;
+};
+
+// Requests come at drawn daemons. `at` is called at each step.
+inline Outcome Play(
+    Hall& hall, int daemons, const Load& load,
+    const std::function<void()>& at = [] {}) {
+  std::mt19937_64 random(7);
+  const auto any = [&] {
+    return static_cast<int>(random() % static_cast<std::uint64_t>(daemons));
+  };
+  std::vector<RequestKey> asked;
+  constexpr Duration kStep = milliseconds(5);
+  const double step = std::chrono::duration<double>(kStep).count();
+  double prompts = 0;
+  double calls = 0;
+  for (Duration gone{}; gone < load.length; gone += kStep) {
+    for (prompts += load.prompts * step; prompts >= 1; --prompts) {
+      asked.push_back(hall.Ask(any(), 3000, load.deadline));
+    }
+    for (calls += load.calls * step; calls >= 1; --calls) {
+      asked.push_back(hall.AskPlain(any()));
+    }
+    at();
+    hall.Pass(kStep);
+  }
+  Outcome outcome{.asked = asked.size()};
+  hall.Pass(seconds(3));
+  for (const RequestKey it : asked) {
+    if (hall.answered().contains(it)) ++outcome.served;
+  }
+  return outcome;
+}
+
+inline void CheckHeld(const Hall& hall) {
+  for (const auto& it : hall.ledger().WorstLimitWindows()) {
+    UNSCOPED_INFO(it.server << ": " << it.requests << " of " << it.allowed);
+  }
+  for (const std::string& it : hall.ledger().Broken()) FAIL_CHECK(it);
+}
+
+inline constexpr HallOptions kFew{
+    .daemons = 8, .data_centres = 3, .engines = 18, .plain = 3};
+inline constexpr HallOptions kMany{
+    .daemons = 40, .data_centres = 4, .engines = 32, .plain = 4};
+inline constexpr HallOptions kCrowd{
+    .daemons = 160, .data_centres = 4, .engines = 60, .plain = 6};
+
+}  // namespace scaleshed::serving::test
+
+#endif  // SCALESHED_SERVING_TEST_HALL_LOAD_H_
--- /dev/null
+++ b/serving/test/server_rest_test.cc
@@ -0,0 +1,54 @@
+// Servers said in their answers that they leave, or that they want nothing from
+// a daemon for a while, and got the traffic's share all the same: requests 2.3
+// s after the word of leaving, 15 in a rest of 3 s.
+
+#include "hall_load.h"
+
+namespace scaleshed::serving::test {
+namespace {
+
+TEST_CASE("Few daemons send nothing to a server that said that it leaves") {
+  Hall hall(kFew);
+  hall.Leave("llm4");
+  hall.Leave("llm7");
+  hall.Leave("app1");
+  const Outcome outcome =
+      Play(hall, kFew.daemons, {.prompts = 60, .calls = 12});
+  CheckHeld(hall);
+  CHECK(outcome.served == outcome.asked);
+}
+
+TEST_CASE("Many daemons send nothing to a server that said that it leaves") {
+  Hall hall(kMany);
+  for (const char* it : {"llm4", "llm22", "llm30", "app1"}) hall.Leave(it);
+  const Outcome outcome =
+      Play(hall, kMany.daemons, {.prompts = 120, .calls = 30});
+  CheckHeld(hall);
+  CHECK(outcome.served == outcome.asked);
+}
+
+TEST_CASE("Few daemons leave a server its rest, and serve elsewhere") {
+  Hall hall(kFew);
+  for (int i = 0; i < 6; ++i)
+    hall.AskRest("llm" + std::to_string(i), seconds(3));
+  hall.AskRest("app1", seconds(2));
+  const Outcome outcome =
+      Play(hall, kFew.daemons, {.prompts = 60, .calls = 12});
+  CheckHeld(hall);
+  CHECK(outcome.served == outcome.asked);
+}
+
+TEST_CASE("Many daemons leave a server its rest, and serve elsewhere") {
+  Hall hall(kMany);
+  for (int i = 0; i < 32; i += 3) {
+    hall.AskRest("llm" + std::to_string(i), seconds(3));
+  }
+  hall.AskRest("app1", seconds(2));
+  const Outcome outcome =
+      Play(hall, kMany.daemons, {.prompts = 120, .calls = 30});
+  CheckHeld(hall);
+  CHECK(outcome.served == outcome.asked);
+}
+
+}  // namespace
+}  // namespace scaleshed::serving::test
--- a/testing/include/scaleshed/testing/server_ledger.h
+++ b/testing/include/scaleshed/testing/server_ledger.h
@@ -5,18 +5,33 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "scaleshed/core/types.h"
 
 namespace scaleshed::testing {
 
+// A request that came to a backend server.
+struct ServerArrival {
+  Time sent{};   // by its caller
+  Time after{};  // it came later than this,
+  Time now{};    // and not later than this
+  std::string server;
+  std::string daemon;
+};
+
 // What backend servers said of themselves and got all the same, as they saw it.
 // Servers, by their lives, and daemons are named as the caller likes. Counted:
 //   - from kContact after a server began to name a limit, the requests of any
 //     kLimitWindow from daemons that had passed on such an answer kHeed before
 //     or earlier, against half as much again as the limit allows, and
-//     kLimitSlack more.
+//     kLimitSlack more;
+//   - requests that a caller sent later than kDrain after their daemon had
+//   passed
+//     on that the server leaves: none;
+//   - requests from kHeed after a server asked a daemon for rest until that is
+//     over, from that daemon: kMostInRest.
 // Times never fall. Where the process that counts was kept from looking, an
 // arrival is known to lie between two times only; what counts is what is
 // certain.
@@ -27,6 +42,8 @@
   static constexpr Duration kLimitWindow = seconds(4);
   static constexpr double kLimitFactor = 1.5;
   static constexpr double kLimitSlack = 5;
+  static constexpr Duration kDrain = seconds(2);
+  static constexpr std::size_t kMostInRest = 2;
 
   // That server names a limit in its answers from now on; nothing: none.
   void NameLimit(Time now, const std::string& server,
@@ -34,9 +51,13 @@
   // A daemon has passed on an answer in which that server named its limit.
   void ToldLimit(Time now, const std::string& server,
                  const std::string& daemon);
-  // A request of that daemon came after `after` and not after `now`.
-  void Arrived(Time after, Time now, const std::string& server,
-               const std::string& daemon);
+  // A daemon has passed on an answer in which that server says that it leaves.
+  void ToldLeaving(Time now, const std::string& server,
+                   const std::string& daemon);
+  // That server has refused a daemon's request and asked it for rest.
+  void AskRest(Time now, const std::string& server, const std::string& daemon,
+               Duration length);
+  void Arrived(const ServerArrival& arrival);
   // The daemon was restarted, frozen or cut off: what it was told before is not
   // expected of it.
   void Excuse(const std::string& daemon);
@@ -71,10 +92,26 @@
     Time last{};                    // event
   };
 
+  // Rest that a server asked a daemon for.
+  struct Rest {
+    std::string server;
+    std::string daemon;
+    Time asked{};
+    Time until{};
+    std::size_t requests = 0;
+  };
+
+  void CountLimited(const ServerArrival& arrival);
+  void CountLate(const ServerArrival& arrival);
+  void CountInRest(const ServerArrival& arrival);
   static LimitWindow WindowOf(const std::string& name, const Server& server,
                               Time end);
 
   std::map<std::string, Server> servers_;
+  // When daemons had passed on that servers leave, by server and daemon.
+  std::map<std::pair<std::string, std::string>, Time> leaving_;
+  std::vector<ServerArrival> late_;
+  std::vector<Rest> rests_;
 };
 
 }  // namespace scaleshed::testing
--- a/testing/src/internal/soak_callers.h
+++ b/testing/src/internal/soak_callers.h
@@ -37,7 +37,10 @@
   }
   // The daemon that a request was sent to, by its address for callers.
   const std::string& DaemonOf(const std::string& request_id) const {
-    return daemons_.at(request_id);
+    return sends_.at(request_id).daemon;
+  }
+  Time SentAt(const std::string& request_id) const {
+    return sends_.at(request_id).at;
   }
 
   void Begin(double requests_per_second);
@@ -51,6 +54,10 @@
 
  private:
   struct Kind;
+  struct Sent {
+    std::string daemon;
+    Time at{};
+  };
 
   void SendDue();
   void Send();
@@ -73,7 +80,7 @@
   Time due_{};  // the next request
   std::function<void(const std::string&, const HttpResponse&)> tell_ =
       [](const std::string&, const HttpResponse&) {};
-  std::map<std::string, std::string> daemons_;  // by request id
+  std::map<std::string, Sent> sends_;  // by request id
   std::list<std::unique_ptr<KeptConnection>> connections_;
   std::uint64_t last_id_ = 0;
   std::size_t waiting_ = 0;
--- a/testing/src/server_ledger.cc
+++ b/testing/src/server_ledger.cc
@@ -30,23 +30,63 @@
   if (it.limit) it.told.try_emplace(daemon, now);
 }
 
-void ServerLedger::Arrived(Time after, Time now, const std::string& server,
-                           const std::string& daemon) {
-  const auto found = servers_.find(server);
+void ServerLedger::ToldLeaving(Time now, const std::string& server,
+                               const std::string& daemon) {
+  leaving_.try_emplace({server, daemon}, now);
+}
+
+void ServerLedger::AskRest(Time now, const std::string& server,
+                           const std::string& daemon, Duration length) {
+  rests_.push_back({.server = server,
+                    .daemon = daemon,
+                    .asked = now,
+                    .until = now + length});
+}
+
+void ServerLedger::Arrived(const ServerArrival& arrival) {
+  CountLimited(arrival);
+  CountLate(arrival);
+  CountInRest(arrival);
+}
+
+void ServerLedger::CountLimited(const ServerArrival& arrival) {
+  const auto found = servers_.find(arrival.server);
   if (found == servers_.end()) return;
   Server& it = found->second;
-  it.last = now;
+  it.last = arrival.now;
   if (!it.limit) return;
-  const auto told = it.told.find(daemon);
+  const auto told = it.told.find(arrival.daemon);
   it.arrivals.push_back(
-      {.after = after,
-       .at = now,
-       .counts = told != it.told.end() && after >= told->second + kHeed,
+      {.after = arrival.after,
+       .at = arrival.now,
+       .counts = told != it.told.end() && arrival.after >= told->second + kHeed,
        .limit = *it.limit});
 }
 
+void ServerLedger::CountLate(const ServerArrival& arrival) {
+  const auto told = leaving_.find({arrival.server, arrival.daemon});
+  const bool late =
+      told != leaving_.end() && arrival.sent > told->second + kDrain;
+  if (late) late_.push_back(arrival);
+}
+
+void ServerLedger::CountInRest(const ServerArrival& arrival) {
+  for (Rest& it : rests_) {
+    const bool counts =
+        it.server == arrival.server && it.daemon == arrival.daemon &&
+        arrival.after >= it.asked + kHeed && arrival.now <= it.until;
+    if (counts) ++it.requests;
+  }
+}
+
 void ServerLedger::Excuse(const std::string& daemon) {
   for (auto& [name, it] : servers_) it.told.erase(daemon);
+  std::erase_if(leaving_,
+                [&](const auto& it) { return it.first.second == daemon; });
+  // What came until now was from a daemon that could know.
+  for (Rest& it : rests_) {
+    if (it.daemon == daemon) it.until = Time{};
+  }
 }
 
 ServerLedger::LimitWindow ServerLedger::WindowOf(const std::string& name,
@@ -103,6 +143,16 @@
                      std::to_string(it.requests) + " in one window, of " +
                      std::to_string(it.allowed) + " allowed");
   }
+  for (const ServerArrival& it : late_) {
+    broken.push_back("leaving: " + it.server + " got a request from " +
+                     it.daemon + ", which had passed on that it leaves");
+  }
+  for (const Rest& it : rests_) {
+    if (it.requests <= kMostInRest) continue;
+    broken.push_back("rest: " + it.server + " had asked " + it.daemon +
+                     " for rest, and got " + std::to_string(it.requests) +
+                     " requests from it meanwhile");
+  }
   return broken;
 }
 
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -143,8 +143,11 @@
       const Time after = looks_.empty() ? loop_.Now() : looks_.front();
       ledger_.Arrived(after, loop_.Now(), service, arrival.request_id,
                       arrival.ran);
-      words_.Arrived(after, loop_.Now(), servers_[n]->id(),
-                     callers_->DaemonOf(arrival.request_id));
+      words_.Arrived({.sent = callers_->SentAt(arrival.request_id),
+                      .after = after,
+                      .now = loop_.Now(),
+                      .server = servers_[n]->id(),
+                      .daemon = callers_->DaemonOf(arrival.request_id)});
     });
     store_.Put("servers/" + it.id(), it.Entry(service));
     serving_.push_back({.server = n, .service = service});
--- a/testing/src/soak_callers.cc
+++ b/testing/src/soak_callers.cc
@@ -144,7 +144,7 @@
   ledger_.Sent(loop_.Now(), kind.service, id, kind.once);
   ++waiting_;
   KeptConnection& connection = Connection();
-  daemons_[id] = connection.address();
+  sends_[id] = {.daemon = connection.address(), .at = loop_.Now()};
   connection.Ask(std::move(bytes), kGivenUp,
                  [this, kind, id](const HttpResult& it) {
                    --waiting_;
@@ -166,7 +166,7 @@
     ++failed_;
   } else if (response->status == kOk) {
     ++answered_;
-    tell_(daemons_.at(id), *response);
+    tell_(DaemonOf(id), *response);
     const std::string seal = response->headers.Get("X-Response-Seal");
     const std::string plain =
         "body of " + seal.substr(std::string("seal-of-").size());
