A server that says in an answer that it leaves gets no new work

What callers and servers saw: a plain server whose leaving the store could not take yet got requests from instances that had passed on its word for over 2 s. Cause: leaving was heard by the store's list alone; of what servers say in answers only a 421 counted.

Change: the word counts at the head of any answer of that life, also of a failure. It is kept by life, apart from the entry, so that an entry which lapses and comes back doesn't take it away; a new life under the id begins without. It is told to those that hear the works, as placers may be cut off from the store as well.

Why it works: what the daemon heard itself binds it at once, whatever the store says.

--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -202,6 +202,12 @@
   bool news = false;  // to be told with the next snapshot
 };
 
+// That a backend server said that it leaves.
+struct KnownLeaving {
+  Time heard{};
+  bool news = false;  // to be told with the next snapshot
+};
+
 struct Memory {
   std::string address;
   std::string ticket;
@@ -301,11 +307,10 @@
   Quarantine quarantine;
   bool endings_news = false;  // since the last snapshot
   std::map<BackendId, LifeCheck> life_checks;
-  std::map<BackendId, Time> ended_lives;            // known to be over, since
-  std::map<BackendId, KnownLimit> limits;           // by life
-  // Lives that said that they leave, and when; that asked this daemon for rest,
-  // and until when.
-  std::map<BackendId, Time> leaving;
+  std::map<BackendId, Time> ended_lives;      // known to be over, since
+  std::map<BackendId, KnownLimit> limits;     // by life
+  std::map<BackendId, KnownLeaving> leaving;  // lives that said so
+  // Lives that asked this daemon for rest, and until when.
   std::map<BackendId, Time> rests;
   std::map<std::string, Member> members;            // by peer address
   std::map<std::string, std::string> listed_peers;  // to their data centres
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -93,15 +93,17 @@
   std::uint64_t revision = 0;  // of its configuration
   // Of a partial one: `works` are those that began or changed, and `ended`
   // those that are over since the last one; all else is whole in each, but for
-  // `limits`.
+  // `limits` and `leaving`.
   bool partial = false;
   std::vector<Work> works;
   std::vector<std::uint64_t> ended;
   std::vector<Waiting> waiting;
   std::vector<Suspicion> suspicions;
   std::vector<Ending> endings;  // news of the last seconds
-  // Of a partial one: news only.
+  // Of a partial one: news only. `leaving`: lives of backend servers that said
+  // that they leave, to it or to one that told it.
   std::vector<ServerLimit> limits;
+  std::vector<BackendId> leaving;
   // Contents of which it asks right now whether one more has ended under them.
   std::vector<std::uint64_t> asked;
 };
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -94,6 +94,7 @@
   const BackendId before = backend.id;
   const std::uint64_t born_before = backend.server.born;
   backend = {.server = entry, .id = IdOf(entry)};
+  backend.server.leaving = entry.leaving || state.leaving.contains(backend.id);
   state.changed = true;
   LogBackend(state, entry, "started_again",
              "born before: " + std::to_string(born_before));
@@ -126,9 +127,11 @@
     return;
   }
   backend.server = entry;
-  // A word of leaving is never taken back within one life.
-  backend.server.leaving = entry.leaving || was_leaving;
   backend.id = IdOf(entry);
+  // A word of leaving is never taken back within one life, nor lost with an
+  // entry that lapsed.
+  backend.server.leaving =
+      entry.leaving || was_leaving || state.leaving.contains(backend.id);
   if (!was_usable || was_leaving != backend.server.leaving) {
     LogBackend(state, backend.server,
                backend.server.leaving ? "leaving" : "listed");
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -259,6 +259,12 @@
 
 // server_words.cc: what backend servers say of themselves in their answers.
 void OnAnswerBegun(State& state, const AnswerBegun& event);
+// That life said that it leaves, to this daemon or to one that tells of it.
+void TakeLeaving(State& state, BackendId life, const std::string& request,
+                 bool own);
+// For a snapshot: those of the last seconds, or the news.
+std::vector<BackendId> LeavingToTell(State& state, bool news);
+void ForgetLeaving(State& state);
 
 // reports.cc: engines that turned slow.
 // Asks those engines whose reports are due and this daemon's to fetch.
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -64,6 +64,7 @@
     AskReports(state);
     PublishWhole(state);
     ForgetLimits(state);
+    ForgetLeaving(state);
     TakeRoles(state);
   }
   FollowStore(state);
--- a/serving/src/server_words.cc
+++ b/serving/src/server_words.cc
@@ -5,6 +5,11 @@
 namespace scaleshed::serving::internal {
 namespace {
 
+// That a server leaves is told with whole snapshots for so long.
+constexpr Duration kTellFor = seconds(10);
+// Once its entry is gone, which may have lapsed only.
+constexpr Duration kForgetAfter = seconds(60);
+
 std::string RateText(std::optional<double> per_second) {
   if (!per_second) return "";
   char buf[32];
@@ -43,14 +48,6 @@
        {"sent_ms_ago", Millis(state.now - request.sent_at)}});
 }
 
-void TakeLeaving(State& state, const Request& request) {
-  if (!state.leaving.try_emplace(request.backend, state.now).second) return;
-  Log(state, "server_leaving",
-      {{"backend", request.backend_name},
-       {"life", std::to_string(request.backend)},
-       {"request", request.facts.id}});
-}
-
 void TakeRest(State& state, const Request& request, Duration rest) {
   Time& until = state.rests[request.backend];
   const bool is_new = until <= state.now;
@@ -73,8 +70,42 @@
   if (word.limit || !event.limit_unknown) {
     TakeLimitWord(state, request, word.limit);
   }
-  if (word.leaving) TakeLeaving(state, request);
+  if (word.leaving) {
+    TakeLeaving(state, request.backend, request.facts.id, /*own=*/true);
+  }
   if (word.rest > Duration::zero()) TakeRest(state, request, word.rest);
 }
 
+void TakeLeaving(State& state, BackendId life, const std::string& request,
+                 bool own) {
+  const auto [known, is_new] = state.leaving.try_emplace(
+      life, KnownLeaving{.heard = state.now, .news = own});
+  if (!is_new) return;
+  state.changed = true;
+  const Backend* backend = FindBackend(state, life);
+  Log(state, "server_leaving",
+      {{"backend", backend == nullptr ? "" : backend->server.id},
+       {"life", std::to_string(life)},
+       {"heard_of", own ? "itself" : "peer"},
+       {"request", request}});
+  NoteGone(state, life, own ? "its answer" : "a daemon that it answered");
+}
+
+std::vector<BackendId> LeavingToTell(State& state, bool news) {
+  std::vector<BackendId> leaving;
+  for (auto& [life, it] : state.leaving) {
+    const bool tells = state.now - it.heard < kTellFor;
+    if (news ? it.news : tells) leaving.push_back(life);
+    if (news) it.news = false;
+  }
+  return leaving;
+}
+
+void ForgetLeaving(State& state) {
+  std::erase_if(state.leaving, [&](const auto& it) {
+    return state.now - it.second.heard > kForgetAfter &&
+           FindBackend(state, it.first) == nullptr;
+  });
+}
+
 }  // namespace scaleshed::serving::internal
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -44,6 +44,7 @@
   snapshot.endings = state.quarantine.News(state.now);
   snapshot.asked = AskedContents(state);
   snapshot.limits = LimitsToTell(state, /*news=*/partial);
+  snapshot.leaving = LeavingToTell(state, /*news=*/partial);
   // A placer's line is its own.
   if (state.dispatch.all_place) snapshot.waiting = WaitingOf(state);
   for (const auto& [name, backend] : state.backends) {
@@ -156,6 +157,9 @@
   for (const ServerLimit& it : snapshot.limits) {
     TakeLimit(state, it, /*own=*/false);
   }
+  for (const BackendId it : snapshot.leaving) {
+    TakeLeaving(state, it, /*request=*/"", /*own=*/false);
+  }
   NoteStartsOf(state, snapshot, same_life ? last.works : std::vector<Work>{});
   if (snapshot.partial) {
     Apply(snapshot, member.snapshot);
@@ -191,6 +195,7 @@
       std::exchange(state.told_suspicions, effect.snapshot.suspicions) !=
       effect.snapshot.suspicions;
   const bool news = all_hear || suspects || !effect.snapshot.limits.empty() ||
+                    !effect.snapshot.leaving.empty() ||
                     !effect.snapshot.works.empty() ||
                     !effect.snapshot.ended.empty();
   if (!news && !state.dispatch.all_place) return;
@@ -226,8 +231,9 @@
   if (effect.to.empty() && with_works.to.empty()) return;
   effect.snapshot = OwnSnapshot(state, /*partial=*/false);
   with_works.snapshot = effect.snapshot;
-  // Who meters what servers get hears of the works.
+  // Who places for others hears of the works.
   effect.snapshot.limits.clear();
+  effect.snapshot.leaving.clear();
   for (const auto& [key, request] : state.requests) {
     if (request.phase != Phase::kWaiting) {
       with_works.snapshot.works.push_back(request.work);
--- a/serving/test/server_limits_test.cc
+++ b/serving/test/server_limits_test.cc
@@ -153,7 +153,7 @@
             "llm" + std::to_string(one_of(options.engines));
         const std::string plain = "app" + std::to_string(one_of(options.plain));
         const std::string server = one_of(3) == 0 ? plain : engine;
-        switch (one_of(8)) {
+        switch (one_of(9)) {
           case 0:
             return hall.Restart(daemon);
           case 1:
@@ -166,6 +166,9 @@
             return hall.Isolate(daemon, false);
           case 5:
             return hall.NameLimit(server, std::nullopt);
+          case 6:
+            // Some are to be left.
+            return one_of(4) == 0 ? hall.Leave(engine) : void();
           default:
             return hall.NameLimit(server, kRates[one_of(std::size(kRates))]);
         }
--- a/serving/test/server_words_test.cc
+++ b/serving/test/server_words_test.cc
@@ -81,5 +81,64 @@
   CHECK(others > 0);
 }
 
+AnswerBegun Leaving(AttemptId attempt) {
+  return {.attempt = attempt, .word = {.leaving = true}};
+}
+
+// An entry of that life of the engine of that number.
+BackendListed Entry(int engine, std::uint64_t revision, std::uint64_t born) {
+  const std::string id = "llm" + std::to_string(engine);
+  return {{.id = id,
+           .service = "llm",
+           .address = id + ":1",
+           .slots = 16,
+           .revision = revision,
+           .born = born}};
+}
+
+bool IsOpen(Daemon& daemon, const std::string& id) {
+  const Backend& backend = daemon.state().backends.at(id);
+  return backend.server.fault.empty() && !backend.server.leaving;
+}
+
+TEST_CASE("A word of leaving outlasts an entry that lapses and comes back") {
+  Daemon daemon;
+  for (int i = 1; i < 6; ++i) daemon.List("llm", i, /*leaving=*/true);
+  daemon.Feed(Entry(0, 100, 7));
+  daemon.Feed(Leaving(SendOne(daemon)));
+  CHECK(LineOf(daemon, "server_leaving")["request"] == "r1");
+  CHECK_FALSE(IsOpen(daemon, "llm0"));
+  daemon.Feed(BackendUnlisted{.id = "llm0", .revision = 101});
+  daemon.Feed(Entry(0, 102, 7));
+  CHECK_FALSE(IsOpen(daemon, "llm0"));
+  daemon.Feed(Entry(0, 103, 7));
+  CHECK_FALSE(IsOpen(daemon, "llm0"));
+  SECTION("A new life under its id begins without it") {
+    daemon.Feed(Entry(0, 104, 8));
+    CHECK(IsOpen(daemon, "llm0"));
+  }
+}
+
+TEST_CASE(
+    "What another daemon tells of leaving counts before the entry is known") {
+  Daemon daemon;
+  const BackendServer server = Entry(9, 100, 7).backend;
+  LoadSnapshot told = PeerSnapshot(1);
+  told.leaving = {HashBytes(server.id, server.born)};
+  daemon.Feed(SnapshotReceived{told});
+  daemon.Feed(Entry(9, 100, 7));
+  CHECK_FALSE(IsOpen(daemon, "llm9"));
+}
+
+TEST_CASE("A request is refused at once where all its servers leave") {
+  Daemon daemon;
+  for (int i = 1; i < 3; ++i) daemon.List("app", i, /*leaving=*/true);
+  daemon.Ask("safe");
+  daemon.Feed(Leaving(daemon.First<StartAttempt>()->attempt));
+  daemon.Ask("safe");
+  REQUIRE(daemon.First<Refuse>() != nullptr);
+  CHECK(daemon.First<Refuse>()->why == Refusal::kNoBackend);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -82,6 +82,7 @@
     if (it.per_second) limit.set_per_second(*it.per_second);
     limit.set_age_us((now - it.heard).count());
   }
+  for (const auto it : snapshot.leaving) to.add_leaving(it);
 }
 
 // Nothing where its rate is none.
@@ -119,6 +120,7 @@
       .suspicions = {},
       .endings = {},
       .limits = {},
+      .leaving = {from.leaving().begin(), from.leaving().end()},
       .asked = {from.asked().begin(), from.asked().end()}};
   for (const auto& it : from.works()) {
     snapshot.works.push_back(ReadWork(it, now));
--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -93,6 +93,7 @@
   snapshot.limits = {
       {.backend = 8, .per_second = 2.7, .heard = kNow - seconds(2)},
       {.backend = 9, .per_second = {}, .heard = kNow}};
+  snapshot.leaving = {10, 11};
   snapshot.waiting = {
       {.id = 3, .service = "s", .turn = kNow, .for_start = true}};
   const Time elsewhere{seconds(9000)};
@@ -105,6 +106,7 @@
   CHECK(back.instance == "1.1.1.1:1");
   CHECK(back.asks_store);
   CHECK_FALSE(back.partial);
+  CHECK(back.leaving == snapshot.leaving);
   REQUIRE(back.limits.size() == 2);
   CHECK(back.limits[0].per_second == 2.7);
   CHECK(back.limits[0].heard == elsewhere - seconds(2));
