A server that asks a daemon for rest gets none of its requests meanwhile

What callers and servers saw: engines that refused with a time got up to 15 requests of one instance in 3 s of rest, and callers 503s after three or four such engines, while others had room. Cause: a refusal was noted for the one request (tried), and the engine, which never had anything in work, looked idle to the next one.

Change: the time of a 503 or 429 is kept by life; until it is over the server is no candidate for this daemon's requests, first, repeated, resumed, helped or placed by another daemon: questions to placers name who wants rest of who asks. A send that was decided before is taken back. For a second at most others prefer other servers too, as it may ask each of them next; no more than a third of a service at a time, as with suspicions. Where all servers of a service want rest, the request is refused at once (resting, 503) with what is left of the first rest. Engines at rest aren't asked for reports.

Ruled out: rest for the whole fleet (it is asked of one instance).

--- a/serving/include/scaleshed/serving/dispatch.h
+++ b/serving/include/scaleshed/serving/dispatch.h
@@ -32,9 +32,10 @@
   Time arrived{};
   Time due{};  // the objective
   Time deadline{};
-  Duration longest_pause{};      // that keeps its answer in time
-  std::vector<BackendId> tried;  // not there again
-  std::uint64_t content = 0;     // zero: not told
+  Duration longest_pause{};        // that keeps its answer in time
+  std::vector<BackendId> tried;    // not there again
+  std::vector<BackendId> resting;  // these want rest from who asks
+  std::uint64_t content = 0;       // zero: not told
   // Who asks has seen that a server may have ended under it, and the placer may
   // hear that later than this.
   bool doubtful = false;
@@ -45,14 +46,12 @@
   kWaits,    // in line; the placement follows by itself
   kRefused,  // can't be served before its deadline
   kTooLarge,
-  kLimited,  // as kRefused: the limits of its servers are used up
 };
-inline constexpr NameTable<PlaceOutcome, 5> kPlaceOutcomeNames{{
+inline constexpr NameTable<PlaceOutcome, 4> kPlaceOutcomeNames{{
     {PlaceOutcome::kPlaced, "placed"},
     {PlaceOutcome::kWaits, "waits"},
     {PlaceOutcome::kRefused, "refused"},
     {PlaceOutcome::kTooLarge, "too_large"},
-    {PlaceOutcome::kLimited, "limited"},
 }};
 
 struct PlaceAnswer {
@@ -64,7 +63,7 @@
   Placed placed;  // where it is
   // The placer knows of limits of the servers there, and has counted it.
   bool counted = false;
-  Shortage shortage{};     // what it waits for
+  Shortage shortage{};     // what it waits for, or was refused for
   Duration retry_after{};  // after a refusal
 };
 
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -76,13 +76,14 @@
   kNoBackend,
   kOverload,
   kLimited,  // the limits that the backend servers have named are used up
+  kResting,  // every backend server has asked this daemon for rest
   kStopping,
   kNotRun,   // every backend server that was asked declined
   kUnknown,  // it may have run, and no answer came
   kTimeLimit,
   kQuarantined,  // too many backend servers have ended under its content
 };
-inline constexpr NameTable<Refusal, 14> kRefusalNames{{
+inline constexpr NameTable<Refusal, 15> kRefusalNames{{
     {Refusal::kNoConfiguration, "no_configuration"},
     {Refusal::kNotFresh, "configuration_not_fresh"},
     {Refusal::kListNotFresh, "list_not_fresh"},
@@ -92,6 +93,7 @@
     {Refusal::kNoBackend, "no_backend"},
     {Refusal::kOverload, "overload"},
     {Refusal::kLimited, "limited"},
+    {Refusal::kResting, "resting"},
     {Refusal::kStopping, "stopping"},
     {Refusal::kNotRun, "not_run"},
     {Refusal::kUnknown, "unknown"},
--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -75,8 +75,9 @@
   kProof,     // who takes work is not known well enough
   kVerdict,   // whether a server has ended under it is being asked
   kLimit,     // those that could take it have named limits, which are used up
+  kRest,      // those that could take it want rest from who sends it
 };
-inline constexpr NameTable<Shortage, 8> kShortageNames{{
+inline constexpr NameTable<Shortage, 9> kShortageNames{{
     {Shortage::kTurn, "turn"},
     {Shortage::kEngines, "engines"},
     {Shortage::kMemory, "memory"},
@@ -85,6 +86,7 @@
     {Shortage::kProof, "proof"},
     {Shortage::kVerdict, "verdict"},
     {Shortage::kLimit, "limit"},
+    {Shortage::kRest, "rest"},
 }};
 
 // Room is expected later.
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -152,6 +152,10 @@
   Avoid(state, backend, &Backend::slow_until, length, "slow");
 }
 
+void AvoidResting(State& state, Backend& backend, Duration length) {
+  Avoid(state, backend, &Backend::slow_until, length, "rest");
+}
+
 BackendId IdOf(const BackendServer& server) {
   return HashBytes(server.id, server.born);
 }
--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -8,6 +8,9 @@
 namespace scaleshed::serving::internal {
 namespace {
 
+// After a refusal for rests whose ends the daemon that places doesn't know.
+constexpr Duration kRestAgain = milliseconds(500);
+
 // An engine that is back after a suspicion gets one short prompt at a time, and
 // after two in a row no part of a long one: most are suspected once, for an
 // answer that was cut, and engines that only read for long prompts have no
@@ -134,15 +137,33 @@
           .tried = request.tried,
           .content = request.facts.content,
           .data_centre = state.options.data_centre,
-          .awaits_start = request.waits_for == Shortage::kLimit};
+          .awaits_start = request.waits_for == Shortage::kLimit,
+          .resting = RestingServers(state)};
+}
+
+Refusal RefusalFor(Shortage of) {
+  switch (of) {
+    case Shortage::kLimit:
+      return Refusal::kLimited;
+    case Shortage::kRest:
+      return Refusal::kResting;
+    default:
+      return Refusal::kOverload;
+  }
 }
 
 Verdict Decide(State& state, const Demand& demand) {
   const EngineTiming* timing = TimingOf(state, demand.service);
-  const auto all = OpenBackends(state, demand.service);
-  if (all.empty()) return NoRoomNow{Shortage::kBackends};
-  const auto open = Startable(state, demand, all);
-  if (open.empty()) return AwaitStart(state, demand, all);
+  auto awake = OpenBackends(state, demand.service);
+  if (awake.empty()) return NoRoomNow{Shortage::kBackends};
+  std::erase_if(awake, [&](const Backend* it) {
+    return demand.resting.contains(it->id);
+  });
+  if (awake.empty()) {
+    return GivenUp{.retry_after = kRestAgain, .of = Shortage::kRest};
+  }
+  const auto open = Startable(state, demand, awake);
+  if (open.empty()) return AwaitStart(state, demand, awake);
   if (timing == nullptr) return PlacePlain(state, demand, open);
   const bool fits =
       demand.prompt_tokens + demand.answer_tokens <= MostMemory(*timing);
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -62,6 +62,7 @@
 }
 
 PlaceQuestion QuestionFor(const State& state, const Request& request) {
+  const auto resting = RestingServers(state);
   return {.peer_address = state.options.peer_address,
           .life = state.options.life,
           .id = request.key,
@@ -75,6 +76,7 @@
           .deadline = request.deadline,
           .longest_pause = request.route.longest_pause,
           .tried = {request.tried.begin(), request.tried.end()},
+          .resting = {resting.begin(), resting.end()},
           .content = request.facts.content,
           .doubtful = IsDoubtful(state, request.facts.content)};
 }
@@ -93,7 +95,8 @@
           .content = it.content,
           .doubtful = it.doubtful,
           .data_centre = DataCentreOf(state, it.peer_address),
-          .awaits_start = asked.waits_for == Shortage::kLimit};
+          .awaits_start = asked.waits_for == Shortage::kLimit,
+          .resting = {it.resting.begin(), it.resting.end()}};
 }
 
 void Reply(State& state, const AskedPlace& asked, PlaceOutcome outcome,
@@ -163,11 +166,8 @@
                                  return false;
                                },
                                [&](const GivenUp& it) {
-                                 const bool limited =
-                                     it.why == Refusal::kLimited;
-                                 Reply(state, asked,
-                                       limited ? PlaceOutcome::kLimited
-                                               : PlaceOutcome::kRefused,
+                                 asked.waits_for = it.of;
+                                 Reply(state, asked, PlaceOutcome::kRefused,
                                        it.retry_after);
                                  return false;
                                }},
@@ -265,16 +265,13 @@
       return;
     case PlaceOutcome::kRefused:
       request.placer.clear();
-      RefuseRequest(state, request, Refusal::kOverload, answer.retry_after);
+      RefuseRequest(state, request, RefusalFor(answer.shortage),
+                    answer.retry_after);
       return;
     case PlaceOutcome::kTooLarge:
       request.placer.clear();
       RefuseRequest(state, request, Refusal::kInvalid, {});
       return;
-    case PlaceOutcome::kLimited:
-      request.placer.clear();
-      RefuseRequest(state, request, Refusal::kLimited, answer.retry_after);
-      return;
   }
 }
 
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -58,13 +58,17 @@
   bool doubtful = false;      // as another daemon sees it
   std::string data_centre;    // of the daemon that sends it
   bool awaits_start = false;  // it has waited for a limit
+  // Servers that want rest from the daemon that sends it.
+  std::set<BackendId> resting;
 };
 Demand DemandOf(const State& state, const Request& request);
 // Can't be served in its time.
 struct GivenUp {
   Duration retry_after{};
-  Refusal why = Refusal::kOverload;
+  Shortage of = Shortage::kEngines;
 };
+// What its caller is told.
+Refusal RefusalFor(Shortage of);
 using Verdict = std::variant<Placed, NoRoomNow, TooLarge, GivenUp>;
 Verdict Decide(State& state, const Demand& demand);
 // Nothing where that is no service of engines.
@@ -182,6 +186,8 @@
              const std::string& why);
 // The same for an engine that reports to be slow, until it reports otherwise.
 void AvoidSlow(State& state, Backend& backend, Duration length);
+// The same for one that wants rest: it may ask others for it next.
+void AvoidResting(State& state, Backend& backend, Duration length);
 // All that this daemon or another one that serves suspects.
 std::set<BackendId> Suspects(const State& state);
 // Notes that this daemon or another one that it hears suspects that one.
@@ -265,6 +271,14 @@
 // For a snapshot: those of the last seconds, or the news.
 std::vector<BackendId> LeavingToTell(State& state, bool news);
 void ForgetLeaving(State& state);
+// That life wants no request of this daemon now.
+bool IsResting(const State& state, BackendId life);
+std::set<BackendId> RestingServers(const State& state);
+// Refuses a request all of whose servers want rest, until the first is over.
+// True if it did.
+bool RefusedForRest(State& state, Request& request,
+                    const std::vector<const Backend*>& open);
+void ForgetRests(State& state);
 
 // reports.cc: engines that turned slow.
 // Asks those engines whose reports are due and this daemon's to fetch.
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -65,6 +65,7 @@
     PublishWhole(state);
     ForgetLimits(state);
     ForgetLeaving(state);
+    ForgetRests(state);
     TakeRoles(state);
   }
   FollowStore(state);
--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -59,7 +59,7 @@
     if (!is_engine || !IsAsker(state, backend)) continue;
     // A report is one of the requests that it takes; what it gets by its limit
     // says enough of its pace.
-    if (IsLimited(state, backend.id)) continue;
+    if (IsLimited(state, backend.id) || IsResting(state, backend.id)) continue;
     state.effects.emplace_back(
         AskReport{.backend = backend.id, .address = backend.server.address});
   }
--- a/serving/src/server_limits.cc
+++ b/serving/src/server_limits.cc
@@ -162,7 +162,7 @@
        {"expected_ms", Millis(expected)},
        {"retry_after_ms", Millis(again)},
        {"waited_ms", Millis(state.now - demand.arrived)}});
-  return GivenUp{.retry_after = again, .why = Refusal::kLimited};
+  return GivenUp{.retry_after = again, .of = Shortage::kLimit};
 }
 
 void NoteStart(State& state, BackendId life) {
--- a/serving/src/server_words.cc
+++ b/serving/src/server_words.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdio>
 
 #include "internal/steps.h"
@@ -10,6 +11,10 @@
 // Once its entry is gone, which may have lapsed only.
 constexpr Duration kForgetAfter = seconds(60);
 
+// Others prefer other servers for so long to one that wants rest of this
+// daemon.
+constexpr Duration kLongestAvoided = seconds(1);
+
 std::string RateText(std::optional<double> per_second) {
   if (!per_second) return "";
   char buf[32];
@@ -58,6 +63,9 @@
        {"what", is_new ? "asked" : "renewed"},
        {"for_ms", Millis(until - state.now)},
        {"request", request.facts.id}});
+  Backend* backend = FindBackend(state, request.backend);
+  if (backend == nullptr) return;
+  AvoidResting(state, *backend, std::min(rest, kLongestAvoided));
 }
 
 }  // namespace
@@ -91,6 +99,48 @@
   NoteGone(state, life, own ? "its answer" : "a daemon that it answered");
 }
 
+bool IsResting(const State& state, BackendId life) {
+  const auto it = state.rests.find(life);
+  return it != state.rests.end() && it->second > state.now;
+}
+
+std::set<BackendId> RestingServers(const State& state) {
+  std::set<BackendId> resting;
+  for (const auto& [life, until] : state.rests) {
+    if (until > state.now) resting.insert(life);
+  }
+  return resting;
+}
+
+bool RefusedForRest(State& state, Request& request,
+                    const std::vector<const Backend*>& open) {
+  Time first = Time::max();
+  for (const Backend* it : open) {
+    if (!IsResting(state, it->id)) return false;
+    first = std::min(first, state.rests.at(it->id));
+  }
+  if (open.empty()) return false;
+  Log(state, "all_rest",
+      {{"request", request.facts.id},
+       {"service", request.service},
+       {"servers", std::to_string(open.size())},
+       {"left_ms", Millis(first - state.now)}});
+  RefuseRequest(state, request, Refusal::kResting, first - state.now);
+  return true;
+}
+
+void ForgetRests(State& state) {
+  std::erase_if(state.rests, [&](const auto& it) {
+    if (it.second > state.now) return false;
+    const Backend* backend = FindBackend(state, it.first);
+    Log(state, "server_rest",
+        {{"backend", backend == nullptr ? "" : backend->server.id},
+         {"life", std::to_string(it.first)},
+         {"what", "over"}});
+    return true;
+  });
+}
+
 std::vector<BackendId> LeavingToTell(State& state, bool news) {
   std::vector<BackendId> leaving;
   for (auto& [life, it] : state.leaving) {
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -44,12 +44,12 @@
   for (const BackendId it : request.work.helpers) {
     helpers.push_back(FindBackend(state, it));
   }
-  const auto takes = [](const Backend* it) {
-    return it != nullptr && TakesWork(*it);
+  const auto takes = [&](const Backend* it) {
+    return it != nullptr && TakesWork(*it) && !IsResting(state, it->id);
   };
   const bool helped = std::all_of(helpers.begin(), helpers.end(), takes);
   if (!takes(backend) || !helped || !KnowsBackends(state)) {
-    // Whoever placed it may not know yet that this one leaves.
+    // Whoever placed it may not know yet that this one leaves, or wants rest.
     if (!takes(backend)) request.tried.insert(request.backend);
     Requeue(state, request, kLookAgain);
     return;
@@ -218,6 +218,7 @@
                   open.empty() ? Refusal::kNoBackend : Refusal::kNotRun, again);
     return;
   }
+  if (RefusedForRest(state, request, open)) return;
   // Of plain requests, a placer is asked for those that are to be counted over
   // all daemons.
   const bool one_for_all = TimingOf(state, request.service) != nullptr ||
@@ -230,17 +231,17 @@
 }
 
 void PlaceHere(State& state, Request& request) {
-  std::visit(Overloaded{[&](const Placed& it) { Start(state, request, it); },
-                        [&](const NoRoomNow& it) {
-                          Wait(state, request, kLookAgain, it.of);
-                        },
-                        [&](const TooLarge&) {
-                          RefuseRequest(state, request, Refusal::kInvalid, {});
-                        },
-                        [&](const GivenUp& it) {
-                          RefuseRequest(state, request, it.why, it.retry_after);
-                        }},
-             Decide(state, DemandOf(state, request)));
+  std::visit(
+      Overloaded{
+          [&](const Placed& it) { Start(state, request, it); },
+          [&](const NoRoomNow& it) { Wait(state, request, kLookAgain, it.of); },
+          [&](const TooLarge&) {
+            RefuseRequest(state, request, Refusal::kInvalid, {});
+          },
+          [&](const GivenUp& it) {
+            RefuseRequest(state, request, RefusalFor(it.of), it.retry_after);
+          }},
+      Decide(state, DemandOf(state, request)));
 }
 
 void StartWaiting(State& state) {
--- a/serving/test/server_words_test.cc
+++ b/serving/test/server_words_test.cc
@@ -140,5 +140,71 @@
   CHECK(daemon.First<Refuse>()->why == Refusal::kNoBackend);
 }
 
+void RefuseWithRest(Daemon& daemon, AttemptId attempt, Duration rest) {
+  daemon.Feed(AnswerBegun{.attempt = attempt, .word = {.rest = rest}});
+  daemon.Feed(AttemptAnswered{
+      .attempt = attempt, .kind = AnswerKind::kNotRun, .status = 503});
+}
+
+TEST_CASE("A request is refused with what is left where all want rest") {
+  Daemon daemon;
+  for (int i = 1; i < 3; ++i) daemon.List("app", i, /*leaving=*/true);
+  daemon.Ask("safe");
+  RefuseWithRest(daemon, daemon.First<StartAttempt>()->attempt, seconds(3));
+  daemon.Pass(milliseconds(1000));
+  daemon.Confirm();
+  daemon.Ask("safe");
+  REQUIRE(daemon.First<Refuse>() != nullptr);
+  CHECK(daemon.First<Refuse>()->why == Refusal::kResting);
+  CHECK(daemon.First<Refuse>()->status == 503);
+  CHECK(daemon.First<Refuse>()->retry_after == milliseconds(2000));
+  daemon.Pass(milliseconds(1900));
+  daemon.Confirm();
+  daemon.Pass(milliseconds(101));
+  daemon.Ask("safe");
+  CHECK(daemon.First<StartAttempt>() != nullptr);
+}
+
+TEST_CASE("A rest that is asked for again lasts as long as the longer one") {
+  Daemon daemon;
+  const AttemptId first = SendOne(daemon);
+  const BackendId server = daemon.state().requests.begin()->second.backend;
+  daemon.Feed(AnswerBegun{.attempt = first, .word = {.rest = seconds(3)}});
+  CHECK(LineOf(daemon, "server_rest")["what"] == "asked");
+  daemon.Feed(AnswerBegun{.attempt = first, .word = {.rest = seconds(1)}});
+  CHECK(LineOf(daemon, "server_rest")["for_ms"] == "3000");
+  CHECK(daemon.state().rests.at(server) == daemon.now() + seconds(3));
+}
+
+// A placer decides for a daemon from which servers want rest, and not from it.
+TEST_CASE("A placer leaves those alone that want rest from who asks") {
+  Daemon placer;
+  placer.state().dispatch.all_place = true;
+  PlaceQuestion question{.peer_address = "2.2.2.2:2",
+                         .life = 1,
+                         .id = 5,
+                         .request = "r",
+                         .service = "llm",
+                         .prompt_tokens = 2000,
+                         .answer_tokens = 500,
+                         .arrived = placer.now(),
+                         .due = placer.now() + seconds(3),
+                         .deadline = placer.now() + seconds(10)};
+  for (const auto& [id, backend] : placer.state().backends) {
+    if (id != "llm3") question.resting.push_back(backend.id);
+  }
+  placer.Feed(PlaceQuestionReceived{question});
+  REQUIRE(placer.First<AnswerPlace>() != nullptr);
+  CHECK(placer.First<AnswerPlace>()->answer.placed.backend ==
+        placer.state().backends.at("llm3").id);
+  question.id = 6;
+  question.resting.push_back(placer.state().backends.at("llm3").id);
+  placer.Feed(PlaceQuestionReceived{question});
+  REQUIRE(placer.First<AnswerPlace>() != nullptr);
+  const PlaceAnswer& refused = placer.First<AnswerPlace>()->answer;
+  CHECK(refused.outcome == PlaceOutcome::kRefused);
+  CHECK(refused.shortage == Shortage::kRest);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
--- a/testing/test/server_words_test.cc
+++ b/testing/test/server_words_test.cc
@@ -63,5 +63,48 @@
   CHECK(Refused(fleet, 10, "limited") == 0);
 }
 
+// A word of leaving in an answer was dropped; only the store's counted.
+TEST_CASE("A server gets no request after a failure that says that it leaves") {
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& leaving = fleet.AddWorker("app");
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  leaving.SayInAnswers({{"Server-Leaving", "1"}});
+  leaving.SetMode(WorkerMode::kFailing);
+  fleet.Ask("/plain/unsafe/x");
+  leaving.SetMode(WorkerMode::kServing);
+  const int runs = leaving.runs();
+  CHECK(fleet.Ask("/plain/safe/x")->status() == 503);
+  FakeWorker& other = fleet.AddWorker("app");
+  CHECK(fleet.Eventually(
+      [&] { return fleet.Ask("/plain/safe/x")->status() == 200; }));
+  CHECK(other.runs() > 0);
+  CHECK(leaving.runs() == runs);
+}
+
+// A refusal with a time was noted for the one request that got it.
+TEST_CASE("A server that refuses with a time gets nothing until that is over") {
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& worker = fleet.AddWorker("app");
+  int arrivals = 0;
+  worker.OnArrival([&](const BackendArrival& /*arrival*/) { ++arrivals; });
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  worker.SayInAnswers({{"Retry-After", "30"}});
+  worker.SetMode(WorkerMode::kFull);
+  fleet.Ask("/plain/safe/x");
+  const int refused = arrivals;
+  worker.SetMode(WorkerMode::kServing);
+  for (int i = 0; i < 10; ++i) {
+    const auto asked = fleet.Ask("/plain/safe/x");
+    CHECK(asked->status() == 503);
+    CHECK(asked->body().find("resting") != std::string::npos);
+    CHECK(std::stod(asked->header("Retry-After")) > 10);
+  }
+  CHECK(arrivals == refused);
+}
+
 }  // namespace
 }  // namespace scaleshed::testing
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -228,6 +228,7 @@
           .deadline = now + Duration(from.deadline_in_us()),
           .longest_pause = Duration(from.longest_pause_us()),
           .tried = {from.tried().begin(), from.tried().end()},
+          .resting = {from.resting().begin(), from.resting().end()},
           .content = from.content(),
           .doubtful = from.doubtful()};
 }
@@ -275,6 +276,7 @@
   to.set_deadline_in_us((question.deadline - now).count());
   to.set_longest_pause_us(question.longest_pause.count());
   for (const auto it : question.tried) to.add_tried(it);
+  for (const auto it : question.resting) to.add_resting(it);
   to.set_content(question.content);
   to.set_doubtful(question.doubtful);
   return datagram.SerializeAsString();
--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -158,6 +158,7 @@
                                         .deadline = kNow + milliseconds(9),
                                         .longest_pause = milliseconds(10),
                                         .tried = {11, 12},
+                                        .resting = {14, 15},
                                         .content = 13,
                                         .doubtful = true};
   // Times stand as far from now on the other daemon's clock.
@@ -172,6 +173,7 @@
   CHECK(asked.over);
   CHECK(asked.request == question.request);
   CHECK(asked.service == "llm");
+  CHECK(asked.resting == question.resting);
   CHECK(asked.prompt_tokens == 6);
   CHECK(asked.answer_tokens == 7);
   CHECK(asked.arrived == there - milliseconds(8));
