A limit that is over stays over, and placers are told of one only if they don't know

Found by reading the design at 800 daemons, where a daemon meets a given server each 270 s.

Change: that a limit ended is remembered for ten minutes, and news older than that don't bring it back.

Test: an older word is told 30 s after the end; before the change it brought the limit back.

--- a/serving/include/scaleshed/serving/dispatch.h
+++ b/serving/include/scaleshed/serving/dispatch.h
@@ -61,8 +61,9 @@
   std::uint64_t round = 0;
   PlaceOutcome outcome = PlaceOutcome::kWaits;
   Placed placed;  // where it is
-  // The placer knows of limits of the servers there, and has counted it.
-  bool counted = false;
+  // Servers there whose limits the placer knows, or that these are over: it has
+  // counted the request against them.
+  std::vector<BackendId> counted;
   Shortage shortage{};     // what it waits for, or was refused for
   Duration retry_after{};  // after a refusal
 };
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -161,7 +161,7 @@
   std::optional<Shortage> waits_for;
   // Once placed: what that daemon will tell of it soon.
   std::optional<Placed> placed;
-  bool counted = false;  // PlaceAnswer::counted
+  std::vector<BackendId> counted;  // PlaceAnswer::counted
   Work work;
   Time placed_at{};
 };
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -123,7 +123,7 @@
 void NotePlaced(State& state, AskedPlace& asked, const Placed& placed) {
   const PlaceQuestion& question = asked.question;
   asked.placed = placed;
-  asked.counted = UsesLimited(state, placed);
+  asked.counted = KnownLimitsAt(state, placed);
   NoteStart(state, placed);
   asked.placed_at = state.now;
   asked.work = {.id = question.id,
@@ -174,11 +174,15 @@
                     verdict);
 }
 
-// The placer doesn't know of a limit that this daemon knows: it is told, and
+// The placer doesn't know of limits that this daemon knows: it is told, and
 // asked as for another attempt.
-void AskAnew(State& state, Request& request) {
-  for (auto& [life, limit] : state.limits) limit.news = true;
-  state.changed = true;
+void AskAnew(State& state, Request& request,
+             const std::vector<BackendId>& lives) {
+  Log(state, "placer_unaware",
+      {{"request", request.facts.id},
+       {"placer", request.placer},
+       {"limits", std::to_string(lives.size())}});
+  TellLimitsAgain(state, lives);
   ++request.round;
   Wait(state, request, kLookAgain, Shortage::kLimit);
 }
@@ -254,8 +258,8 @@
   request.placer_answered = true;
   switch (answer.outcome) {
     case PlaceOutcome::kPlaced:
-      if (UsesLimited(state, answer.placed) && !answer.counted) {
-        AskAnew(state, request);
+      if (const auto lives = UncountedAt(state, answer); !lives.empty()) {
+        AskAnew(state, request, lives);
         return;
       }
       Start(state, request, answer.placed);
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -260,8 +260,14 @@
 // For a snapshot: all that is to be known, or the news.
 std::vector<ServerLimit> LimitsToTell(State& state, bool news);
 void ForgetLimits(State& state);
-// Whether one of the servers there is known to have a limit.
-bool UsesLimited(const State& state, const Placed& placed);
+// Of the servers there, those whose limits are known here, or that these are
+// over.
+std::vector<BackendId> KnownLimitsAt(const State& state, const Placed& placed);
+// Of the servers there, those with limits that the placer didn't know.
+std::vector<BackendId> UncountedAt(const State& state,
+                                   const PlaceAnswer& answer);
+// Tells the placers of these anew.
+void TellLimitsAgain(State& state, const std::vector<BackendId>& lives);
 
 // server_words.cc: what backend servers say of themselves in their answers.
 void OnAnswerBegun(State& state, const AnswerBegun& event);
--- a/serving/src/server_limits.cc
+++ b/serving/src/server_limits.cc
@@ -17,8 +17,9 @@
 constexpr double kLeastRate = 0.1;
 // A limit is told with whole snapshots for so long after it was last named.
 constexpr Duration kTellFor = seconds(30);
-// That a limit is over is remembered so long, as others may tell of it still.
-constexpr Duration kEndedFor = seconds(3);
+// That a limit is over is remembered so long: a daemon that seldom sends to
+// that server tells of the limit still.
+constexpr Duration kEndedFor = seconds(600);
 // Of a life that isn't listed any more; an entry that lapsed may come back.
 constexpr Duration kForgetAfter = seconds(60);
 // A request begins to wait for a start only where one is expected within this
@@ -94,6 +95,12 @@
   return first + std::chrono::duration_cast<Duration>(line);
 }
 
+std::vector<BackendId> ServersOf(const Placed& placed) {
+  std::vector<BackendId> servers{placed.backend};
+  servers.insert(servers.end(), placed.helpers.begin(), placed.helpers.end());
+  return servers;
+}
+
 }  // namespace
 
 bool IsLimited(const State& state, BackendId life) {
@@ -110,10 +117,27 @@
                      });
 }
 
-bool UsesLimited(const State& state, const Placed& placed) {
-  return IsLimited(state, placed.backend) ||
-         std::any_of(placed.helpers.begin(), placed.helpers.end(),
-                     [&](BackendId it) { return IsLimited(state, it); });
+std::vector<BackendId> KnownLimitsAt(const State& state, const Placed& placed) {
+  auto servers = ServersOf(placed);
+  std::erase_if(servers,
+                [&](BackendId it) { return !state.limits.contains(it); });
+  return servers;
+}
+
+std::vector<BackendId> UncountedAt(const State& state,
+                                   const PlaceAnswer& answer) {
+  auto servers = ServersOf(answer.placed);
+  std::erase_if(servers, [&](BackendId it) {
+    const auto& counted = answer.counted;
+    return !IsLimited(state, it) ||
+           std::find(counted.begin(), counted.end(), it) != counted.end();
+  });
+  return servers;
+}
+
+void TellLimitsAgain(State& state, const std::vector<BackendId>& lives) {
+  for (const BackendId it : lives) state.limits.at(it).news = true;
+  state.changed = true;
 }
 
 std::vector<const Backend*> Startable(State& state, const Demand& demand,
@@ -171,8 +195,7 @@
 }
 
 void NoteStart(State& state, const Placed& placed) {
-  NoteStart(state, placed.backend);
-  for (const BackendId it : placed.helpers) NoteStart(state, it);
+  for (const BackendId it : ServersOf(placed)) NoteStart(state, it);
 }
 
 void NoteStartsOf(State& state, const LoadSnapshot& told,
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -231,7 +231,10 @@
   if (effect.to.empty() && with_works.to.empty()) return;
   effect.snapshot = OwnSnapshot(state, /*partial=*/false);
   with_works.snapshot = effect.snapshot;
-  // Who places for others hears of the works.
+  // A placer is told of a limit when it is named, and again where it places as
+  // if it didn't know.
+  if (!state.dispatch.all_place) with_works.snapshot.limits.clear();
+  // Only those that hear of works go by these.
   effect.snapshot.limits.clear();
   effect.snapshot.leaving.clear();
   for (const auto& [key, request] : state.requests) {
--- a/serving/test/server_limits_test.cc
+++ b/serving/test/server_limits_test.cc
@@ -131,6 +131,11 @@
       }
     });
     CheckHeld(hall);
+    // A placer that has just started places as if it knew of no limit, and is
+    // told of each once.
+    const std::size_t untold = hall.lines("placer_unaware");
+    CHECK(untold < 400);
+    CHECK((untold > 0) == (options.daemons > 16));
   }
 }
 
--- a/serving/test/server_words_test.cc
+++ b/serving/test/server_words_test.cc
@@ -59,6 +59,30 @@
   CHECK(LineOf(daemon, "server_limit")["what"] == "ended");
 }
 
+// A daemon that seldom sends to a server tells of a limit that is long over.
+TEST_CASE("An older word of another daemon doesn't bring a limit back") {
+  Daemon daemon;
+  for (int i = 1; i < 6; ++i) daemon.List("llm", i, /*leaving=*/true);
+  const AttemptId first = SendOne(daemon);
+  const BackendId engine = daemon.state().requests.begin()->second.backend;
+  daemon.Feed(Limited(first, 50));
+  const Time named = daemon.now();
+  daemon.Pass(milliseconds(200));
+  daemon.Feed(Limited(SendOne(daemon), std::nullopt));
+  for (int i = 0; i < 30; ++i) {
+    daemon.Confirm();
+    daemon.Pass(milliseconds(1000));
+  }
+  LoadSnapshot told = PeerSnapshot(1);
+  told.limits = {{.backend = engine, .per_second = 2, .heard = named}};
+  daemon.Feed(SnapshotReceived{told});
+  CHECK_FALSE(daemon.state().limits.at(engine).named.per_second);
+  told.sequence = 2;
+  told.limits.front().heard = daemon.now();
+  daemon.Feed(SnapshotReceived{told});
+  CHECK(daemon.state().limits.at(engine).named.per_second == 2.0);
+}
+
 // Reports are among the requests that a server counts.
 TEST_CASE("An engine that has named a limit isn't asked for reports") {
   Daemon daemon;
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -252,7 +252,7 @@
                  .helper_tokens = {from.helper_tokens().begin(),
                                    from.helper_tokens().end()},
                  .first_token = Duration(from.first_token_us())},
-      .counted = from.counted(),
+      .counted = {from.counted().begin(), from.counted().end()},
       .shortage = static_cast<serving::Shortage>(shortage),
       .retry_after = Duration(from.retry_after_us())};
 }
@@ -296,7 +296,7 @@
   for (const auto it : answer.placed.helpers) to.add_helpers(it);
   for (const auto it : answer.placed.helper_tokens) to.add_helper_tokens(it);
   to.set_first_token_us(answer.placed.first_token.count());
-  to.set_counted(answer.counted);
+  for (const auto it : answer.counted) to.add_counted(it);
   return datagram.SerializeAsString();
 }
 
--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -193,7 +193,7 @@
                                                .helpers = {7, 8},
                                                .helper_tokens = {0, 9},
                                                .first_token = milliseconds(10)},
-                                    .counted = true,
+                                    .counted = {6, 8},
                                     .shortage = serving::Shortage::kTickets,
                                     .retry_after = milliseconds(11)};
   const auto back =
@@ -209,7 +209,7 @@
   CHECK(back.placed.first_token == milliseconds(10));
   CHECK(back.shortage == serving::Shortage::kTickets);
   CHECK(back.retry_after == milliseconds(11));
-  CHECK(back.counted);
+  CHECK(back.counted == answer.counted);
 }
 
 }  // namespace
