--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,6 +23,7 @@
   int strong = 1;      // machines of each data centre with more capacity
   bool slack = false;  // daemons hold their parts of the slack of repeats
   int plain = 0;       // servers of a plain service
+  double loss = 0;     // of the messages between daemons
 };
 
 // Many daemons under one scripted clock, which send each other messages that
@@ -456,6 +458,9 @@
       return nodes_.at(static_cast<std::size_t>(i)).isolated;
     };
     if (isolated(from) || isolated(to)) return;
+    const bool lost =
+        std::uniform_real_distribution<double>(0, 1)(losses_) < options_.loss;
+    if (lost) return;
     ++messages_;
     ++nodes_.at(static_cast<std::size_t>(to)).heard;
     After(milliseconds(1), to, std::move(body));
@@ -508,6 +513,7 @@
   std::map<RequestKey, Duration> waits_;
   std::map<std::string, int> sends_;
   std::map<RequestKey, int> refusals_;
+  std::mt19937_64 losses_{11};
   std::vector<Refused> refused_;
   std::set<std::string> hanging_;
   testing::ServerLedger ledger_;
--- a/serving/test/server_limits_test.cc
+++ b/serving/test/server_limits_test.cc
@@ -143,7 +143,9 @@
 TEST_CASE("What servers say is kept to in any order of words and faults") {
   constexpr double kRates[] = {0, 0.1, 0.7, 2.5, 9, 1000};
   for (const HallOptions& options :
-       {kFew, HallOptions{.daemons = 24, .engines = 20, .plain = 3}}) {
+       {kFew, HallOptions{.daemons = 24, .engines = 20, .plain = 3},
+        HallOptions{.daemons = 8, .engines = 18, .plain = 3, .loss = 0.05},
+        HallOptions{.daemons = 24, .engines = 20, .plain = 3, .loss = 0.05}}) {
     for (const unsigned seed : {1, 2, 3, 4, 5, 6}) {
       Hall hall(options);
       std::mt19937 random(seed);
