--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -478,7 +478,9 @@
            messages_underway_.begin()->first <= now_) {
       Message message = std::move(messages_underway_.begin()->second);
       messages_underway_.erase(messages_underway_.begin());
-      if (const auto* it = std::get_if<AnswerBegun>(&message.body)) {
+      const auto* it = std::get_if<AnswerBegun>(&message.body);
+      // The daemon may have given the attempt up, and then hears nothing of it.
+      if (it != nullptr && state(message.to).attempts.contains(it->attempt)) {
         NoteWord(message, it->word);
       }
       Feed(message.to, std::move(message.body));
--- a/serving/test/server_limits_test.cc
+++ b/serving/test/server_limits_test.cc
@@ -99,6 +99,18 @@
   CheckOverload(kMany, {.prompts = 128, .calls = 16}, 2, 2);
 }
 
+// Each daemon may save a start of its own where each meters for itself.
+TEST_CASE("A burst after a quiet time finds no starts saved by each of many") {
+  Hall hall(kMany);
+  LimitAll(hall, kMany, 1, 1);
+  (void)Play(hall, kMany.daemons,
+             {.prompts = 60, .calls = 60, .length = seconds(6)});
+  hall.Pass(seconds(70));
+  (void)Play(hall, kMany.daemons,
+             {.prompts = 300, .calls = 300, .length = seconds(1)});
+  CheckHeld(hall);
+}
+
 // Twice in a row the daemons that place for all fall silent.
 TEST_CASE("Limits are kept to while placers are lost") {
   Hall hall(kMany);
--- a/serving/test/server_words_test.cc
+++ b/serving/test/server_words_test.cc
@@ -200,6 +200,33 @@
   CHECK(daemon.state().rests.at(server) == daemon.now() + seconds(3));
 }
 
+// Of many daemons, which asks that placer.
+void AskPlacers(Daemon& daemon) {
+  daemon.state().dispatch.all_place = false;
+  daemon.state().dispatch.placers = {"2.2.2.2:2"};
+}
+
+TEST_CASE(
+    "Questions to a placer name who wants rest, and answers don't break it") {
+  Daemon daemon;
+  AskPlacers(daemon);
+  const BackendId resting = daemon.state().backends.at("llm3").id;
+  daemon.state().rests[resting] = daemon.now() + seconds(3);
+  const RequestKey key = daemon.Ask("stream");
+  REQUIRE(daemon.First<AskPlacer>() != nullptr);
+  const PlaceQuestion question = daemon.First<AskPlacer>()->question;
+  CHECK(question.resting == std::vector<BackendId>{resting});
+  // Decided before the placer heard the question that names it.
+  PlaceAnswer answer{.peer_address = "2.2.2.2:2",
+                     .life = question.life,
+                     .id = key,
+                     .round = question.round,
+                     .outcome = PlaceOutcome::kPlaced,
+                     .placed = {.backend = resting}};
+  daemon.Feed(PlaceAnswerReceived{answer});
+  CHECK(daemon.First<StartAttempt>() == nullptr);
+}
+
 // A placer decides for a daemon from which servers want rest, and not from it.
 TEST_CASE("A placer leaves those alone that want rest from who asks") {
   Daemon placer;
