--- a/testing/src/server_ledger.cc
+++ b/testing/src/server_ledger.cc
@@ -74,7 +74,7 @@
   for (Rest& it : rests_) {
     const bool counts =
         it.server == arrival.server && it.daemon == arrival.daemon &&
-        arrival.after >= it.asked + kHeed && arrival.now <= it.until;
+        arrival.after >= it.asked + kHeed && arrival.now < it.until;
     if (counts) ++it.requests;
   }
 }
