--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -24,6 +24,7 @@
   bool slack = false;  // daemons hold their parts of the slack of repeats
   int plain = 0;       // servers of a plain service
   double loss = 0;     // of the messages between daemons
+  double resets = 0;   // of the streams break off after their first event
 };
 
 // Many daemons under one scripted clock, which send each other messages that
@@ -140,7 +141,10 @@
   // How long each prompt waited to be sent; and where it went.
   const std::map<RequestKey, Duration>& waits() const { return waits_; }
   const std::map<std::string, int>& sends() const { return sends_; }
-  // At one moment, by backend server's address.
+  // Of each send, in their order.
+  const std::map<RequestKey, std::vector<std::size_t>>& helpers() const {
+    return helpers_;
+  }
   const std::map<RequestKey, int>& refusals() const { return refusals_; }
   struct Refused {
     Refuse refusal;
@@ -339,6 +343,7 @@
 
   void StartAt(int daemon, const StartAttempt& start) {
     ++sends_[start.instance];
+    helpers_[start.key].push_back(start.helpers.size());
     waits_[start.key] = now_ - arrived_.at(start.key);
     const bool deadly = deadly_.contains(contents_.at(start.key));
     if (deadly) deadly_sends_.push_back(now_);
@@ -382,6 +387,10 @@
     After(milliseconds(100), daemon, begun, start.instance);
     After(milliseconds(100), daemon,
           StreamEvent{.attempt = start.attempt, .id = "1", .bytes = "x"});
+    if (IsReset(start.key)) {
+      After(milliseconds(150), daemon, AttemptFailed{.attempt = start.attempt});
+      return;
+    }
     After(milliseconds(400), daemon, answered);
   }
 
@@ -442,6 +451,18 @@
     }
   }
 
+  bool Drawn(double share) {
+    return std::uniform_real_distribution<double>(0, 1)(draws_) < share;
+  }
+
+  // The same for a request's first, second and further sends, wherever they go.
+  bool IsReset(RequestKey key) const {
+    constexpr std::uint64_t kParts = 1000;
+    const std::uint64_t draw =
+        HashBytes(std::to_string(key), helpers_.at(key).size()) % kParts;
+    return static_cast<double>(draw) < options_.resets * kParts;
+  }
+
   RequestKey Arrive(int daemon, RequestFacts facts) {
     const RequestKey key = ++last_key_;
     facts.id = "r" + std::to_string(key);
@@ -458,9 +479,7 @@
       return nodes_.at(static_cast<std::size_t>(i)).isolated;
     };
     if (isolated(from) || isolated(to)) return;
-    const bool lost =
-        std::uniform_real_distribution<double>(0, 1)(losses_) < options_.loss;
-    if (lost) return;
+    if (Drawn(options_.loss)) return;
     ++messages_;
     ++nodes_.at(static_cast<std::size_t>(to)).heard;
     After(milliseconds(1), to, std::move(body));
@@ -514,8 +533,9 @@
   std::map<RequestKey, Time> arrived_;
   std::map<RequestKey, Duration> waits_;
   std::map<std::string, int> sends_;
+  std::map<RequestKey, std::vector<std::size_t>> helpers_;
   std::map<RequestKey, int> refusals_;
-  std::mt19937_64 losses_{11};
+  std::mt19937_64 draws_{11};
   std::vector<Refused> refused_;
   std::set<std::string> hanging_;
   testing::ServerLedger ledger_;
