One way for a request to go where its content says; lives in hex in all lines

The same steps stood for prompts and for plain requests, since both are decided in one place. Log lines on what servers say name a life as the others do.

--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -51,7 +51,8 @@
   bool operator==(const Suspicion&) const = default;
 };
 
-// A content as it stands in logs, the store and for operators; empty: zero.
+// A content, or a life, as it stands in logs, the store and for operators;
+// empty: zero.
 std::string ContentText(std::uint64_t content);
 
 // A life of a backend server that ended while it had a request of that content
--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -87,13 +87,6 @@
 // of the daemon that sends first among equals.
 Verdict PlacePlain(State& state, const Demand& demand,
                    const std::vector<const Backend*>& open) {
-  const Companions with = CompanionsOf(state, demand, open);
-  if (with.wait) return NoRoomNow{Shortage::kVerdict};
-  const Duration expected = demand.due - demand.arrived;
-  if (with.backend != nullptr) {
-    NoteCompanions(state, demand, with);
-    return Placed{.backend = with.backend->id, .first_token = expected};
-  }
   const auto works = AllWorks(state);
   const auto suspects = Suspects(state);
   const Backend* best = nullptr;
@@ -115,7 +108,33 @@
     }
   }
   if (best == nullptr) return NoRoomNow{Shortage::kBackends};
-  return Placed{.backend = best->id, .first_token = expected};
+  return Placed{.backend = best->id,
+                .first_token = demand.due - demand.arrived};
+}
+
+// Those that don't want rest from the daemon that sends it.
+std::vector<const Backend*> AwakeOf(const Demand& demand,
+                                    std::vector<const Backend*> open) {
+  std::erase_if(
+      open, [&](const Backend* it) { return demand.resting.contains(it->id); });
+  return open;
+}
+
+// Where it goes, or that it waits, because of its content; nothing: wherever is
+// best. `timing`: nullptr for a plain service.
+std::optional<Verdict> PlaceByContent(State& state, const Demand& demand,
+                                      const EngineTiming* timing,
+                                      const std::vector<const Backend*>& open) {
+  const bool plain = timing == nullptr;
+  const std::int64_t tokens = demand.prompt_tokens + demand.answer_tokens;
+  if (!plain && tokens > MostMemory(*timing)) return std::nullopt;
+  const Companions with = CompanionsOf(state, demand, open);
+  if (with.wait) return NoRoomNow{Shortage::kVerdict};
+  if (with.backend == nullptr) return std::nullopt;
+  NoteCompanions(state, demand, with);
+  return Placed{
+      .backend = with.backend->id,
+      .first_token = plain ? demand.due - demand.arrived : demand.read};
 }
 
 }  // namespace
@@ -155,26 +174,18 @@
 
 Verdict Decide(State& state, const Demand& demand) {
   const EngineTiming* timing = TimingOf(state, demand.service);
-  auto awake = OpenBackends(state, demand.service);
-  if (awake.empty()) return NoRoomNow{Shortage::kBackends};
-  std::erase_if(awake, [&](const Backend* it) {
-    return demand.resting.contains(it->id);
-  });
+  const auto all = OpenBackends(state, demand.service);
+  if (all.empty()) return NoRoomNow{Shortage::kBackends};
+  const auto awake = AwakeOf(demand, all);
   if (awake.empty()) {
     return GivenUp{.retry_after = kRestAgain, .of = Shortage::kRest};
   }
   const auto open = Startable(state, demand, awake);
   if (open.empty()) return AwaitStart(state, demand, awake);
-  if (timing == nullptr) return PlacePlain(state, demand, open);
-  const bool fits =
-      demand.prompt_tokens + demand.answer_tokens <= MostMemory(*timing);
-  const Companions with =
-      fits ? CompanionsOf(state, demand, open) : Companions{};
-  if (with.wait) return NoRoomNow{Shortage::kVerdict};
-  if (with.backend != nullptr) {
-    NoteCompanions(state, demand, with);
-    return Placed{.backend = with.backend->id, .first_token = demand.read};
+  if (const auto by_content = PlaceByContent(state, demand, timing, open)) {
+    return *by_content;
   }
+  if (timing == nullptr) return PlacePlain(state, demand, open);
   if (demand.read > kShortRead) {
     const Outlook outlook = OutlookOf(state, demand, *timing, open.size());
     if (const auto given_up = GivesUp(state, demand, outlook)) return *given_up;
--- a/serving/src/server_words.cc
+++ b/serving/src/server_words.cc
@@ -10,7 +10,6 @@
 constexpr Duration kTellFor = seconds(10);
 // Once its entry is gone, which may have lapsed only.
 constexpr Duration kForgetAfter = seconds(60);
-
 // Others prefer other servers for so long to one that wants rest of this
 // daemon.
 constexpr Duration kLongestAvoided = seconds(1);
@@ -45,7 +44,7 @@
   const std::string what = !before ? "named" : !named ? "ended" : "changed";
   Log(state, "server_limit",
       {{"backend", request.backend_name},
-       {"life", std::to_string(request.backend)},
+       {"life", ContentText(request.backend)},
        {"what", what},
        {"per_second", RateText(named)},
        {"before", RateText(before)},
@@ -59,7 +58,7 @@
   until = std::max(until, state.now + rest);
   Log(state, "server_rest",
       {{"backend", request.backend_name},
-       {"life", std::to_string(request.backend)},
+       {"life", ContentText(request.backend)},
        {"what", is_new ? "asked" : "renewed"},
        {"for_ms", Millis(until - state.now)},
        {"request", request.facts.id}});
@@ -93,7 +92,7 @@
   const Backend* backend = FindBackend(state, life);
   Log(state, "server_leaving",
       {{"backend", backend == nullptr ? "" : backend->server.id},
-       {"life", std::to_string(life)},
+       {"life", ContentText(life)},
        {"heard_of", own ? "itself" : "peer"},
        {"request", request}});
   NoteGone(state, life, own ? "its answer" : "a daemon that it answered");
@@ -135,7 +134,7 @@
     const Backend* backend = FindBackend(state, it.first);
     Log(state, "server_rest",
         {{"backend", backend == nullptr ? "" : backend->server.id},
-         {"life", std::to_string(it.first)},
+         {"life", ContentText(it.first)},
          {"what", "over"}});
     return true;
   });
