scaleshed trace tells of limits, rest and doubts, and by what a repeat was decided

What operators saw: an event's bare name for the new lines, and a repeat explained by the daemons heard and listed, while its part of the slack and the daemons that this is shared among decide. Change: one table of events and explanations in place of a chain; the test of a repeat's line asks for what decides.

--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -73,9 +73,9 @@
   const bool allowed = Field(line, "allowed") == "true";
   return std::string("one more send ") + (allowed ? "allowed" : "denied") +
          ": " + Field(line, "repeats") + " repeats of " + Field(line, "room") +
-         " by " + Field(line, "requests") + " requests and a share of " +
-         Field(line, "daemons_heard") + " daemons heard, " +
-         Field(line, "daemons_listed") + " others listed";
+         " by " + Field(line, "requests") +
+         " requests, its part of the slack " + Field(line, "share") +
+         " among " + Field(line, "daemons") + " daemons";
 }
 
 std::string ExplainRefused(const TraceLine& line) {
@@ -92,38 +92,105 @@
          " ms, first token in " + Field(line, "expected_first_ms") + " ms";
 }
 
-std::string Explain(const TraceLine& line) {
-  if (line.event == "sent") return ExplainSent(line);
-  if (line.event == "lost") return ExplainLost(line);
-  if (line.event == "repeat") return ExplainRepeat(line);
-  if (line.event == "refused") return ExplainRefused(line);
-  if (line.event == "gives_up") return ExplainGivesUp(line);
-  if (line.event == "waits") return "waits for " + Field(line, "for");
-  if (line.event == "placed") {
-    return "placed at " + Field(line, "backend") + " for " + Field(line, "for");
-  }
-  if (line.event == "placer_silent") {
-    return "no answer where to send it from " + Field(line, "placer");
-  }
-  if (line.event == "places_alone") {
-    return "no placer is known to answer: sent by what this daemon knows";
-  }
-  if (line.event == "answered") {
-    return "answered whole after " + Field(line, "after_ms") + " ms, runs " +
-           Field(line, "runs") + ", first token " + Field(line, "first_ms") +
-           " ms after it was sent, longest pause " + Field(line, "pause_ms") +
-           " ms";
-  }
-  if (line.event == "declined" || line.event == "not_sent") {
-    return "not run by " + Field(line, "backend");
-  }
-  if (line.event == "broken") {
-    return "the client's connection was broken, so that the part it has can't "
-           "be taken for the whole";
+std::string ExplainLimited(const TraceLine& line) {
+  return "refused for limits: all " + Field(line, "servers") + " servers of " +
+         Field(line, "service") + " have named one, " + Field(line, "ahead") +
+         " requests go before it, a start in " + Field(line, "expected_ms") +
+         " ms";
+}
+
+std::string ExplainAllRest(const TraceLine& line) {
+  return "refused for rest: all " + Field(line, "servers") + " servers of " +
+         Field(line, "service") + " want it, the first for " +
+         Field(line, "left_ms") + " ms more";
+}
+
+std::string ExplainServerLimit(const TraceLine& line) {
+  if (Field(line, "what") == "ended") {
+    return Field(line, "backend") + " names no limit any more";
   }
-  if (line.event == "client_gone") {
-    return "the client left while it was " + Field(line, "phase") + ", after " +
-           Field(line, "after_ms") + " ms";
+  return Field(line, "backend") + " names a limit of " +
+         Field(line, "per_second") + " a second";
+}
+
+std::string ExplainServerRest(const TraceLine& line) {
+  return Field(line, "backend") + " wants no request for " +
+         Field(line, "for_ms") + " ms";
+}
+
+std::string ExplainInDoubt(const TraceLine& line) {
+  return "placed at " + Field(line, "backend") + " as " + Field(line, "ends") +
+         " servers have ended under its content, or one may have";
+}
+
+std::string ExplainAnswered(const TraceLine& line) {
+  return "answered whole after " + Field(line, "after_ms") + " ms, runs " +
+         Field(line, "runs") + ", first token " + Field(line, "first_ms") +
+         " ms after it was sent, longest pause " + Field(line, "pause_ms") +
+         " ms";
+}
+
+std::string ExplainNotRun(const TraceLine& line) {
+  return "not run by " + Field(line, "backend");
+}
+
+struct Explanation {
+  std::string_view event;
+  std::string (*explain)(const TraceLine&);
+};
+constexpr Explanation kExplanations[] = {
+    {"sent", ExplainSent},
+    {"lost", ExplainLost},
+    {"repeat", ExplainRepeat},
+    {"refused", ExplainRefused},
+    {"gives_up", ExplainGivesUp},
+    {"limited", ExplainLimited},
+    {"all_rest", ExplainAllRest},
+    {"server_limit", ExplainServerLimit},
+    {"server_rest", ExplainServerRest},
+    {"in_doubt", ExplainInDoubt},
+    {"answered", ExplainAnswered},
+    {"declined", ExplainNotRun},
+    {"not_sent", ExplainNotRun},
+    {"waits",
+     [](const TraceLine& line) { return "waits for " + Field(line, "for"); }},
+    {"placed",
+     [](const TraceLine& line) {
+       return "placed at " + Field(line, "backend") + " for " +
+              Field(line, "for");
+     }},
+    {"placer_silent",
+     [](const TraceLine& line) {
+       return "no answer where to send it from " + Field(line, "placer");
+     }},
+    {"placer_unaware",
+     [](const TraceLine& line) {
+       return Field(line, "placer") +
+              " did not know of a limit where it placed it, and is told";
+     }},
+    {"server_leaving",
+     [](const TraceLine& line) {
+       return Field(line, "backend") + " says that it leaves";
+     }},
+    {"places_alone",
+     [](const TraceLine&) -> std::string {
+       return "no placer is known to answer: sent by what this daemon knows";
+     }},
+    {"broken",
+     [](const TraceLine&) -> std::string {
+       return "the client's connection was broken, so that the part it has "
+              "can't be taken for the whole";
+     }},
+    {"client_gone",
+     [](const TraceLine& line) {
+       return "the client left while it was " + Field(line, "phase") +
+              ", after " + Field(line, "after_ms") + " ms";
+     }},
+};
+
+std::string Explain(const TraceLine& line) {
+  for (const Explanation& it : kExplanations) {
+    if (it.event == line.event) return it.explain(line);
   }
   return line.event;
 }
--- a/cli/test/trace_test.cc
+++ b/cli/test/trace_test.cc
@@ -63,11 +63,24 @@
                            {"requests", "40"},
                            {"repeats", "9"},
                            {"room", "9"},
-                           {"daemons_heard", "8"},
-                           {"daemons_listed", "7"}}) ==
-        "1  a  one more send denied: 9 repeats of 9 by 40 requests and a share "
-        "of 8 daemons heard, 7 others listed\n");
+                           {"share", "young"},
+                           {"daemons", "8"}}) ==
+        "1  a  one more send denied: 9 repeats of 9 by 40 requests, its part "
+        "of the slack young among 8 daemons\n");
   CHECK(ExplainTrace({}) == "no line of this request\n");
+  CHECK(explain("limited", {{"servers", "3"},
+                            {"service", "app"},
+                            {"ahead", "4"},
+                            {"expected_ms", "900"}}) ==
+        "1  a  refused for limits: all 3 servers of app have named one, 4 "
+        "requests go before it, a start in 900 ms\n");
+  CHECK(explain("all_rest",
+                {{"servers", "2"}, {"service", "app"}, {"left_ms", "70"}}) ==
+        "1  a  refused for rest: all 2 servers of app want it, the first for "
+        "70 ms more\n");
+  CHECK(explain("server_limit", {{"what", "ended"}, {"backend", "w"}}) ==
+        "1  a  w names no limit any more\n");
+  CHECK(explain("unheard_of", {}) == "1  a  unheard_of\n");
 }
 
 }  // namespace
