--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -362,7 +362,7 @@
   Serving TakeOne() {
     const auto it = serving_.begin() +
                     static_cast<std::ptrdiff_t>(random_() % serving_.size());
-    const Serving taken = *it;
+    Serving taken = *it;
     serving_.erase(it);
     return taken;
   }
