--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -160,7 +160,8 @@
   for (const BackendId it : snapshot.leaving) {
     TakeLeaving(state, it, /*request=*/"", /*own=*/false);
   }
-  NoteStartsOf(state, snapshot, same_life ? last.works : std::vector<Work>{});
+  const std::vector<Work> none;
+  NoteStartsOf(state, snapshot, same_life ? last.works : none);
   if (snapshot.partial) {
     Apply(snapshot, member.snapshot);
   } else {
