One Retry-After within a caller's time, one look-up of a limit in force

Found by reading the change again: server_limits.cc had the constants and the clamp of queue.cc's GivesUp a second time, and three functions looked up whether a server has a limit. RetryAfterOf and LimitOf serve all; two comparisons that nothing calls are gone. Ruled out: ContentText in place of the store's HexOf, as zero is empty in one and sixteen zeros in the other.

--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -95,7 +95,6 @@
   bool leaving = false;
   // It refused, and wants nothing from this daemon for so long.
   Duration rest{};
-  bool operator==(const ServerWord&) const = default;
 };
 
 // The head of an answer has come, whether or not the rest can be used. For a
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -71,7 +71,6 @@
   BackendId backend = 0;
   std::optional<double> per_second;
   Time heard{};
-  bool operator==(const ServerLimit&) const = default;
 };
 
 // What a daemon tells the others about itself: now and then all of it, at each
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -131,6 +131,9 @@
 };
 Outlook OutlookOf(const State& state, const Demand& demand,
                   const EngineTiming& timing, std::size_t engines);
+// When its caller is to come back if it could start after `expected`.
+Duration RetryAfterOf(const State& state, const Demand& demand,
+                      Duration expected);
 // Whether a prompt can't be served before its deadline.
 std::optional<GivenUp> GivesUp(State& state, const Demand& demand,
                                const Outlook& outlook);
@@ -245,7 +248,8 @@
 void AskLivesAgain(State& state);
 
 // server_limits.cc: how many requests backend servers take.
-// In force.
+// Requests a second; nothing: none is in force.
+std::optional<double> LimitOf(const State& state, BackendId life);
 bool IsLimited(const State& state, BackendId life);
 bool AnyLimited(const State& state, const std::string& service);
 // Of these, those that may get one more request now.
--- a/serving/src/queue.cc
+++ b/serving/src/queue.cc
@@ -110,14 +110,17 @@
   return outlook;
 }
 
+Duration RetryAfterOf(const State& state, const Demand& demand,
+                      Duration expected) {
+  const Duration most = PartOf(demand.deadline - state.now, kMostRetryPart);
+  return std::clamp(expected, kLeastRetryAfter,
+                    std::max(most, kLeastRetryAfter));
+}
+
 std::optional<GivenUp> GivesUp(State& state, const Demand& demand,
                                const Outlook& outlook) {
   const Time expected = state.now + outlook.first_token;
   if (expected <= demand.deadline) return std::nullopt;
-  const Duration left = demand.deadline - state.now;
-  const Duration most = PartOf(left, kMostRetryPart);
-  const Duration again = std::clamp(outlook.start, kLeastRetryAfter,
-                                    std::max(most, kLeastRetryAfter));
   Log(state, "gives_up",
       {{"request", demand.id},
        {"prompt", std::to_string(demand.prompt_tokens)},
@@ -125,7 +128,7 @@
        {"expected_start_ms", Millis(outlook.start)},
        {"expected_first_ms", Millis(outlook.first_token)},
        {"waited_ms", Millis(state.now - demand.arrived)}});
-  return GivenUp{.retry_after = again};
+  return GivenUp{.retry_after = RetryAfterOf(state, demand, outlook.start)};
 }
 
 }  // namespace scaleshed::serving::internal
--- a/serving/src/server_limits.cc
+++ b/serving/src/server_limits.cc
@@ -28,9 +28,6 @@
 constexpr double kPatience = 0.6;
 // For one that is past its objective already, sent again.
 constexpr Duration kLeastPatience = milliseconds(150);
-constexpr Duration kLeastRetryAfter = milliseconds(200);
-// Of the time that its caller has left; it does not wait longer.
-constexpr double kMostRetryPart = 0.33;
 constexpr Duration kHeardWithin = milliseconds(300);
 
 double RateOf(const KnownLimit& limit) {
@@ -39,9 +36,7 @@
 
 // Nothing: it has no limit.
 KnownLimit* FindLimit(State& state, BackendId life) {
-  const auto it = state.limits.find(life);
-  const bool found = it != state.limits.end() && it->second.named.per_second;
-  return found ? &it->second : nullptr;
+  return IsLimited(state, life) ? &state.limits.at(life) : nullptr;
 }
 
 // The part of a server's rate that this daemon may use: it hears what all
@@ -103,9 +98,13 @@
 
 }  // namespace
 
-bool IsLimited(const State& state, BackendId life) {
+std::optional<double> LimitOf(const State& state, BackendId life) {
   const auto it = state.limits.find(life);
-  return it != state.limits.end() && it->second.named.per_second;
+  return it == state.limits.end() ? std::nullopt : it->second.named.per_second;
+}
+
+bool IsLimited(const State& state, BackendId life) {
+  return LimitOf(state, life).has_value();
 }
 
 bool AnyLimited(const State& state, const std::string& service) {
@@ -175,9 +174,7 @@
           ? demand.deadline - state.now - demand.read
           : std::max(PartOf(until_due, kPatience), kLeastPatience);
   if (expected <= patience) return NoRoomNow{Shortage::kLimit};
-  const Duration most = std::max(
-      PartOf(demand.deadline - state.now, kMostRetryPart), kLeastRetryAfter);
-  const Duration again = std::clamp(expected, kLeastRetryAfter, most);
+  const Duration again = RetryAfterOf(state, demand, expected);
   Log(state, "limited",
       {{"request", demand.id},
        {"service", demand.service},
--- a/serving/src/server_words.cc
+++ b/serving/src/server_words.cc
@@ -21,15 +21,9 @@
   return buf;
 }
 
-// Nothing: it is known to name none.
-std::optional<double> KnownRate(const State& state, BackendId life) {
-  const auto it = state.limits.find(life);
-  return it == state.limits.end() ? std::nullopt : it->second.named.per_second;
-}
-
 void TakeLimitWord(State& state, const Request& request,
                    std::optional<double> named) {
-  const auto before = KnownRate(state, request.backend);
+  const auto before = LimitOf(state, request.backend);
   if (!before && !named) return;
   // Of a request that was sent before the limit was heard, the answer may have
   // been begun before it was named.
