--- a/testing/test/server_words_test.cc
+++ b/testing/test/server_words_test.cc
@@ -8,6 +8,15 @@
 namespace scaleshed::testing {
 namespace {
 
+// A daemon that is ready before one server of the plain service.
+FakeWorker& StartBeforeOne(Fleet& fleet) {
+  fleet.Configure();
+  FakeWorker& worker = fleet.AddWorker("app");
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  return worker;
+}
+
 // Refusals with that word among the answers to so many calls.
 int Refused(Fleet& fleet, int calls, const std::string& error) {
   int refused = 0;
@@ -24,10 +33,7 @@
 // A limit in any answer was dropped, and the server got what came.
 TEST_CASE("A server gets no more than the limit that it names in an answer") {
   Fleet fleet;
-  fleet.Configure();
-  FakeWorker& worker = fleet.AddWorker("app");
-  fleet.AddDaemon();
-  REQUIRE(fleet.WaitReady());
+  FakeWorker& worker = StartBeforeOne(fleet);
   worker.SayInAnswers({{"Server-Limit", "0.2"}});
   CHECK(fleet.Ask("/plain/safe/x")->status() == 200);
   constexpr int kCalls = 20;
@@ -38,10 +44,7 @@
 
 TEST_CASE("A limit counts though the body of its answer can't be used") {
   Fleet fleet;
-  fleet.Configure();
-  FakeWorker& worker = fleet.AddWorker("app");
-  fleet.AddDaemon();
-  REQUIRE(fleet.WaitReady());
+  FakeWorker& worker = StartBeforeOne(fleet);
   worker.SayInAnswers({{"Server-Limit", "0.2"}});
   worker.SetMode(WorkerMode::kUnsealed);
   fleet.Ask("/plain/unsafe/x");
@@ -51,10 +54,7 @@
 
 TEST_CASE("What an answer of another request says is not taken") {
   Fleet fleet;
-  fleet.Configure();
-  FakeWorker& worker = fleet.AddWorker("app");
-  fleet.AddDaemon();
-  REQUIRE(fleet.WaitReady());
+  FakeWorker& worker = StartBeforeOne(fleet);
   worker.SayInAnswers({{"Server-Limit", "0.2"}});
   worker.SetMode(WorkerMode::kForeignAnswer);
   fleet.Ask("/plain/unsafe/x");
@@ -66,10 +66,7 @@
 // A word of leaving in an answer was dropped; only the store's counted.
 TEST_CASE("A server gets no request after a failure that says that it leaves") {
   Fleet fleet;
-  fleet.Configure();
-  FakeWorker& leaving = fleet.AddWorker("app");
-  fleet.AddDaemon();
-  REQUIRE(fleet.WaitReady());
+  FakeWorker& leaving = StartBeforeOne(fleet);
   leaving.SayInAnswers({{"Server-Leaving", "1"}});
   leaving.SetMode(WorkerMode::kFailing);
   fleet.Ask("/plain/unsafe/x");
