Sight: the era of the store, and configurations that aren't taken

Whether a newer configuration came and was dropped, or never came, could not be told from the logs. Answers of the store name how often it was restored: line store_era when that changes. A configuration that is seen and not taken, though its version is another one than that in force: line configuration_kept with revisions and versions of both. The store's stand-in keeps a copy and is restored from it. No decision changes.

--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -59,7 +59,11 @@
       options_(std::move(options)),
       feed_(std::move(feed)),
       store_(loop,
-             {.address = options_.store, .on_heard = [this] { Heard(); }}),
+             {.address = options_.store,
+              .on_heard = [this] { Heard(); },
+              .on_era = [](std::uint64_t era) {
+                LogInfo("store_era", {{"era", std::to_string(era)}});
+              }}),
       peer_calls_(loop),
       random_(options_.seed),
       registration_(loop, store_,
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -92,7 +92,17 @@
   // It was the newest when the question was put: what is known is at least as
   // new, also where a watch has told of a newer one since.
   ConfirmConfiguration(state, event.asked);
-  if (event.configuration.revision <= known) return;
+  if (event.configuration.revision <= known) {
+    const Configuration& kept = state.configuration->configuration();
+    if (event.configuration.version != kept.version) {
+      Log(state, "configuration_kept",
+          {{"revision", std::to_string(known)},
+           {"version", std::to_string(kept.version)},
+           {"seen_revision", std::to_string(event.configuration.revision)},
+           {"seen_version", std::to_string(event.configuration.version)}});
+    }
+    return;
+  }
   state.configuration.emplace(event.configuration);
   state.effects.emplace_back(ApplyLimits{.limits = event.configuration.limits});
   Log(state, "configuration",
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -39,6 +39,20 @@
   void Remove(const std::string& key);
   // Watches from before now get 410.
   void ForgetHistory();
+  // From now on answers tell the era, beginning with this one.
+  void SetEra(std::uint64_t era) {
+    era_ = era;
+    era_headers_ = {std::to_string(era)};
+  }
+  // Answers carry these in its place.
+  void SetEraHeaders(std::vector<std::string> headers) {
+    era_headers_ = std::move(headers);
+  }
+  // Keeps a copy of all that is there now.
+  void MakeCopy();
+  // All that was written since the last copy is lost, leases too, and revisions
+  // and numbers of leases are given out again. Calls under way break.
+  void RestoreCopy();
   // Items in an answer to a list. Few, so that paging is met.
   void SetPage(std::size_t page) { page_ = page; }
   // From now on leases end at their time, and what was written under them goes.
@@ -98,6 +112,7 @@
   };
 
   void Handle(std::shared_ptr<HttpExchange> exchange);
+  HttpHeaders Headers() const;
   void Answer(const std::shared_ptr<HttpExchange>& exchange, int status,
               const nlohmann::json& body);
   void OnKey(const std::shared_ptr<HttpExchange>& exchange);
@@ -140,6 +155,15 @@
   };
   std::map<std::uint64_t, Lease> leases_;
   std::list<Watch> watches_;
+  std::uint64_t era_ = 0;
+  std::vector<std::string> era_headers_;
+  struct Copy {
+    std::uint64_t revision = 0;
+    std::uint64_t last_lease = 0;
+    std::map<std::string, Item> items;
+    std::map<std::uint64_t, Lease> leases;
+  };
+  Copy copy_;
 };
 
 // How a worker treats requests.
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -1,5 +1,8 @@
 #include <absl/strings/escaping.h>
 
+#include <algorithm>
+#include <utility>
+
 #include "scaleshed/testing/fleet_stand_ins.h"
 
 namespace scaleshed::testing {
@@ -7,11 +10,6 @@
 
 using Json = nlohmann::json;
 
-const HttpHeaders& JsonHeaders() {
-  static const HttpHeaders kHeaders{{"Content-Type", "application/json"}};
-  return kHeaders;
-}
-
 // Watches that wait so long are those that a daemon keeps.
 constexpr Duration kLongWait = seconds(1);
 
@@ -31,14 +29,20 @@
   return "127.0.0.1:" + std::to_string(server_.port());
 }
 
+HttpHeaders FakeStore::Headers() const {
+  HttpHeaders headers{{"Content-Type", "application/json"}};
+  for (const std::string& it : era_headers_) headers.Add("Store-Era", it);
+  return headers;
+}
+
 void FakeStore::Answer(const std::shared_ptr<HttpExchange>& exchange,
                        int status, const Json& body) {
   const std::string bytes = body.dump();
   if (!hold_bodies_) {
-    exchange->Reply(status, JsonHeaders(), bytes);
+    exchange->Reply(status, Headers(), bytes);
     return;
   }
-  exchange->StartStream(status, JsonHeaders(), bytes.size());
+  exchange->StartStream(status, Headers(), bytes.size());
   held_bodies_.push_back({.exchange = exchange, .bytes = bytes});
 }
 
@@ -92,6 +96,27 @@
   AnswerWatches();
 }
 
+void FakeStore::MakeCopy() {
+  copy_ = {.revision = revision_,
+           .last_lease = last_lease_,
+           .items = items_,
+           .leases = leases_};
+}
+
+void FakeStore::RestoreCopy() {
+  for (const Watch& it : std::exchange(watches_, {})) it.exchange->Abort();
+  for (const auto& it : std::exchange(held_lists_, {})) it->Abort();
+  revision_ = copy_.revision;
+  last_lease_ = copy_.last_lease;
+  items_ = copy_.items;
+  leases_ = copy_.leases;
+  // Reads that may be old still bring what was lost.
+  std::erase_if(history_,
+                [&](const Change& it) { return it.revision > revision_; });
+  forgotten_ = std::min(forgotten_, revision_);
+  SetEra(era_ + 1);
+}
+
 void FakeStore::Handle(std::shared_ptr<HttpExchange> exchange) {
   ++calls_;
   if (exchange->path().starts_with("/v1/kv-lease") ||
@@ -184,7 +209,8 @@
         events.push_back(change.event);
       }
     }
-    const bool forgotten = it->after < forgotten_;
+    // One that it doesn't have is answered so at once.
+    const bool forgotten = it->after < forgotten_ || it->after > revision_;
     const bool over = it->until <= loop_.Now();
     const bool muted = muted_ && it->waits;
     if (muted || (events.empty() && !forgotten && !over)) {
