--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -163,6 +163,7 @@
             store_->ReadConfiguration(it);
           },
           [&](const serving::ListStore&) { store_->List(); },
+          [&](const serving::WriteEntryAgain&) { store_->WriteEntryAgain(); },
           [&](const serving::WatchStore& it) { store_->SetWatch(it.on); },
           [&](const serving::SaveEndings& it) { store_->Save(it); },
           [&](const serving::RelayStore& it) {
@@ -246,7 +247,10 @@
     return;
   }
   const auto revision = state_.configuration->configuration().revision;
-  exchange.Reply(kOk, {{kRevisionHeader, std::to_string(revision)}}, *document);
+  exchange.Reply(kOk,
+                 {{kRevisionHeader, std::to_string(revision.number)},
+                  {kEraHeader, std::to_string(revision.era)}},
+                 *document);
 }
 
 void FleetDaemon::OnLookUp(HttpExchange& exchange) {
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -98,10 +98,15 @@
   if (state.configuration) {
     const auto& configuration = state.configuration->configuration();
     RenderGauge(out, "configuration_revision",
-                static_cast<double>(configuration.revision));
+                static_cast<double>(configuration.revision.number));
+    RenderGauge(out, "configuration_version",
+                static_cast<double>(configuration.version));
     RenderGauge(out, "configuration_proof_age_seconds",
                 SecondsOf(state.now - state.confirmed_at));
   }
+  RenderGauge(out, "store_era", static_cast<double>(state.store.era.number));
+  RenderGauge(out, "store_awaits_operators",
+              serving::AwaitsOperators(state) ? 1 : 0);
   RenderGauge(out, "backends_proof_age_seconds",
               SecondsOf(state.now - state.store.backends_confirmed_at));
   RenderBackends(out, state);
--- a/daemon/src/internal/registration.h
+++ b/daemon/src/internal/registration.h
@@ -33,9 +33,12 @@
                RegistrationOptions options);
 
   void Start() { Open(); }
+  // Under a new lease, as the store was restored: the old one may be gone, or
+  // its number another daemon's.
+  void WriteAgain();
   // Takes the entry away.
   void Leave();
-  // The entry was written under a lease that is not known to be over.
+  // The entry was written under a lease that is not known to be over or lost.
   bool stands() const { return stands_; }
 
  private:
@@ -53,7 +56,10 @@
   RegistrationOptions options_;
   std::mt19937_64 random_;
   std::uint64_t lease_ = 0;
-  Time opened_at_{};  // when the lease was asked for
+  // Rises where an answer that is still to come is of a lost lease.
+  std::uint64_t round_ = 0;
+  bool stood_ = false;  // before it was lost; others count it still
+  Time opened_at_{};    // when the lease was asked for
   bool stands_ = false;
   bool leaving_ = false;
   Timer timer_;
--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -17,9 +17,10 @@
 namespace scaleshed {
 
 // Where a daemon tells others the configuration that it has, and the header
-// that says its revision.
+// that say at which revision of the store, and of which era.
 inline constexpr char kConfigurationPath[] = "/configuration";
 inline constexpr char kRevisionHeader[] = "Configuration-Revision";
+inline constexpr char kEraHeader[] = "Configuration-Era";
 
 struct StoreFollowerOptions {
   std::string store;         // "ip:port"
@@ -45,13 +46,15 @@
   void Leave();
 
   void Ask(const serving::AskStore& question);
-  // That revision of it or a newer one, from a daemon that has it or else from
+  // That one or a newer one, from a daemon that has it or else from
   // the store.
   void ReadConfiguration(const serving::ReadConfiguration& wanted);
   // All that there is, again and again until it is told.
   void List();
   void SetWatch(bool on);
   void Save(const serving::SaveEndings& save);
+  // The store may have lost this daemon's entry.
+  void WriteEntryAgain();
 
   std::uint64_t calls() const { return store_.calls(); }
 
@@ -62,9 +65,10 @@
   void OnAsked(platform::StoreResult<platform::Confirmation> result,
                const std::vector<platform::KnownRevision>& known,
                const serving::AskStore& question, Time asked);
-  void ReadStored(std::uint64_t revision);
+  void ReadStored(const serving::ConfigurationStamp& wanted);
   void ReadNewest();
   void CatchUp(const serving::AskStore& question);
+  void TellConfirmed(const serving::AskStore& question, Time asked);
   void OnForgotten();
   void TakeChanges(const platform::StoredItems& changes, Time asked);
   void Take(const platform::StoredItem& item, Time asked);
@@ -77,6 +81,8 @@
   // Notes what became of a call. False where it failed.
   bool Noted(const char* call, std::optional<platform::StoreError> error);
   bool StoreWasAway() const;
+  // Where a watch of the store as it is now goes on.
+  bool KnowsPlace() const;
   // The store says something to this daemon.
   void Heard();
   Duration Backoff();
@@ -88,7 +94,7 @@
   HttpClient peer_calls_;
   std::mt19937_64 random_;
   std::map<std::string, std::string> peers_;  // to their data centres
-  std::uint64_t at_ = 0;                      // where the watch goes on
+  serving::StoreRevision at_;                 // where the watch goes on
   bool listing_ = false;
   bool listed_ = false;  // after this daemon was registered
   bool wants_watch_ = false;
--- a/daemon/src/registration.cc
+++ b/daemon/src/registration.cc
@@ -17,6 +17,8 @@
 constexpr Duration kRetry = seconds(4);
 // A lease that is over is opened anew within this, half of it drawn.
 constexpr Duration kAgain = milliseconds(100);
+// After a restore all daemons write at once: 800 make 3,200 calls a second.
+constexpr Duration kAfterRestore = milliseconds(1000);
 
 }  // namespace
 
@@ -32,11 +34,21 @@
   leaving_ = true;
   timer_.Cancel();
   if (lease_ == 0) return;
-  store_.EndLease(lease_, [this](const auto& result) {
-    options_.noted("end_lease", platform::FaultOf(result));
+  store_.RemoveMember(options_.self, [this](const auto& result) {
+    options_.noted("unregister", platform::FaultOf(result));
   });
 }
 
+void Registration::WriteAgain() {
+  if (leaving_) return;
+  ++round_;
+  lease_ = 0;
+  stood_ = stood_ || stands_;
+  stands_ = false;
+  options_.feed(serving::EntryForgotten{});
+  timer_.Once(Drawn(kAfterRestore));
+}
+
 Duration Registration::Drawn(Duration most) {
   const auto half = static_cast<std::uint64_t>(most.count()) / 2;
   return most / 2 + Duration(static_cast<Duration::rep>(random_() % half));
@@ -49,7 +61,8 @@
 
 void Registration::Open() {
   opened_at_ = loop_.Now();
-  store_.OpenLease(kLeaseTtl, [this](const auto& result) {
+  store_.OpenLease(kLeaseTtl, [this, round = round_](const auto& result) {
+    if (round != round_) return;
     const auto* lease = ValueOf(result);
     if (!options_.noted("open_lease", platform::FaultOf(result))) {
       timer_.Once(Drawn(kRetry));
@@ -60,19 +73,20 @@
   });
 }
 
-// A write without an answer is repeated under the same lease, so that ending
-// that lease takes away whatever was written.
+// A write without an answer is repeated under the same lease.
 void Registration::Write() {
-  store_.WriteMember(options_.self, lease_, [this](const auto& result) {
+  const auto done = [this, round = round_](const auto& result) {
+    if (round != round_) return;
     const auto fault = platform::FaultOf(result);
     if (fault == StoreError::kNoLease) lease_ = 0;
     stands_ = options_.noted("register", fault);
     if (leaving_) return;
     timer_.Once(stands_ ? kRenewEvery : Drawn(kRetry));
     if (!stands_) return;
-    TellHeld(opened_at_, /*anew=*/true);
+    TellHeld(opened_at_, /*anew=*/!std::exchange(stood_, false));
     options_.on_registered();
-  });
+  };
+  store_.WriteMember(options_.self, lease_, done);
 }
 
 void Registration::Renew() {
@@ -86,7 +100,8 @@
     return;
   }
   const Time asked = loop_.Now();
-  store_.KeepLease(lease_, [this, asked](const auto& result) {
+  store_.KeepLease(lease_, [this, asked, round = round_](const auto& result) {
+    if (round != round_) return;
     const auto fault = platform::FaultOf(result);
     if (options_.noted("keep_lease", fault)) {
       TellHeld(asked, /*anew=*/false);
@@ -97,6 +112,7 @@
     if (over) {
       lease_ = 0;
       stands_ = false;
+      stood_ = false;
       options_.feed(serving::EntryEnded{});
     }
     timer_.Once(Drawn(over ? kAgain : kRetry));
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -43,14 +43,25 @@
 constexpr Duration kFirstBackoff = milliseconds(100);
 constexpr int kMostDoublings = 3;
 
-bool HasRevision(const platform::StoredItems& items, std::uint64_t revision) {
+bool HasConfiguration(const platform::StoredItems& items,
+                      const serving::ConfigurationStamp& wanted) {
   return std::any_of(
       items.items.begin(), items.items.end(), [&](const auto& it) {
         const auto* found = std::get_if<platform::StoredConfiguration>(&it);
-        return found != nullptr && found->configuration.revision >= revision;
+        return found != nullptr && found->configuration.stamp() == wanted;
       });
 }
 
+// What another daemon tells at kConfigurationPath.
+platform::StoredItem ReadToldConfiguration(HttpResponse answer) {
+  const auto number = [&](const char* header) {
+    return std::strtoull(answer.headers.Get(header).c_str(), nullptr, 10);
+  };
+  const serving::StoreRevision revision{.era = number(kEraHeader),
+                                        .number = number(kRevisionHeader)};
+  return platform::ReadStoredConfiguration(std::move(answer.body), revision);
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(EventLoop& loop, StoreFollowerOptions options,
@@ -58,12 +69,12 @@
     : loop_(loop),
       options_(std::move(options)),
       feed_(std::move(feed)),
-      store_(loop,
-             {.address = options_.store,
-              .on_heard = [this] { Heard(); },
-              .on_era = [](std::uint64_t era) {
-                LogInfo("store_era", {{"era", std::to_string(era)}});
-              }}),
+      store_(loop, {.address = options_.store,
+                    .on_heard = [this] { Heard(); },
+                    .on_era =
+                        [this](std::uint64_t era) {
+                          feed_(serving::StoreEraSeen{.era = era});
+                        }}),
       peer_calls_(loop),
       random_(options_.seed),
       registration_(loop, store_,
@@ -102,11 +113,16 @@
   // These are answers of a store that is there.
   const bool there = !error || *error == StoreError::kForgotten ||
                      *error == StoreError::kNoLease ||
-                     *error == StoreError::kConflict;
+                     *error == StoreError::kConflict ||
+                     *error == StoreError::kOtherEra;
   if (there) {
     failures_ = 0;
     if (std::exchange(lost_, false))
       LogInfo("store_regained", {{"call", call}});
+    if (error == StoreError::kOtherEra) {
+      LogInfo("answer_of_other_era",
+              {{"call", call}, {"era", std::to_string(store_.era())}});
+    }
     return !error;
   }
   ++failures_;
@@ -165,6 +181,12 @@
   Watch();
 }
 
+bool StoreFollower::KnowsPlace() const {
+  return at_.number != 0 && at_.era == store_.era();
+}
+
+void StoreFollower::WriteEntryAgain() { registration_.WriteAgain(); }
+
 void StoreFollower::TellBackends(const platform::StoredItems& items,
                                  Time asked) {
   serving::BackendsListed all{.backends = {},
@@ -189,8 +211,10 @@
 
 void StoreFollower::Save(const serving::SaveEndings& save) {
   store_.WriteEndings(save.endings, [this](auto result) {
-    const bool done = Noted("save_endings", FaultOf(result));
-    const bool conflict = FaultOf(result) == StoreError::kConflict;
+    const auto fault = FaultOf(result);
+    const bool done = Noted("save_endings", fault);
+    const bool conflict =
+        fault == StoreError::kConflict || fault == StoreError::kOtherEra;
     // Others wrote first; or no watch tells this daemon what it wrote.
     if (conflict || (done && !wants_watch_)) List();
     feed_(serving::EndingsSaved{});
@@ -248,8 +272,8 @@
 
 void StoreFollower::Watch() {
   watch_timer_.Cancel();
-  // Where to go on is known from the first list.
-  if (!wants_watch_ || at_ == 0) return;
+  // Where to go on is known from a list of this era.
+  if (!wants_watch_ || !KnowsPlace()) return;
   if (std::exchange(watching_, true)) return;
   watched_at_ = loop_.Now();
   store_.Watch(at_, kWatchWait,
@@ -260,7 +284,7 @@
     platform::StoreResult<platform::StoredItems> result) {
   watching_ = false;
   const auto fault = FaultOf(result);
-  if (fault == StoreError::kForgotten) {
+  if (fault == StoreError::kForgotten || fault == StoreError::kOtherEra) {
     OnForgotten();
     return;
   }
@@ -275,7 +299,8 @@
 
 void StoreFollower::OnForgotten() {
   Noted("watch", std::nullopt);
-  LogInfo("history_forgotten", {{"after", std::to_string(at_)}});
+  LogInfo("history_forgotten", {{"era", std::to_string(at_.era)},
+                                {"after", std::to_string(at_.number)}});
   List();
 }
 
@@ -295,7 +320,7 @@
 void StoreFollower::Ask(const serving::AskStore& question) {
   if (std::exchange(asking_, true)) return;
   const bool by_changes = question.backends.size() >= kMostConditions;
-  if (by_changes && at_ != 0) {
+  if (by_changes && KnowsPlace()) {
     CatchUp(question);
     return;
   }
@@ -320,7 +345,7 @@
   store_.Watch(at_, kNoWait, [this, question, asked](auto result) {
     asking_ = false;
     const auto fault = FaultOf(result);
-    if (fault == StoreError::kForgotten) {
+    if (fault == StoreError::kForgotten || fault == StoreError::kOtherEra) {
       OnForgotten();
       return;
     }
@@ -329,9 +354,8 @@
       return;
     }
     TakeChanges(*ValueOf(result), asked);
-    feed_(serving::ConfigurationConfirmed{.revision = question.configuration,
-                                          .asked = asked});
-    feed_(serving::BackendsConfirmed{.asked = asked});
+    TellConfirmed(question, asked);
+    feed_(serving::BackendsConfirmed{.era = store_.era(), .asked = asked});
   });
 }
 
@@ -348,12 +372,13 @@
   // Before the first list nothing is known: that none of it has changed proves
   // no list, and requests were refused for want of servers.
   const bool all_asked =
-      at_ != 0 && known.size() == question.backends.size() + 1;
+      KnowsPlace() && known.size() == question.backends.size() + 1;
   if (!all_asked) List();
   if (std::holds_alternative<platform::Unchanged>(*confirmation)) {
-    feed_(serving::ConfigurationConfirmed{.revision = question.configuration,
-                                          .asked = asked});
-    if (all_asked) feed_(serving::BackendsConfirmed{.asked = asked});
+    TellConfirmed(question, asked);
+    if (all_asked) {
+      feed_(serving::BackendsConfirmed{.era = store_.era(), .asked = asked});
+    }
     return;
   }
   const auto& items = std::get<platform::StoredItems>(*confirmation).items;
@@ -362,10 +387,18 @@
   if (items.size() < known.size()) {
     List();
   } else if (all_asked) {
-    feed_(serving::BackendsConfirmed{.asked = asked});
+    feed_(serving::BackendsConfirmed{.era = store_.era(), .asked = asked});
   }
 }
 
+void StoreFollower::TellConfirmed(const serving::AskStore& question,
+                                  Time asked) {
+  feed_(serving::ConfigurationConfirmed{
+      .revision = {.era = store_.era(),
+                   .number = question.configuration.number},
+      .asked = asked});
+}
+
 // Read from the store by each, one change would be n calls and n answers over
 // one link.
 void StoreFollower::ReadConfiguration(
@@ -378,33 +411,31 @@
        .connect_timeout = kPeerSilence,
        .on_done = [this, wanted](HttpResult result) {
          auto* answer = ValueOf(result);
-         const std::uint64_t revision =
-             answer == nullptr || answer->status != kOk
-                 ? 0
-                 : std::strtoull(answer->headers.Get(kRevisionHeader).c_str(),
-                                 nullptr, 10);
-         if (revision < wanted.revision) {
+         const bool told = answer != nullptr && answer->status == kOk;
+         auto item = told ? ReadToldConfiguration(std::move(*answer))
+                          : platform::StoredItem{platform::Unreadable{}};
+         const auto* found = std::get_if<platform::StoredConfiguration>(&item);
+         if (found == nullptr ||
+             serving::IsNewer(wanted.wanted, found->configuration.stamp())) {
            LogInfo("configuration_not_told",
                    {{"from", wanted.from},
-                    {"revision", std::to_string(revision)},
-                    {"wanted", std::to_string(wanted.revision)}});
-           ReadStored(wanted.revision);
+                    {"wanted", std::to_string(wanted.wanted.version)}});
+           ReadStored(wanted.wanted);
            return;
          }
          // It proves nothing; relays tell that it is the newest.
-         Take(platform::ReadStoredConfiguration(std::move(answer->body),
-                                                revision),
-              Time{});
+         Take(item, Time{});
        }});
 }
 
 // Of many daemons that read the same change at about the same time, most are
-// answered well enough by a read that may be old.
-void StoreFollower::ReadStored(std::uint64_t revision) {
+// answered well enough by a read that may be old. It may also be of a history
+// that the store has lost: only that very one is taken.
+void StoreFollower::ReadStored(const serving::ConfigurationStamp& wanted) {
   feed_(serving::StoreAsked{});
-  store_.ReadConfiguration(/*may_be_old=*/true, [this, revision](auto result) {
+  store_.ReadConfiguration(/*may_be_old=*/true, [this, wanted](auto result) {
     const auto* items = ValueOf(result);
-    if (items != nullptr && HasRevision(*items, revision)) {
+    if (items != nullptr && HasConfiguration(*items, wanted)) {
       // A read that may be old proves nothing.
       for (const auto& it : items->items) Take(it, Time{});
       return;
--- a/serving/include/scaleshed/serving/configuration.h
+++ b/serving/include/scaleshed/serving/configuration.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "scaleshed/core/types.h"
+#include "scaleshed/serving/store_revision.h"
 
 namespace scaleshed::serving {
 
@@ -88,16 +89,20 @@
   Duration idle_timeout{};
 };
 
-// One accepted configuration. `revision` orders them: it only rises.
+// One accepted configuration.
 struct Configuration {
   // As it is stored, for daemons that lack it; may be missing.
   std::shared_ptr<const std::string> document;
-  std::uint64_t revision = 0;
-  std::int64_t version = 0;  // the operators' own count, for logs
+  StoreRevision revision;
+  std::int64_t version = 0;  // the operators' own count: it only rises
   std::vector<Route> routes;
   std::map<std::string, Service> services;
   std::vector<ClientAccount> accounts;
   RequestLimits limits;
+
+  ConfigurationStamp stamp() const {
+    return {.version = version, .revision = revision};
+  }
 };
 
 // Finds routes and accounts of one configuration.
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -143,19 +143,21 @@
 // Asks the store whether what is known is the newest: of the configuration and
 // of all entries of backend servers. What is not comes as events of its own.
 struct AskStore {
-  std::uint64_t configuration = 0;
+  StoreRevision configuration;
   // Ids and revisions of their entries.
-  std::vector<std::pair<std::string, std::uint64_t>> backends;
+  std::vector<std::pair<std::string, StoreRevision>> backends;
 };
-// Reads the configuration, which is known to have got that revision.
+// Reads the configuration, of which one that new is known to be there.
 struct ReadConfiguration {
-  std::uint64_t revision = 0;
+  ConfigurationStamp wanted;
   // A daemon that has it, by peer address. The store is asked where that one
   // does not tell.
   std::string from;
 };
 // Reads all that the store holds.
 struct ListStore {};
+// The store was restored from a copy: what this daemon has there may be lost.
+struct WriteEntryAgain {};
 // Whether to be told by the store of what changes there.
 struct WatchStore {
   bool on = false;
@@ -255,9 +257,9 @@
     std::variant<StartAttempt, CancelAttempt, DeliverAnswer, BeginStream,
                  PassEvent, EndStream, BreakAnswer, Refuse, ReserveMemory,
                  ReleaseMemory, AskReport, AskLife, PublishSnapshot, AskStore,
-                 ReadConfiguration, ListStore, WatchStore, SaveEndings,
-                 RelayStore, AskPlacer, AnswerPlace, LogDecision, Count,
-                 ObserveLatency, ApplyLimits, Exit>;
+                 ReadConfiguration, ListStore, WriteEntryAgain, WatchStore,
+                 SaveEndings, RelayStore, AskPlacer, AnswerPlace, LogDecision,
+                 Count, ObserveLatency, ApplyLimits, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace scaleshed::serving
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -143,20 +143,26 @@
   Time asked{};
 };
 
-// The configuration in force was still the newest at `asked`.
+// The store still held that revision of the configuration at `asked`.
 struct ConfigurationConfirmed {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   Time asked{};
 };
 
 // All entries of backend servers that were there at `asked` have been told.
 struct BackendsConfirmed {
+  std::uint64_t era = 0;  // of the store that said so
   Time asked{};
 };
 
 // All changes up to that revision of the store have been told.
 struct BackendsComplete {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
+};
+
+// An answer of the store names another era than the one before.
+struct StoreEraSeen {
+  std::uint64_t era = 0;
 };
 
 // The store was asked for what ReadConfiguration wants, as no daemon told it.
@@ -182,15 +188,15 @@
 struct BackendUnlisted {
   std::string id;
   bool certain = true;
-  std::uint64_t revision = 0;  // of the store when the entry was gone
+  StoreRevision revision;  // of the store when the entry was gone
 };
 
 // All entries there are; others are gone.
 struct BackendsListed {
   std::vector<BackendServer> backends;
   bool certain = true;
-  std::uint64_t revision = 0;  // of the store
-  Time asked{};                // when the question was put
+  StoreRevision revision;  // of the store
+  Time asked{};            // when the question was put
 };
 
 // What the store holds for a content, as a watch or a conflict tells it.
@@ -200,7 +206,7 @@
 // All that it holds; others have no entry.
 struct AllEndingsListed {
   std::vector<StoredEndings> endings;
-  std::uint64_t revision = 0;  // of the store
+  StoreRevision revision;  // of the store
 };
 // The call of SaveEndings is over. What it wrote comes as EndingsStored, or in
 // a list.
@@ -223,6 +229,8 @@
 };
 // This daemon's entry is gone, or was asked to be taken away.
 struct EntryEnded {};
+// A restore may have lost this daemon's entry; it is being written again.
+struct EntryForgotten {};
 
 // So many daemons had an entry at `asked`.
 struct DaemonsCounted {
@@ -247,12 +255,12 @@
 using EventBody = std::variant<
     RequestArrived, ClientGone, StreamEvent, AttemptAnswered, AttemptFailed,
     AnswerBegun, MemoryAnswered, ReportSeen, LifeSeen, ConfigurationSeen,
-    ConfigurationConfirmed, BackendsConfirmed, BackendsComplete, StoreAsked,
-    StoreHeard, StoreUnreachable, StoreRelayReceived, BackendListed,
+    ConfigurationConfirmed, BackendsConfirmed, BackendsComplete, StoreEraSeen,
+    StoreAsked, StoreHeard, StoreUnreachable, StoreRelayReceived, BackendListed,
     BackendUnlisted, BackendsListed, EndingsStored, AllEndingsListed,
-    EndingsSaved, PeersListed, EntryHeld, EntryEnded, DaemonsCounted,
-    SnapshotReceived, PlaceQuestionReceived, PlaceAnswerReceived, Tick,
-    StopRequested>;
+    EndingsSaved, PeersListed, EntryHeld, EntryEnded, EntryForgotten,
+    DaemonsCounted, SnapshotReceived, PlaceQuestionReceived,
+    PlaceAnswerReceived, Tick, StopRequested>;
 
 struct Event {
   Time now;
--- a/serving/include/scaleshed/serving/quarantine.h
+++ b/serving/include/scaleshed/serving/quarantine.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "scaleshed/core/types.h"
+#include "scaleshed/serving/store_revision.h"
 #include "scaleshed/serving/work.h"
 
 namespace scaleshed::serving {
@@ -18,8 +19,8 @@
   std::uint64_t content = 0;
   std::vector<BackendId> lives;
   // At which the store came to hold that. To be written: only if the entry
-  // still has that one; zero: only if there is none.
-  std::uint64_t revision = 0;
+  // still has that one; none: only if there is no entry.
+  StoreRevision revision;
   bool operator==(const StoredEndings&) const = default;
 };
 
@@ -56,7 +57,11 @@
   std::vector<Ending> News(Time now);
 
   // The store held that at its revision. False where that is known or older.
+  // What it lacks was taken away by somebody who knew better, unless it was
+  // restored since: then it has forgotten.
   bool TakeStored(const StoredEndings& stored, Time now);
+  // The store is known to hold in that era what it is known to hold.
+  void AdoptEra(std::uint64_t era);
   // Contents for which it holds anything.
   std::vector<std::uint64_t> StoredContents() const;
   // Of all that the store is known to hold.
@@ -75,8 +80,8 @@
   struct Record {
     std::map<BackendId, Life> lives;
     std::set<BackendId> stored;
-    std::uint64_t revision = 0;  // of the store, at which it held these
-    Time learned{};              // last
+    StoreRevision revision;  // of the store, at which it held these
+    Time learned{};          // last
   };
 
   static std::vector<BackendId> Counting(const Record& record);
--- a/serving/include/scaleshed/serving/reducer.h
+++ b/serving/include/scaleshed/serving/reducer.h
@@ -22,6 +22,10 @@
 // enough for keys, and is not stopping.
 bool IsServing(const State& state);
 
+// Whether the newest configuration that is known lies in a history that the
+// store has lost, and the operators have not written it again.
+bool AwaitsOperators(const State& state);
+
 // The addresses that a client in `data_centre` may use, and for how long.
 struct LookUpAnswer {
   std::vector<std::string> addresses;
--- a/serving/include/scaleshed/serving/slack_share.h
+++ b/serving/include/scaleshed/serving/slack_share.h
@@ -49,6 +49,8 @@
   void EntryHeld(Time now, Time until, bool anew);
   // Asked to be taken away, or known to be gone.
   void EntryEnded() { entry_until_ = Time{}; }
+  // The store may have lost it. Others go by the number of before for a while.
+  void EntryForgotten(Time now);
   // `asked`: when the store was asked whose answer it is.
   void DaemonsCounted(Time asked) {
     counted_at_ = std::max(counted_at_, asked);
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -47,6 +47,11 @@
 struct Backend {
   BackendServer server;
   BackendId id = 0;
+  // Of its entry as the store holds it, whatever is kept of it here.
+  std::uint64_t entry_hash = 0;
+  // It had gone; a copy of the store lists it again. No longer than until then
+  // is it kept out for that.
+  std::optional<Time> gone_until;
   // Set when its entry may have lapsed only because the store was away.
   std::optional<Time> gone_at;
   // New work is kept away: for what became of sends to it; for its reports.
@@ -88,10 +93,34 @@
 };
 
 struct GoneEntry {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
+  std::uint64_t born = 0;  // of the life that went; zero: not told
   Time seen{};
 };
 
+// What this daemon knows of the era that the store is in. The first one that is
+// heard after the daemon's start counts as no restore.
+struct StoreEra {
+  std::uint64_t number = 0;
+  bool heard = false;
+  // The restore was heard of.
+  std::optional<Time> restored_at;
+  // The first revision that was heard of: whatever is later was written since
+  // the restore.
+  std::uint64_t first_number = 0;
+  // What the store holds, as far as this era's answers and relays tell.
+  ConfigurationStamp stored;
+  // The operators have written their newest configuration again, or had the
+  // time for it.
+  bool settled = true;
+  Time settles_at{};
+  // The revisions that are known here are of this era.
+  std::uint64_t adopted = 0;
+  // When a daemon that starts asked for its configuration: proved with a word
+  // of the others.
+  std::optional<Time> first_proof;
+};
+
 // How this daemon keeps up with the store: by own questions, or by the relays
 // of the daemons of its data centre that put them.
 struct StoreFollowing {
@@ -103,8 +132,9 @@
   std::optional<Time> unanswered_since;
   Time returned_at{};  // it spoke to this daemon after a silence
   bool lags = false;   // as last logged
-  // When revisions that are not known here were proved to be the newest.
-  std::map<std::uint64_t, Time> awaited;
+  // When configurations that are not known here were proved to be the newest.
+  std::deque<std::pair<ConfigurationStamp, Time>> awaited;
+  StoreEra era;
   bool begun = false;
   bool has_role = false;            // it is known who else is there
   Time role_at{};                   // since when
@@ -115,7 +145,7 @@
   Time unreachable_at{};            // its own last question failed
   int failures = 0;                 // one after another
   std::optional<Time> read_due;     // the configuration is known to be older
-  std::uint64_t read_revision = 0;  // than this
+  ConfigurationStamp read_wanted;   // than this
   std::string read_from;            // who told of that
   Time read_at{};                   // last
   std::optional<Time> list_due;     // entries differ from an asker's
@@ -127,11 +157,11 @@
   bool saving = false;
   // The store's revision up to which all changes are known: what is older and
   // not known here had gone by then.
-  std::uint64_t complete_at = 0;
+  StoreRevision complete_at;
   // Revisions at which entries went, so that older news don't bring them back.
   std::map<std::string, GoneEntry> gone;
   // What was last told to those that don't ask.
-  std::uint64_t told_configuration = 0;
+  ConfigurationStamp told_configuration;
   Time relayed_proof{};
   Time relayed_at{};
   // Daemons that had an entry, and when that was asked.
@@ -174,7 +204,9 @@
   bool asks_store = false;
   bool is_hub = false;
   bool places = false;
-  std::uint64_t revision = 0;
+  ConfigurationStamp configuration;
+  std::uint64_t era = 0;
+  bool settled = true;
   bool operator==(const ToldHeader&) const = default;
 };
 
@@ -316,6 +348,7 @@
   std::map<BackendId, Time> rests;
   std::map<std::string, Member> members;            // by peer address
   std::map<std::string, std::string> listed_peers;  // to their data centres
+  bool peers_listed = false;
   Dispatching dispatch;
   DaemonCount counted;                          // as last logged
   std::map<std::string, RepeatBudget> budgets;  // by service
--- a/serving/include/scaleshed/serving/store_relay.h
+++ b/serving/include/scaleshed/serving/store_relay.h
@@ -22,8 +22,8 @@
   std::string data_centre;
   std::int64_t slots = 1;
   bool leaving = false;
-  std::uint64_t revision = 0;  // of its entry
-  std::uint64_t born = 0;      // start of this life, Unix ms; zero: not told
+  StoreRevision revision;  // of its entry
+  std::uint64_t born = 0;  // start of this life, Unix ms; zero: not told
   // Why the entry names no backend server to use; empty: it names one. Anybody
   // may have written it, so that nothing else of it counts then.
   std::string fault;
@@ -32,16 +32,17 @@
 // All that a daemon knows of the store, to be compared with what another one
 // knows: equal digests mean equal entries.
 struct StoreDigest {
-  std::uint64_t configuration = 0;  // its revision
-  std::uint64_t backends = 0;       // a hash of ids and revisions
-  std::uint64_t endings = 0;        // Quarantine::digest
+  ConfigurationStamp configuration;
+  // A hash of ids, of the entries and of their revisions within the era.
+  std::uint64_t backends = 0;
+  std::uint64_t endings = 0;  // Quarantine::digest
   bool operator==(const StoreDigest&) const = default;
 };
 
 // An entry of a backend server that came, changed or went.
 struct BackendChange {
   std::string id;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::optional<BackendServer> server;  // nothing: the entry is gone
   bool certain = true;                  // see BackendUnlisted
 };
@@ -51,14 +52,17 @@
 // asker last heard of the receiver, so that nothing gets younger on its way.
 struct StoreRelay {
   std::string peer_address;  // who asked
+  std::uint64_t era = 0;     // of the store, as last heard
   StoreDigest digest;        // of what it knows
   std::vector<BackendChange> changes;
   std::vector<StoredEndings> endings;
   // The store's revision up to which it has been told of every change.
-  std::uint64_t complete_at = 0;
-  // How long ago it put the question whose answer was that `digest` is the
-  // newest; nothing: no proof, news only.
+  StoreRevision complete_at;
+  // How long ago it put the question whose answer was that the entries of
+  // `digest` are the newest; nothing: no proof, news only.
   std::optional<Duration> age;
+  // The same of the configuration.
+  std::optional<Duration> configuration_age;
   // How many daemons had an entry so long ago; with a proof only. No entries
   // were counted where there is no age.
   std::size_t daemons = 0;
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "scaleshed/core/types.h"
+#include "scaleshed/serving/store_revision.h"
 
 namespace scaleshed::serving {
 
@@ -90,7 +91,11 @@
   // It places prompts of others: whoever hears it tells it what it has.
   bool places = false;
   double capacity = 1;  // of its machine; more of it takes on duties first
-  std::uint64_t revision = 0;  // of its configuration
+  ConfigurationStamp configuration;  // that it has
+  std::uint64_t era = 0;             // of the store, as last heard
+  // For so long it takes nothing of the store for proof that the configuration
+  // is the newest, as a restore has just shown.
+  Duration unsettled_for{};
   // Of a partial one: `works` are those that began or changed, and `ended`
   // those that are over since the last one; all else is whole in each, but for
   // `limits` and `leaving`.
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -67,13 +67,37 @@
        {"service", server.service},
        {"address", server.address},
        {"born", std::to_string(server.born)},
-       {"revision", std::to_string(server.revision)},
+       {"era", std::to_string(server.revision.era)},
+       {"revision", std::to_string(server.revision.number)},
        {"state", what},
        {"why", why}},
       // A first list may have thousands.
       /*routine=*/what == "listed");
 }
 
+// Of all that an entry says, and of its revision within the era: a number may
+// be given out again in the next one, for another content.
+std::uint64_t HashOf(const BackendServer& it) {
+  std::uint64_t hash = HashBytes(it.id, it.revision.number);
+  for (const std::string* text :
+       {&it.service, &it.address, &it.data_centre, &it.fault}) {
+    hash = HashBytes(*text, hash);
+  }
+  const auto slots = static_cast<std::uint64_t>(it.slots);
+  const std::uint64_t leaving = it.leaving ? 1 : 0;
+  for (const std::uint64_t number : {slots, leaving, it.born}) {
+    hash = HashBytes(std::to_string(number), hash);
+  }
+  return hash;
+}
+
+// It went, and a copy of the store may have brought its entry back.
+void KeepOut(State& state, Backend& backend) {
+  if (backend.gone_until) return;
+  backend.gone_until = CopyLapse(state);
+  LogBackend(state, backend.server, "kept_out", "listed by an older copy");
+}
+
 // The entry names no backend server to use. What is known of the one that it
 // named before stays, for when a right entry comes again.
 void TakeFaulty(State& state, Backend& backend, const BackendServer& entry,
@@ -168,23 +192,31 @@
 }
 
 bool TakesWork(const Backend& backend) {
-  return backend.server.fault.empty() && !backend.server.leaving;
+  return backend.server.fault.empty() && !backend.server.leaving &&
+         !backend.gone_until;
 }
 
 void OnListed(State& state, const BackendServer& server) {
   if (IsGoneSince(state, server.id, server.revision)) return;
+  const bool of_copy =
+      !state.backends.contains(server.id) && IsOfCopy(state, server);
   Backend& backend = state.backends[server.id];
-  const bool is_new = backend.server.id.empty();
-  const std::uint64_t known = backend.server.revision;
-  if (server.revision < known) return;
-  const bool changed = is_new || server.revision > known;
+  if (server.revision < backend.server.revision) return;
+  const std::uint64_t hash = HashOf(server);
+  const bool changed = hash != backend.entry_hash;
   if (changed || backend.gone_at) {
     NoteChange(
         state,
         {.id = server.id, .revision = server.revision, .server = server});
   }
   backend.gone_at.reset();
-  if (changed) TakeEntry(state, backend, server);
+  backend.server.revision = server.revision;
+  if (!changed) return;
+  TakeEntry(state, backend, server);
+  backend.entry_hash = hash;
+  // Written since it was kept out.
+  backend.gone_until.reset();
+  if (of_copy) KeepOut(state, backend);
 }
 
 void OnUnlisted(State& state, const BackendUnlisted& event) {
@@ -194,9 +226,8 @@
     return;
   }
   // Told late: it has come back since.
-  if (event.revision != 0 && event.revision < it->second.server.revision) {
-    return;
-  }
+  const bool told = event.revision.number != 0;
+  if (told && event.revision < it->second.server.revision) return;
   NoteGoneAt(state, event.id, event.revision);
   if (!it->second.gone_at) {
     NoteChange(state, {.id = event.id,
@@ -223,12 +254,14 @@
     if (!there.contains(name)) gone.push_back(name);
   }
   for (const std::string& it : gone) {
-    OnUnlisted(
-        state,
-        {.id = it, .certain = event.certain, .revision = event.revision});
+    // A copy may lack those that live.
+    const bool certain = event.certain && !IsJustRestored(state);
+    OnUnlisted(state,
+               {.id = it, .certain = certain, .revision = event.revision});
   }
   NoteComplete(state, event.revision);
-  if (event.asked != Time{}) OnBackendsConfirmed(state, {.asked = event.asked});
+  if (event.asked == Time{}) return;
+  OnBackendsConfirmed(state, {.era = event.revision.era, .asked = event.asked});
 }
 
 void DropLapsed(State& state) {
@@ -237,6 +270,12 @@
     if (backend.gone_at && *backend.gone_at <= state.now) gone.push_back(name);
   }
   for (const std::string& it : gone) OnUnlisted(state, {.id = it});
+  for (auto& [name, backend] : state.backends) {
+    const bool over = backend.gone_until && *backend.gone_until <= state.now;
+    if (!over) continue;
+    backend.gone_until.reset();
+    LogBackend(state, backend.server, "listed", "still listed");
+  }
 }
 
 void NoteSuccess(State& state, BackendId id) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -318,8 +318,6 @@
 void OnConfiguration(State& state, const ConfigurationSeen& event);
 void OnConfirmed(State& state, const ConfigurationConfirmed& event);
 bool IsFresh(const State& state);
-// Zero: none is known.
-std::uint64_t RevisionOf(const State& state);
 
 // proofs.cc: for how long what is known of the store is gone by.
 // When all of it was last known to be the newest.
@@ -339,15 +337,49 @@
 // What is known was the newest at `asked`.
 void ConfirmConfiguration(State& state, Time asked);
 void ConfirmBackends(State& state, Time asked);
-// That revision was the newest at `asked`, and is not known here yet.
-void AwaitConfiguration(State& state, std::uint64_t revision, Time asked);
+// That one was the newest at `asked`, and is not known here yet.
+void AwaitConfiguration(State& state, const ConfigurationStamp& stamp,
+                        Time asked);
 void TakeAwaited(State& state);
 // How long an entry that is seen gone, and may only have lapsed, is waited for.
 Time LapseEnd(const State& state);
 // Logs when this daemon begins or ends to lag behind the store.
 void NoteLag(State& state);
 
+// store_eras.cc: a store that is restored from an older copy.
+// Of the configuration that is known; none: all zero.
+ConfigurationStamp StampOf(const State& state);
+// The store is in that era, by its own word (`told_by` empty) or a daemon's.
+void NoteEra(State& state, std::uint64_t number, const std::string& told_by);
+// Others may not have written again yet what the copy lacks; until when.
+bool IsJustRestored(const State& state);
+Time RestoreEnd(const State& state);
+// The store was at that revision: later ones are no copy's.
+void NoteFirstNumber(State& state, const StoreRevision& at);
+// The store holds that configuration.
+void NoteStored(State& state, const ConfigurationStamp& stored);
+// All that the store of that era held at `asked` is known; zero: not asked.
+void ProveByStore(State& state, std::uint64_t number, Time asked);
+// Takes the proof that waited for the others' word.
+void TakeFirstProof(State& state);
+// What another daemon's snapshot says of restores.
+void HearRestore(State& state, const LoadSnapshot& told);
+// What an asker's relay, which left after `sent`, proves of the configuration.
+void TakeProvedBy(State& state, const StoreRelay& relay, Time sent);
+// See LoadSnapshot::unsettled_for.
+Duration UnsettledFor(const State& state);
+// At which the store holds its configuration in this era; none: not known.
+StoreRevision StoredRevision(const State& state);
+// That entry is of a backend server that had gone before the restore, and may
+// be there only because the copy is older; until when it is taken for that.
+bool IsOfCopy(const State& state, const BackendServer& server);
+Time CopyLapse(const State& state);
+
 // store_following.cc: who asks the store, and what the others hear of it.
+// A configuration that new is there, as that daemon told, and may not be known
+// here.
+void PlanReading(State& state, const ConfigurationStamp& stamp,
+                 const std::string& told_by);
 // Which duties this daemon has among those that it hears.
 void TakeRoles(State& state);
 // Asks, watches, reads and relays as is due.
@@ -364,12 +396,13 @@
 // Notes what changed, to be told to those that don't ask.
 void NoteChange(State& state, BackendChange change);
 // All changes up to that revision are known.
-void NoteComplete(State& state, std::uint64_t revision);
-// That entry went at that revision; zero: not told.
-void NoteGoneAt(State& state, const std::string& id, std::uint64_t revision);
+void NoteComplete(State& state, const StoreRevision& revision);
+// That entry went at that revision; none: not told.
+void NoteGoneAt(State& state, const std::string& id,
+                const StoreRevision& revision);
 // An entry that is known to have gone at that revision or later.
 bool IsGoneSince(const State& state, const std::string& id,
-                 std::uint64_t revision);
+                 const StoreRevision& revision);
 void NoteSnapshotSent(State& state);
 
 void Log(State& state, std::string what,
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -57,6 +57,7 @@
     state.listed_peers[it.peer_address] = it.data_centre;
   }
   state.listed_peers.erase(state.options.peer_address);
+  state.peers_listed = true;
   CountDaemons(state);
   // Those that went long ago are not written to for ever.
   std::erase_if(state.members, [&](const auto& it) {
@@ -74,42 +75,41 @@
   state.slack.DaemonsCounted(event.asked);
 }
 
-std::uint64_t RevisionOf(const State& state) {
-  return state.configuration ? state.configuration->configuration().revision
-                             : 0;
-}
-
 bool IsFresh(const State& state) {
   return state.configuration.has_value() &&
          state.now - state.confirmed_at <
              state.options.key_freshness - kFreshnessMargin;
 }
 
-void OnConfiguration(State& state, const ConfigurationSeen& event) {
-  const std::uint64_t known = RevisionOf(state);
-  // A watch says that the store is there, and proves nothing.
-  event.asked != Time{} ? NoteStoreReached(state) : NoteStoreHeard(state);
-  // It was the newest when the question was put: what is known is at least as
-  // new, also where a watch has told of a newer one since.
-  ConfirmConfiguration(state, event.asked);
-  if (event.configuration.revision <= known) {
-    const Configuration& kept = state.configuration->configuration();
-    if (event.configuration.version != kept.version) {
-      Log(state, "configuration_kept",
-          {{"revision", std::to_string(known)},
-           {"version", std::to_string(kept.version)},
-           {"seen_revision", std::to_string(event.configuration.revision)},
-           {"seen_version", std::to_string(event.configuration.version)}});
-    }
+namespace {
+
+void LogKept(State& state, const ConfigurationStamp& seen) {
+  const ConfigurationStamp known = StampOf(state);
+  if (seen.version == known.version || seen == state.store.era.stored) return;
+  Log(state, "configuration_kept",
+      {{"version", std::to_string(known.version)},
+       {"era", std::to_string(known.revision.era)},
+       {"revision", std::to_string(known.revision.number)},
+       {"seen_version", std::to_string(seen.version)},
+       {"seen_era", std::to_string(seen.revision.era)},
+       {"seen_revision", std::to_string(seen.revision.number)}});
+}
+
+void TakeConfiguration(State& state, const ConfigurationSeen& event) {
+  const Configuration& seen = event.configuration;
+  // A copy's, or the same, or read late.
+  if (!IsNewer(seen.stamp(), StampOf(state))) {
+    LogKept(state, seen.stamp());
     return;
   }
-  state.configuration.emplace(event.configuration);
-  state.effects.emplace_back(ApplyLimits{.limits = event.configuration.limits});
+  state.configuration.emplace(seen);
+  state.effects.emplace_back(ApplyLimits{.limits = seen.limits});
   Log(state, "configuration",
-      {{"revision", std::to_string(event.configuration.revision)},
-       {"version", std::to_string(event.configuration.version)},
-       {"routes", std::to_string(event.configuration.routes.size())},
-       {"accounts", std::to_string(event.configuration.accounts.size())},
+      {{"era", std::to_string(seen.revision.era)},
+       {"revision", std::to_string(seen.revision.number)},
+       {"version", std::to_string(seen.version)},
+       {"routes", std::to_string(seen.routes.size())},
+       {"accounts", std::to_string(seen.accounts.size())},
        // A watch brings a change without proof that it is the newest.
        {"proved_ms_ago",
         event.asked == Time{} ? "" : Millis(state.now - event.asked)}});
@@ -117,11 +117,27 @@
   TakeAwaited(state);
 }
 
+}  // namespace
+
+void OnConfiguration(State& state, const ConfigurationSeen& event) {
+  const ConfigurationStamp seen = event.configuration.stamp();
+  // A watch says that the store is there, and proves nothing.
+  event.asked != Time{} ? NoteStoreReached(state) : NoteStoreHeard(state);
+  // Before it is taken: what was known tells whether it was written since a
+  // restore.
+  NoteStored(state, seen);
+  TakeConfiguration(state, event);
+  // It was the newest when the question was put: what is known is at least as
+  // new, also where a watch has told of a newer one since.
+  ProveByStore(state, seen.revision.era, event.asked);
+}
+
 void OnConfirmed(State& state, const ConfigurationConfirmed& event) {
   NoteStoreReached(state);
   // That there is none yet is known too.
-  if (event.revision > RevisionOf(state)) return;
-  ConfirmConfiguration(state, event.asked);
+  const StoreRevision known = StampOf(state).revision;
+  if (known.era == event.revision.era && event.revision > known) return;
+  ProveByStore(state, event.revision.era, event.asked);
 }
 
 }  // namespace internal
--- a/serving/src/proofs.cc
+++ b/serving/src/proofs.cc
@@ -52,12 +52,15 @@
 // Whether what was the newest at `proved` may be gone by.
 bool IsUsable(const State& state, Time proved) {
   return IsYoung(state, proved) || IsStoreSilent(state) ||
+         IsJustRestored(state) ||
          state.now < state.store.returned_at + Part(state, kReturnPart);
 }
 
 }  // namespace
 
 Time ProvedAt(const State& state) {
+  // No question can prove the configuration then.
+  if (AwaitsOperators(state)) return state.store.backends_confirmed_at;
   return std::min(state.confirmed_at, state.store.backends_confirmed_at);
 }
 
@@ -79,7 +82,8 @@
 }
 
 bool KnowsConfiguration(const State& state) {
-  return state.configuration.has_value() && IsUsable(state, state.confirmed_at);
+  return state.configuration.has_value() &&
+         (IsUsable(state, state.confirmed_at) || AwaitsOperators(state));
 }
 
 void NoteQuestion(State& state) {
@@ -112,24 +116,34 @@
   Prove(state, state.store.backends_confirmed_at, asked);
 }
 
-void AwaitConfiguration(State& state, std::uint64_t revision, Time asked) {
+void AwaitConfiguration(State& state, const ConfigurationStamp& stamp,
+                        Time asked) {
   auto& awaited = state.store.awaited;
-  Time& proved = awaited[revision];
-  proved = std::max(proved, asked);
-  if (awaited.size() > kMostAwaited) awaited.erase(awaited.begin());
+  const auto known =
+      std::find_if(awaited.begin(), awaited.end(),
+                   [&](const auto& it) { return it.first == stamp; });
+  if (known != awaited.end()) {
+    known->second = std::max(known->second, asked);
+    return;
+  }
+  awaited.emplace_back(stamp, asked);
+  if (awaited.size() > kMostAwaited) awaited.pop_front();
 }
 
 void TakeAwaited(State& state) {
   auto& awaited = state.store.awaited;
-  const auto end = awaited.upper_bound(RevisionOf(state));
-  for (auto it = awaited.begin(); it != end; ++it) {
-    ConfirmConfiguration(state, it->second);
+  for (const auto& [stamp, asked] : awaited) {
+    if (!IsNewer(stamp, StampOf(state))) ConfirmConfiguration(state, asked);
   }
-  awaited.erase(awaited.begin(), end);
+  std::erase_if(awaited, [&](const auto& it) {
+    return !IsNewer(it.first, StampOf(state));
+  });
 }
 
 Time LapseEnd(const State& state) {
   const Time proved = state.store.backends_confirmed_at;
+  // The copy may lack it, however well it lives.
+  if (IsJustRestored(state)) return RestoreEnd(state);
   const Time end = state.now + kLapseWait;
   // It may have left as soon as it was last known to be there. After a longer
   // silence nothing is known of that time, and all of them may have lapsed.
--- a/serving/src/quarantine.cc
+++ b/serving/src/quarantine.cc
@@ -99,6 +99,7 @@
   if (held.empty() && !records_.contains(stored.content)) return false;
   Record& record = records_[stored.content];
   if (stored.revision <= record.revision) return false;
+  const bool restored = stored.revision.era > record.revision.era;
   record.revision = stored.revision;
   const std::set<BackendId> before = std::exchange(record.stored, held);
   for (const BackendId it : before) digest_ ^= HashOf(stored.content, it);
@@ -109,6 +110,7 @@
   // Whoever took them away knew that they don't count: by a whole answer, or as
   // an operator.
   for (const BackendId it : before) {
+    if (restored) break;
     const Ending gone{.content = stored.content, .life = it, .forgiven = true};
     if (!held.contains(it)) Take(gone, now);
   }
@@ -116,6 +118,10 @@
   return true;
 }
 
+void Quarantine::AdoptEra(std::uint64_t era) {
+  for (auto& [content, record] : records_) record.revision.era = era;
+}
+
 std::vector<std::uint64_t> Quarantine::StoredContents() const {
   std::vector<std::uint64_t> contents;
   for (const auto& [content, record] : records_) {
@@ -148,10 +154,10 @@
   unsaved.reserve(oldest.size());
   for (const auto& [since, content] : oldest) {
     const Record& record = records_.at(content);
-    unsaved.push_back(
-        {.content = content,
-         .lives = Counting(record),
-         .revision = record.stored.empty() ? 0 : record.revision});
+    unsaved.push_back({.content = content,
+                       .lives = Counting(record),
+                       .revision = record.stored.empty() ? StoreRevision{}
+                                                         : record.revision});
   }
   return unsaved;
 }
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -56,6 +56,7 @@
   // Before anything is sent.
   DropLapsed(state);
   NoteLag(state);
+  TakeFirstProof(state);
   AskLivesAgain(state);
   ExpireAttempts(state);
   StartWaiting(state);
@@ -89,6 +90,7 @@
           [&](const ConfigurationConfirmed& it) { OnConfirmed(state, it); },
           [&](const BackendsConfirmed& it) { OnBackendsConfirmed(state, it); },
           [&](const BackendsComplete& it) { NoteComplete(state, it.revision); },
+          [&](const StoreEraSeen& it) { NoteEra(state, it.era, ""); },
           [&](const StoreAsked&) { NoteQuestion(state); },
           [&](const StoreHeard&) { NoteStoreHeard(state); },
           [&](const StoreUnreachable&) { OnStoreUnreachable(state); },
@@ -105,6 +107,7 @@
             state.slack.EntryHeld(state.now, it.until, it.anew);
           },
           [&](const EntryEnded&) { state.slack.EntryEnded(); },
+          [&](const EntryForgotten&) { state.slack.EntryForgotten(state.now); },
           [&](const DaemonsCounted& it) { OnDaemonsCounted(state, it); },
           [&](const SnapshotReceived& it) { OnSnapshot(state, it); },
           [&](const PlaceQuestionReceived& it) {
--- a/serving/src/slack_share.cc
+++ b/serving/src/slack_share.cc
@@ -18,6 +18,10 @@
   entry_until_ = until;
 }
 
+void SlackShare::EntryForgotten(Time now) {
+  entry_until_ = std::min(entry_until_, now + kCountWithin);
+}
+
 void SlackShare::NoteDaemons(Time now, std::size_t daemons) {
   while (!numbers_.empty() && numbers_.back().second <= daemons) {
     numbers_.pop_back();
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -40,7 +40,9 @@
                         .is_hub = state.dispatch.is_hub,
                         .places = PlacesForOthers(state),
                         .capacity = state.options.capacity,
-                        .revision = RevisionOf(state)};
+                        .configuration = StampOf(state),
+                        .era = state.store.era.number,
+                        .unsettled_for = UnsettledFor(state)};
   snapshot.endings = state.quarantine.News(state.now);
   snapshot.asked = AskedContents(state);
   snapshot.limits = LimitsToTell(state, /*news=*/partial);
@@ -63,7 +65,9 @@
           .asks_store = snapshot.asks_store,
           .is_hub = snapshot.is_hub,
           .places = snapshot.places,
-          .revision = snapshot.revision};
+          .configuration = snapshot.configuration,
+          .era = snapshot.era,
+          .settled = snapshot.unsettled_for == Duration::zero()};
 }
 
 // Notes what the others are told, and puts what is new of it into `snapshot`.
@@ -133,6 +137,7 @@
   if (snapshot.peer_address == state.options.peer_address) return;
   // These hold whatever else it says, and however late.
   TakeEndings(state, snapshot.endings);
+  HearRestore(state, snapshot);
   const auto known = state.members.find(snapshot.peer_address);
   const bool same_life = known != state.members.end() &&
                          known->second.snapshot.life == snapshot.life;
@@ -151,8 +156,10 @@
   }
   // One that begins to place knows nothing of what was told to others.
   const bool begins = snapshot.places && !(same_life && last.places);
-  // One that has just started asks nobody before it hears who places.
-  const bool starts = !same_life && state.dispatch.is_hub;
+  // One that has just started asks nobody before it hears who places, and
+  // proves nothing before it hears of restores.
+  const bool starts =
+      !same_life && (state.dispatch.is_hub || state.dispatch.all_place);
   if (begins || starts) state.whole_due[snapshot.peer_address] = state.now;
   for (const ServerLimit& it : snapshot.limits) {
     TakeLimit(state, it, /*own=*/false);
@@ -168,6 +175,7 @@
     member.snapshot = snapshot;
   }
   member.heard = state.now;
+  TakeFirstProof(state);
   for (const Suspicion& it : snapshot.suspicions) Doubt(state, it);
   if (!PlacesItself(state)) {
     // Nobody tells it when these end.
--- /dev/null
+++ b/serving/src/store_eras.cc
@@ -0,0 +1,204 @@
+#include <algorithm>
+#include <utility>
+
+#include "internal/steps.h"
+#include "scaleshed/serving/reducer.h"
+
+// The store may come back from an older copy. What was acknowledged and lost is
+// written again by whom it belongs to; until then this daemon goes by what it
+// and the others knew, and takes little of the copy for proof.
+namespace scaleshed::serving {
+namespace internal {
+namespace {
+
+// Whoever wrote to the store has the time to write it again: entries of backend
+// servers come with the second heartbeat at the latest. What the copy holds
+// after that is taken for what was there last.
+constexpr Duration kSettlesWithin = milliseconds(2500);
+// An entry of a backend server that has gone lapses within three heartbeats.
+constexpr Duration kCopyLapses = seconds(5);
+// A daemon that starts waits so long for a word of the others before the store
+// alone proves its configuration: they may know of a restore.
+constexpr Duration kHearWithin = milliseconds(400);
+
+// So many of them are asked: one of these may have just started too.
+constexpr std::size_t kFewOthers = 4;
+
+bool HearsOthers(const State& state) {
+  const auto heard = static_cast<std::size_t>(
+      std::count_if(state.members.begin(), state.members.end(),
+                    [&](const auto& it) { return IsHeard(state, it.second); }));
+  return heard >= std::min(state.listed_peers.size(), kFewOthers);
+}
+
+// The newest that this daemon has or has heard of.
+ConfigurationStamp NewestStamp(const State& state) {
+  const ConfigurationStamp& heard = state.store.read_wanted;
+  return IsNewer(heard, StampOf(state)) ? heard : StampOf(state);
+}
+
+bool HasHeardOthers(const State& state) {
+  // A store that tells no era is not known to have been restored.
+  if (state.store.era.number == 0 || state.confirmed_at != Time{}) return true;
+  return (state.peers_listed && HearsOthers(state)) ||
+         state.now >= state.started_at + kHearWithin;
+}
+
+void Settle(State& state, const std::string& why) {
+  StoreEra& era = state.store.era;
+  if (std::exchange(era.settled, true)) return;
+  state.changed = true;
+  Log(state, "store_settled",
+      {{"era", std::to_string(era.number)}, {"why", why}});
+}
+
+// The operators wrote it since the restore, so that it is their newest.
+bool IsRewritten(const State& state, const ConfigurationStamp& stored) {
+  const StoreEra& era = state.store.era;
+  const StoreRevision& at = stored.revision;
+  const ConfigurationStamp known = StampOf(state);
+  const bool moved = known.version == stored.version &&
+                     known.revision.era + 1 == at.era &&
+                     known.revision.number != at.number;
+  const bool is_later = era.first_number != 0 && at.number > era.first_number;
+  const bool changed =
+      era.stored.revision.number != 0 && at.number > era.stored.revision.number;
+  return moved || is_later || changed;
+}
+
+}  // namespace
+
+ConfigurationStamp StampOf(const State& state) {
+  return state.configuration ? state.configuration->configuration().stamp()
+                             : ConfigurationStamp{};
+}
+
+void NoteEra(State& state, std::uint64_t number, const std::string& told_by) {
+  StoreEra& era = state.store.era;
+  if (number <= era.number) return;
+  const bool first = !std::exchange(era.heard, true);
+  const std::uint64_t before = std::exchange(era.number, number);
+  if (first) return;
+  era.restored_at = state.now;
+  era.first_number = 0;
+  era.stored = {};
+  era.settled = false;
+  era.settles_at = state.now + kSettlesWithin;
+  state.changed = true;
+  state.store.ask_due = state.now;
+  Log(state, "store_restored",
+      {{"era", std::to_string(number)},
+       {"era_before", std::to_string(before)},
+       {"told_by", told_by},
+       {"version", std::to_string(StampOf(state).version)},
+       {"backends", std::to_string(state.backends.size())},
+       {"contents", std::to_string(state.quarantine.size())}});
+  state.effects.emplace_back(WriteEntryAgain{});
+  // The others hear of it by relays.
+  if (state.store.watching) state.effects.emplace_back(ListStore{});
+}
+
+bool IsJustRestored(const State& state) {
+  const auto& restored = state.store.era.restored_at;
+  return restored && state.now < *restored + kSettlesWithin;
+}
+
+Time RestoreEnd(const State& state) {
+  return state.store.era.restored_at.value_or(Time{}) + kSettlesWithin;
+}
+
+void NoteFirstNumber(State& state, const StoreRevision& at) {
+  StoreEra& era = state.store.era;
+  if (at.era != era.number || era.first_number != 0) return;
+  era.first_number = at.number;
+}
+
+void NoteStored(State& state, const ConfigurationStamp& stored) {
+  StoreEra& era = state.store.era;
+  if (stored.revision.era != era.number) return;
+  if (!era.settled && IsRewritten(state, stored)) Settle(state, "written");
+  if (stored.revision > era.stored.revision) era.stored = stored;
+}
+
+void ProveByStore(State& state, std::uint64_t number, Time asked) {
+  StoreEra& era = state.store.era;
+  if (number != era.number || asked == Time{}) return;
+  if (!era.settled && state.now >= era.settles_at) Settle(state, "time");
+  if (!era.settled || AwaitsOperators(state)) return;
+  if (!HasHeardOthers(state)) {
+    era.first_proof = asked;
+    return;
+  }
+  ConfirmConfiguration(state, asked);
+}
+
+void TakeFirstProof(State& state) {
+  StoreEra& era = state.store.era;
+  if (!era.first_proof || !HasHeardOthers(state)) return;
+  const Time asked = *std::exchange(era.first_proof, std::nullopt);
+  ProveByStore(state, era.number, asked);
+}
+
+void HearRestore(State& state, const LoadSnapshot& told) {
+  NoteEra(state, told.era, told.peer_address);
+  StoreEra& era = state.store.era;
+  // A daemon that starts can't know of it otherwise.
+  const bool starts = state.confirmed_at == Time{} && told.era == era.number;
+  if (starts && told.unsettled_for > Duration::zero()) {
+    era.restored_at = era.restored_at.value_or(state.now);
+    era.settled = false;
+    era.settles_at = std::max(era.settles_at, state.now + told.unsettled_for);
+  }
+  // It is known to daemons only: the store has lost it.
+  const bool lost = told.configuration.revision.era < era.number;
+  if (lost) PlanReading(state, told.configuration, told.peer_address);
+}
+
+void TakeProvedBy(State& state, const StoreRelay& relay, Time sent) {
+  if (!relay.configuration_age) return;
+  const Time asked = sent - *relay.configuration_age;
+  if (IsNewer(relay.digest.configuration, StampOf(state))) {
+    AwaitConfiguration(state, relay.digest.configuration, asked);
+    return;
+  }
+  // Whatever was the newest then, what is known here is at least as new.
+  Settle(state, "relay");
+  ConfirmConfiguration(state, asked);
+}
+
+Duration UnsettledFor(const State& state) {
+  const StoreEra& era = state.store.era;
+  if (era.settled) return Duration::zero();
+  return std::max(era.settles_at - state.now, Duration::zero());
+}
+
+StoreRevision StoredRevision(const State& state) {
+  const StoreRevision known = StampOf(state).revision;
+  const StoreEra& era = state.store.era;
+  return known.era == era.number ? known : era.stored.revision;
+}
+
+bool IsOfCopy(const State& state, const BackendServer& server) {
+  const StoreEra& era = state.store.era;
+  const auto gone = state.store.gone.find(server.id);
+  return gone != state.store.gone.end() && era.restored_at &&
+         gone->second.revision.era < server.revision.era &&
+         server.born <= gone->second.born &&
+         (era.first_number == 0 ||
+          server.revision.number <= era.first_number) &&
+         state.now < *era.restored_at + kCopyLapses;
+}
+
+Time CopyLapse(const State& state) {
+  return state.store.era.restored_at.value_or(Time{}) + kCopyLapses;
+}
+
+}  // namespace internal
+
+bool AwaitsOperators(const State& state) {
+  const ConfigurationStamp newest = internal::NewestStamp(state);
+  return newest.revision.number != 0 &&
+         newest.revision.era < state.store.era.number;
+}
+
+}  // namespace scaleshed::serving
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -70,11 +70,10 @@
 }
 
 StoreDigest DigestOf(const State& state) {
-  StoreDigest digest{.configuration = RevisionOf(state),
+  StoreDigest digest{.configuration = StampOf(state),
                      .endings = state.quarantine.digest()};
   for (const auto& [id, backend] : state.backends) {
-    if (backend.gone_at) continue;
-    digest.backends ^= HashBytes(id, backend.server.revision);
+    if (!backend.gone_at) digest.backends ^= backend.entry_hash;
   }
   return digest;
 }
@@ -100,7 +99,7 @@
 
 bool HasNews(const State& state) {
   const StoreFollowing& store = state.store;
-  return RevisionOf(state) != store.told_configuration ||
+  return StampOf(state) != store.told_configuration ||
          std::any_of(store.endings.begin(), store.endings.end(),
                      [](const SeenEndings& it) { return !it.told; }) ||
          std::any_of(store.changes.begin(), store.changes.end(),
@@ -135,7 +134,7 @@
   }
   store.ask_due = state.now + RoundOf(state);
   NoteQuestion(state);
-  AskStore question{.configuration = RevisionOf(state), .backends = {}};
+  AskStore question{.configuration = StoredRevision(state), .backends = {}};
   for (const auto& [id, backend] : state.backends) {
     if (backend.gone_at) continue;
     question.backends.emplace_back(id, backend.server.revision);
@@ -146,11 +145,11 @@
 // A daemon of this data centre that has told that it has that revision; drawn,
 // so that each that has got it takes a share of those that lack it; else who
 // told of it.
-std::string HolderOf(State& state, std::uint64_t revision) {
+std::string HolderOf(State& state, const ConfigurationStamp& stamp) {
   std::vector<const std::string*> holders;
   for (const auto& [address, member] : state.members) {
     const LoadSnapshot& told = member.snapshot;
-    const bool has = told.revision >= revision && told.serving &&
+    const bool has = !IsNewer(stamp, told.configuration) && told.serving &&
                      told.data_centre == state.options.data_centre;
     if (has && IsHeard(state, member)) holders.push_back(&address);
   }
@@ -163,10 +162,13 @@
   if (store.read_due && *store.read_due <= state.now) {
     store.read_due.reset();
     store.read_at = state.now;
-    ReadConfiguration read{.revision = store.read_revision,
-                           .from = HolderOf(state, store.read_revision)};
+    ReadConfiguration read{.wanted = store.read_wanted,
+                           .from = HolderOf(state, store.read_wanted)};
     Log(state, "reads_configuration",
-        {{"revision", std::to_string(read.revision)}, {"from", read.from}});
+        {{"version", std::to_string(read.wanted.version)},
+         {"era", std::to_string(read.wanted.revision.era)},
+         {"revision", std::to_string(read.wanted.revision.number)},
+         {"from", read.from}});
     state.effects.emplace_back(std::move(read));
   }
   const bool differs = store.list_due && *store.list_due <= state.now;
@@ -204,14 +206,22 @@
   const bool proof = HasProof(state);
   if (!proof && state.now - store.relayed_at < kRelayPause) return;
   StoreRelay relay{.peer_address = state.options.peer_address,
+                   .era = store.era.number,
                    .digest = DigestOf(state),
                    .changes = ChangesToTell(state, proof),
                    .endings = EndingsToTell(state, proof),
                    .complete_at = store.complete_at,
                    .age = {},
+                   .configuration_age = {},
                    .daemons = 0,
                    .daemons_age = {}};
-  if (proof) relay.age = state.now - ProvedAt(state);
+  if (proof && store.backends_confirmed_at != Time{}) {
+    relay.age = state.now - store.backends_confirmed_at;
+  }
+  const bool settled = store.era.settled && !AwaitsOperators(state);
+  if (proof && settled && state.confirmed_at != Time{}) {
+    relay.configuration_age = state.now - state.confirmed_at;
+  }
   if (proof && store.entries_at != Time{}) {
     relay.daemons = store.entries;
     relay.daemons_age = state.now - store.entries_at;
@@ -226,7 +236,7 @@
   }
   store.relayed_at = state.now;
   store.relayed_proof = ProvedAt(state);
-  store.told_configuration = RevisionOf(state);
+  store.told_configuration = StampOf(state);
   for (SeenChange& it : store.changes) it.told = true;
   for (SeenEndings& it : store.endings) it.told = true;
   if (!effect.messages.empty()) state.effects.emplace_back(std::move(effect));
@@ -260,44 +270,52 @@
   return at;
 }
 
+// The asker knows just as much of this era: so do the revisions here.
+void AdoptEra(State& state) {
+  const std::uint64_t era = state.store.era.number;
+  if (std::exchange(state.store.era.adopted, era) == era) return;
+  for (auto& [id, backend] : state.backends) {
+    backend.server.revision.era = era;
+  }
+  state.quarantine.AdoptEra(era);
+}
+
 // What is proved by an asker that knows just as much.
-void TakeProof(State& state, const StoreRelay& relay, Time asked) {
+void TakeProof(State& state, const StoreRelay& relay, Time sent) {
   StoreFollowing& store = state.store;
   const StoreDigest own = DigestOf(state);
-  // Whatever was the newest then, what is known here is at least as new.
-  if (relay.digest.configuration <= own.configuration) {
-    ConfirmConfiguration(state, asked);
-  } else {
-    AwaitConfiguration(state, relay.digest.configuration, asked);
-  }
+  TakeProvedBy(state, relay, sent);
+  if (!relay.age) return;
   const bool same_backends = relay.digest.backends == own.backends;
   if (same_backends) {
-    ConfirmBackends(state, asked);
+    ConfirmBackends(state, sent - *relay.age);
     NoteComplete(state, relay.complete_at);
   }
   if (same_backends && relay.digest.endings == own.endings) {
     store.list_due.reset();
+    AdoptEra(state);
   } else if (!store.list_due) {
     store.list_due =
         state.now + PartOf(state.options.news_within, kDiffersPart);
   }
 }
 
-// That revision of the configuration is there, and may not be known here.
-void PlanReading(State& state, const StoreRelay& relay) {
+}  // namespace
+
+void PlanReading(State& state, const ConfigurationStamp& stamp,
+                 const std::string& told_by) {
   StoreFollowing& store = state.store;
-  const std::uint64_t revision = relay.digest.configuration;
-  if (revision <= RevisionOf(state)) return;
-  if (revision > store.read_revision) store.read_from = relay.peer_address;
-  store.read_revision = std::max(store.read_revision, revision);
+  if (!IsNewer(stamp, StampOf(state))) return;
+  if (IsNewer(stamp, store.read_wanted)) {
+    store.read_from = told_by;
+    store.read_wanted = stamp;
+  }
   if (store.read_due) return;
   const Duration within = state.options.news_within;
   store.read_due = std::max(state.now + Drawn(state, PartOf(within, kReadPart)),
                             store.read_at + PartOf(within, kReadEveryPart));
 }
 
-}  // namespace
-
 bool ReachesStore(const State& state) {
   if (state.stop_at) return false;
   return state.store.failures == 0 ||
@@ -350,6 +368,7 @@
 
 void OnBackendsConfirmed(State& state, const BackendsConfirmed& event) {
   NoteStoreReached(state);
+  if (event.era != state.store.era.number) return;
   ConfirmBackends(state, event.asked);
 }
 
@@ -370,6 +389,7 @@
 }
 
 void OnStoreRelay(State& state, const StoreRelay& relay) {
+  NoteEra(state, relay.era, relay.peer_address);
   for (const BackendChange& it : relay.changes) {
     if (it.server) {
       OnListed(state, *it.server);
@@ -379,13 +399,15 @@
     }
   }
   for (const StoredEndings& it : relay.endings) OnEndingsStored(state, it);
-  PlanReading(state, relay);
-  if (!relay.age) return;
-  NoteHeardByOthers(state, *relay.age);
+  PlanReading(state, relay.digest.configuration, relay.peer_address);
+  if (!relay.age && !relay.configuration_age) return;
+  // What was proved of a history that is lost proves nothing.
+  if (relay.era != state.store.era.number) return;
+  if (relay.age) NoteHeardByOthers(state, *relay.age);
   // It was sent after that snapshot of ours had left, on our clock.
   const auto sent = SentAt(state, relay.heard_life, relay.heard_sequence);
   if (!sent) return;
-  TakeProof(state, relay, *sent - *relay.age);
+  TakeProof(state, relay, *sent);
   if (relay.daemons_age) {
     OnDaemonsCounted(
         state, {.daemons = relay.daemons, .asked = *sent - *relay.daemons_age});
@@ -399,18 +421,23 @@
       {.change = std::move(change), .seen = state.now});
 }
 
-void NoteGoneAt(State& state, const std::string& id, std::uint64_t revision) {
-  if (revision == 0) return;
+void NoteGoneAt(State& state, const std::string& id,
+                const StoreRevision& revision) {
+  if (revision.number == 0) return;
   GoneEntry& entry = state.store.gone[id];
-  entry = {.revision = std::max(entry.revision, revision), .seen = state.now};
+  const auto known = state.backends.find(id);
+  if (known != state.backends.end()) entry.born = known->second.server.born;
+  entry.revision = std::max(entry.revision, revision);
+  entry.seen = state.now;
 }
 
-void NoteComplete(State& state, std::uint64_t revision) {
+void NoteComplete(State& state, const StoreRevision& revision) {
   state.store.complete_at = std::max(state.store.complete_at, revision);
+  NoteFirstNumber(state, revision);
 }
 
 bool IsGoneSince(const State& state, const std::string& id,
-                 std::uint64_t revision) {
+                 const StoreRevision& revision) {
   const bool known = state.backends.contains(id);
   if (!known && revision < state.store.complete_at) return true;
   const auto it = state.store.gone.find(id);
--- a/serving/src/stored_endings.cc
+++ b/serving/src/stored_endings.cc
@@ -51,7 +51,8 @@
       {{"content", ContentText(stored.content)},
        {"ends_before", std::to_string(known)},
        {"ends", std::to_string(n)},
-       {"revision", std::to_string(stored.revision)},
+       {"era", std::to_string(stored.revision.era)},
+       {"revision", std::to_string(stored.revision.number)},
        {"held", state.quarantine.Holds(stored.content) ? "true" : "false"}});
 }
 
--- a/serving/test/backend_lives_test.cc
+++ b/serving/test/backend_lives_test.cc
@@ -29,7 +29,7 @@
           .service = "app",
           .address = "app0:1",
           .slots = 16,
-          .revision = revision,
+          .revision = {.number = revision},
           .born = born};
 }
 
@@ -116,7 +116,7 @@
       CHECK(IsUsed(daemon));
     }
     // All daemons agree on what the store holds.
-    CHECK(App0(daemon).server.revision == 101);
+    CHECK(App0(daemon).server.revision.number == 101);
   }
 }
 
@@ -127,9 +127,10 @@
     Daemon daemon;
     Tell(daemon, way, Entry(kBorn, 100));
     REQUIRE(IsUsed(daemon));
-    Tell(daemon, way, {.id = "app0", .revision = 101, .fault = "state: ?"});
+    Tell(daemon, way,
+         {.id = "app0", .revision = {.number = 101}, .fault = "state: ?"});
     CHECK_FALSE(IsUsed(daemon));
-    CHECK(App0(daemon).server.revision == 101);
+    CHECK(App0(daemon).server.revision.number == 101);
     // The others hold.
     daemon.Ask("safe");
     CHECK(daemon.First<StartAttempt>() != nullptr);
@@ -146,7 +147,8 @@
   BackendServer leaving = Entry(kBorn, 100);
   leaving.leaving = true;
   Tell(daemon, Way::kWatch, leaving);
-  Tell(daemon, Way::kWatch, {.id = "app0", .revision = 101, .fault = "?"});
+  Tell(daemon, Way::kWatch,
+       {.id = "app0", .revision = {.number = 101}, .fault = "?"});
   Tell(daemon, Way::kWatch, Entry(kBorn, 102));
   CHECK_FALSE(IsUsed(daemon));
 }
@@ -155,8 +157,9 @@
   for (const auto& [way, name] : kWayNames) {
     INFO(name);
     Daemon daemon;
-    daemon.Feed(BackendUnlisted{.id = "app0", .revision = 99});
-    Tell(daemon, way, {.id = "app0", .revision = 100, .fault = "?"});
+    daemon.Feed(BackendUnlisted{.id = "app0", .revision = {.number = 99}});
+    Tell(daemon, way,
+         {.id = "app0", .revision = {.number = 100}, .fault = "?"});
     CHECK_FALSE(IsUsed(daemon));
     REQUIRE(daemon.state().backends.contains("app0"));
     Tell(daemon, way, Entry(kBorn, 101));
@@ -170,7 +173,7 @@
                              .service = "llm",
                              .address = "llm0:1",
                              .slots = 16,
-                             .revision = 100,
+                             .revision = {.number = 100},
                              .born = kBorn}});
   const Backend& engine = daemon.state().backends.at("llm0");
   daemon.Feed(ReportSeen{.backend = engine.id, .pace = 4, .born = kBorn - 1});
@@ -250,7 +253,7 @@
                              .service = "llm",
                              .address = helper,
                              .slots = 16,
-                             .revision = 100,
+                             .revision = {.number = 100},
                              .born = kBorn}});
   Report(daemon, prompt.sent.instance);
   daemon.Pass(milliseconds(1000));
@@ -267,7 +270,7 @@
                              .service = "llm",
                              .address = sent.address,
                              .slots = 16,
-                             .revision = 100,
+                             .revision = {.number = 100},
                              .born = kBorn}});
 }
 
--- a/serving/test/early_requests_test.cc
+++ b/serving/test/early_requests_test.cc
@@ -39,7 +39,7 @@
                                                   .service = "app",
                                                   .address = "app0:1",
                                                   .slots = 8,
-                                                  .revision = 2}},
+                                                  .revision = {.number = 2}}},
                                     .asked = kStart + since});
   }
   const State& state() const { return state_; }
--- a/serving/test/fleet_repeats_test.cc
+++ b/serving/test/fleet_repeats_test.cc
@@ -31,13 +31,13 @@
                                       .service = "app",
                                       .address = "app0:1",
                                       .slots = 1000,
-                                      .revision = 2}},
+                                      .revision = {.number = 2}}},
                         .asked = now_});
   }
 
   // Everything it knows of the store is the newest, or may be old.
   void Prove() {
-    Feed(ConfigurationConfirmed{.revision = 1, .asked = now_});
+    Feed(ConfigurationConfirmed{.revision = {.number = 1}, .asked = now_});
     Feed(BackendsConfirmed{.asked = now_});
   }
   void Pass(Duration time, bool proved) {
--- a/serving/test/hall.h
+++ b/serving/test/hall.h
@@ -248,20 +248,20 @@
     Feed(i, ConfigurationSeen{.configuration = MakeConfiguration(1),
                               .asked = now_});
     Feed(i, ListedEndings());
-    BackendsListed all{.revision = revision_, .asked = now_};
+    BackendsListed all{.revision = {.number = revision_}, .asked = now_};
     for (const auto& [id, engine] : engines_) {
       all.backends.push_back({.id = id,
                               .service = engine.service,
                               .address = engine.address,
                               .data_centre = engine.data_centre,
                               .slots = 16,
-                              .revision = engine.revision});
+                              .revision = {.number = engine.revision}});
     }
     Feed(i, all);
   }
 
   AllEndingsListed ListedEndings() const {
-    AllEndingsListed all{.endings = {}, .revision = revision_};
+    AllEndingsListed all{.endings = {}, .revision = {.number = revision_}};
     all.endings.reserve(stored_.size());
     for (const auto& [content, it] : stored_) all.endings.push_back(it);
     return all;
@@ -273,12 +273,13 @@
     const bool holds = std::all_of(
         save.endings.begin(), save.endings.end(), [&](const auto& it) {
           const auto found = stored_.find(it.content);
-          return it.revision ==
-                 (found == stored_.end() ? 0 : found->second.revision);
+          return it.revision == (found == stored_.end()
+                                     ? StoreRevision{}
+                                     : found->second.revision);
         });
     if (!store_cut_ && holds) {
       for (StoredEndings it : save.endings) {
-        it.revision = ++revision_;
+        it.revision.number = ++revision_;
         stored_[it.content] = it;
         if (it.lives.empty()) stored_.erase(it.content);
         TellWatchers(it);
@@ -326,12 +327,12 @@
         engine.address + "-" + std::to_string(++engine.life);
     engine.revision = ++revision_;
     for (int i = 0; i < options_.daemons; ++i) {
-      Feed(i, BackendUnlisted{.id = id, .revision = revision_});
+      Feed(i, BackendUnlisted{.id = id, .revision = {.number = revision_}});
       Feed(i, BackendListed{{.id = next,
                              .service = "llm",
                              .address = engine.address,
                              .slots = 16,
-                             .revision = revision_}});
+                             .revision = {.number = revision_}}});
     }
     engines_[next] = std::move(engine);
   }
@@ -396,7 +397,7 @@
 
   void ProveAll() {
     for (int i = 0; i < options_.daemons; ++i) {
-      Feed(i, ConfigurationConfirmed{.revision = 1, .asked = now_});
+      Feed(i, ConfigurationConfirmed{.revision = {.number = 1}, .asked = now_});
       Feed(i, BackendsConfirmed{.asked = now_});
     }
   }
--- a/serving/test/proofs_test.cc
+++ b/serving/test/proofs_test.cc
@@ -24,8 +24,8 @@
   Daemon& daemon() { return daemon_; }
   // All that it knows is the newest.
   void Prove() {
-    daemon_.Feed(
-        ConfigurationConfirmed{.revision = revision_, .asked = daemon_.now()});
+    daemon_.Feed(ConfigurationConfirmed{.revision = {.number = revision_},
+                                        .asked = daemon_.now()});
     daemon_.Feed(BackendsConfirmed{.asked = daemon_.now()});
   }
   void Lag(Duration time) {
--- a/serving/test/quarantine_test.cc
+++ b/serving/test/quarantine_test.cc
@@ -66,17 +66,17 @@
 TEST_CASE("The store is to hold what is known, under the revision it has") {
   Quarantine quarantine = Seen(1);
   REQUIRE(quarantine.Unsaved(10).size() == 1);
-  CHECK(quarantine.Unsaved(10).front().revision == 0);
-  quarantine.TakeStored({.content = kContent, .lives = {1}, .revision = 20},
-                        kNow);
+  CHECK(quarantine.Unsaved(10).front().revision.number == 0);
+  quarantine.TakeStored(
+      {.content = kContent, .lives = {1}, .revision = {.number = 20}}, kNow);
   CHECK(quarantine.Unsaved(10).empty());
   quarantine.Take({.content = kContent, .life = 2}, kNow);
   const StoredEndings unsaved = quarantine.Unsaved(10).front();
   CHECK(unsaved.lives == std::vector<BackendId>{1, 2});
-  CHECK(unsaved.revision == 20);
+  CHECK(unsaved.revision.number == 20);
   // Another daemon wrote first: both are to be there.
-  quarantine.TakeStored({.content = kContent, .lives = {1, 3}, .revision = 21},
-                        kNow);
+  quarantine.TakeStored(
+      {.content = kContent, .lives = {1, 3}, .revision = {.number = 21}}, kNow);
   CHECK(quarantine.Holds(kContent));
   CHECK(quarantine.Unsaved(10).front().lives ==
         std::vector<BackendId>{1, 2, 3});
@@ -84,14 +84,14 @@
 
 TEST_CASE("What is taken out of the store is forgiven, what it never had not") {
   Quarantine quarantine = Seen(2);
-  quarantine.TakeStored({.content = kContent, .lives = {1}, .revision = 20},
-                        kNow);
-  quarantine.TakeStored({.content = kContent, .lives = {}, .revision = 21},
-                        kNow);
+  quarantine.TakeStored(
+      {.content = kContent, .lives = {1}, .revision = {.number = 20}}, kNow);
+  quarantine.TakeStored(
+      {.content = kContent, .lives = {}, .revision = {.number = 21}}, kNow);
   CHECK(quarantine.EndsOf(kContent) == 1);
   // An older word of the store comes late.
-  quarantine.TakeStored({.content = kContent, .lives = {1}, .revision = 20},
-                        kNow);
+  quarantine.TakeStored(
+      {.content = kContent, .lives = {1}, .revision = {.number = 20}}, kNow);
   CHECK(quarantine.EndsOf(kContent) == 1);
 }
 
@@ -99,12 +99,13 @@
   Quarantine one = Seen(1);
   Quarantine other;
   const StoredEndings stored{
-      .content = kContent, .lives = {1, 2}, .revision = 20};
+      .content = kContent, .lives = {1, 2}, .revision = {.number = 20}};
   one.TakeStored(stored, kNow);
   CHECK(one.digest() != other.digest());
   other.TakeStored(stored, kNow);
   CHECK(one.digest() == other.digest());
-  one.TakeStored({.content = kContent, .lives = {}, .revision = 21}, kNow);
+  one.TakeStored({.content = kContent, .lives = {}, .revision = {.number = 21}},
+                 kNow);
   CHECK(one.digest() == Quarantine().digest());
 }
 
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -20,7 +20,7 @@
   Configuration older = MakeConfiguration(4);
   older.routes.clear();
   daemon.Feed(ConfigurationSeen{.configuration = older, .asked = daemon.now()});
-  CHECK(daemon.state().configuration->configuration().revision == 5);
+  CHECK(daemon.state().configuration->configuration().revision.number == 5);
   daemon.Ask("safe");
   CHECK(daemon.First<StartAttempt>() != nullptr);
 }
@@ -42,13 +42,16 @@
   // The word that an older revision was the newest proves that only for when
   // it was asked.
   const Time asked = daemon.now() - milliseconds(4850);
-  daemon.Feed(ConfigurationConfirmed{.revision = 1, .asked = asked});
+  daemon.Feed(
+      ConfigurationConfirmed{.revision = {.number = 1}, .asked = asked});
   CHECK(daemon.state().confirmed_at == asked);
   CHECK_FALSE(IsServing(daemon.state()));
   // A word about one that is not known here proves nothing.
-  daemon.Feed(ConfigurationConfirmed{.revision = 3, .asked = daemon.now()});
+  daemon.Feed(
+      ConfigurationConfirmed{.revision = {.number = 3}, .asked = daemon.now()});
   CHECK(daemon.state().confirmed_at == asked);
-  daemon.Feed(ConfigurationConfirmed{.revision = 2, .asked = daemon.now()});
+  daemon.Feed(
+      ConfigurationConfirmed{.revision = {.number = 2}, .asked = daemon.now()});
   CHECK(IsServing(daemon.state()));
 }
 
--- a/serving/test/server_words_test.cc
+++ b/serving/test/server_words_test.cc
@@ -116,7 +116,7 @@
            .service = "llm",
            .address = id + ":1",
            .slots = 16,
-           .revision = revision,
+           .revision = {.number = revision},
            .born = born}};
 }
 
@@ -132,7 +132,7 @@
   daemon.Feed(Leaving(SendOne(daemon)));
   CHECK(LineOf(daemon, "server_leaving")["request"] == "r1");
   CHECK_FALSE(IsOpen(daemon, "llm0"));
-  daemon.Feed(BackendUnlisted{.id = "llm0", .revision = 101});
+  daemon.Feed(BackendUnlisted{.id = "llm0", .revision = {.number = 101}});
   daemon.Feed(Entry(0, 102, 7));
   CHECK_FALSE(IsOpen(daemon, "llm0"));
   daemon.Feed(Entry(0, 103, 7));
--- a/serving/test/serving_harness.h
+++ b/serving/test/serving_harness.h
@@ -28,7 +28,7 @@
 
 inline Configuration MakeConfiguration(std::uint64_t revision) {
   Configuration configuration;
-  configuration.revision = revision;
+  configuration.revision.number = revision;
   configuration.routes = {
       MakeRoute("stream", RequestKind::kResumableStream, "llm", 2),
       MakeRoute("once-stream", RequestKind::kOnceStream, "llm", 1),
@@ -86,7 +86,7 @@
                         .address = id + ":1",
                         .slots = 16,
                         .leaving = leaving,
-                        .revision = ++revision_}});
+                        .revision = {.number = ++revision_}}});
   }
 
   const Effects& Feed(EventBody body) {
@@ -112,7 +112,7 @@
   }
   // All that it knows of the store is the newest.
   void Confirm() {
-    Feed(ConfigurationConfirmed{.revision = 1, .asked = now_});
+    Feed(ConfigurationConfirmed{.revision = {.number = 1}, .asked = now_});
     Feed(BackendsConfirmed{.asked = now_});
   }
 
--- a/serving/test/store_following_test.cc
+++ b/serving/test/store_following_test.cc
@@ -59,15 +59,16 @@
             .digest = Digest(),
             .changes = {},
             .age = age,
+            .configuration_age = age,
             .heard_life = daemon_.state().options.life,
             .heard_sequence = daemon_.state().sequence};
   }
   StoreDigest Digest() {
     StoreDigest digest{
         .configuration =
-            daemon_.state().configuration->configuration().revision};
+            daemon_.state().configuration->configuration().stamp()};
     for (const auto& [id, backend] : daemon_.state().backends) {
-      digest.backends ^= HashBytes(id, backend.server.revision);
+      digest.backends ^= backend.entry_hash;
     }
     return digest;
   }
@@ -101,7 +102,7 @@
   CHECK(watch->on);
   const auto* question = daemon.First<AskStore>();
   REQUIRE(question != nullptr);
-  CHECK(question->configuration == 1);
+  CHECK(question->configuration.number == 1);
   CHECK(question->backends.size() == 9);
 }
 
@@ -134,7 +135,7 @@
     return Reduce(state, {.now = now, .body = std::move(body)});
   };
   feed(Tick{});
-  feed(BackendsListed{.revision = 5, .asked = now});
+  feed(BackendsListed{.revision = {.number = 5}, .asked = now});
   std::uint64_t sequence = 0;
   int questions = 0;
   for (int i = 0; i < 25; ++i) {
@@ -146,6 +147,7 @@
     // That there is no configuration is proved too.
     feed(StoreRelayReceived{{.peer_address = "2.2.2.2:0",
                              .age = milliseconds(5),
+                             .configuration_age = milliseconds(5),
                              .heard_life = state.options.life,
                              .heard_sequence = state.sequence}});
     for (const Effect& it : feed(Tick{})) {
@@ -196,7 +198,8 @@
   const BackendServer server = daemon.state().backends.at("app0").server;
   StoreRelay relay = listener.Proof();
   relay.age.reset();
-  relay.changes = {{.id = "app0", .revision = server.revision + 5}};
+  relay.changes = {
+      {.id = "app0", .revision = {.number = server.revision.number + 5}}};
   listener.Relay(relay);
   CHECK_FALSE(daemon.state().backends.contains("app0"));
   relay.changes = {
@@ -205,11 +208,12 @@
   CHECK_FALSE(daemon.state().backends.contains("app0"));
   // And the other way round: gone before it came back.
   BackendServer back = server;
-  back.revision = server.revision + 9;
+  back.revision.number = server.revision.number + 9;
   relay.changes = {{.id = "app0", .revision = back.revision, .server = back}};
   listener.Relay(relay);
   REQUIRE(daemon.state().backends.contains("app0"));
-  relay.changes = {{.id = "app0", .revision = server.revision + 5}};
+  relay.changes = {
+      {.id = "app0", .revision = {.number = server.revision.number + 5}}};
   listener.Relay(relay);
   CHECK(daemon.state().backends.contains("app0"));
 }
@@ -220,7 +224,7 @@
   StoreRelay relay = listener.Proof();
   int reads = 0;
   for (int i = 0; i < 20; ++i) {
-    ++relay.digest.configuration;
+    ++relay.digest.configuration.revision.number;
     listener.Relay(relay);
     daemon.Pass(milliseconds(50));
     if (daemon.First<ReadConfiguration>() != nullptr) ++reads;
@@ -239,9 +243,10 @@
   const Time sent = daemon.now();
   listener.Relay(proof);
   daemon.Pass(milliseconds(300));
-  daemon.Feed(ConfigurationSeen{
-      .configuration = test::MakeConfiguration(relay.digest.configuration + 1),
-      .asked = Time{}});
+  daemon.Feed(
+      ConfigurationSeen{.configuration = test::MakeConfiguration(
+                            relay.digest.configuration.revision.number + 1),
+                        .asked = Time{}});
   CHECK(daemon.state().confirmed_at > before);
   CHECK(daemon.state().confirmed_at <= sent);
 }
@@ -312,7 +317,7 @@
   Daemon& daemon = listener.daemon();
   StoreRelay relay = listener.Proof();
   listener.Relay(relay);
-  ++relay.digest.configuration;
+  ++relay.digest.configuration.revision.number;
   // The others know a newer configuration, which it can't read.
   for (int i = 0; i < 35; ++i) {
     listener.Hear();
@@ -356,7 +361,8 @@
   elsewhere.data_centre = "other";
   daemon.Feed(SnapshotReceived{here});
   daemon.Feed(SnapshotReceived{elsewhere});
-  daemon.Feed(ConfigurationConfirmed{.revision = 1, .asked = daemon.now()});
+  daemon.Feed(
+      ConfigurationConfirmed{.revision = {.number = 1}, .asked = daemon.now()});
   daemon.Feed(BackendsConfirmed{.asked = daemon.now()});
   daemon.List("app", 0, /*leaving=*/true);
   daemon.Pass(milliseconds(30));
--- a/serving/test/store_relay_drawn_test.cc
+++ b/serving/test/store_relay_drawn_test.cc
@@ -55,7 +55,7 @@
                     .address = id + ":1",
                     .slots = 8,
                     .leaving = leaving,
-                    .revision = ++revision_,
+                    .revision = {.number = ++revision_},
                     .born = born_[id]};
     changes_.push_back({id, now, servers_[id]});
   }
@@ -75,14 +75,16 @@
   // Somebody else writes what names no backend server.
   void Forge(int i, Time now) {
     const std::string id = "app" + std::to_string(i);
-    servers_[id] = {.id = id, .revision = ++revision_, .fault = "state: ?"};
+    servers_[id] = {
+        .id = id, .revision = {.number = ++revision_}, .fault = "state: ?"};
     changes_.push_back({id, now, servers_[id]});
   }
   void Remove(int i, Time now) {
     const std::string id = "app" + std::to_string(i);
     if (servers_.erase(id) == 0) return;
     changes_.push_back(
-        {id, now, BackendServer{.id = id, .revision = ++revision_}, true});
+        {id, now, BackendServer{.id = id, .revision = {.number = ++revision_}},
+         true});
   }
 
   std::uint64_t configuration() const { return configuration_.back().first; }
@@ -206,7 +208,7 @@
     store_.Forge(3, now_);
     Pass(kNewsWithin);
     for (const Node& it : nodes_) {
-      if (it.state->configuration->configuration().revision !=
+      if (it.state->configuration->configuration().revision.number !=
           store_.configuration()) {
         Violate("a calm daemon has an old configuration");
       }
@@ -298,7 +300,8 @@
         .asked = asked};
   }
   EventBody Servers(Time asked) const {
-    BackendsListed all{.revision = store_.revision(), .asked = asked};
+    BackendsListed all{.revision = {.number = store_.revision()},
+                       .asked = asked};
     for (const auto& [id, server] : store_.servers()) {
       all.backends.push_back(server);
     }
@@ -395,7 +398,7 @@
   void AnswerQuestion(std::size_t i, const AskStore& question) {
     if (!ReachesStore(i)) return;
     const Time back = Back(i);
-    if (question.configuration == store_.configuration()) {
+    if (question.configuration.number == store_.configuration()) {
       Answer(i, back,
              ConfigurationConfirmed{.revision = question.configuration,
                                     .asked = now_});
@@ -440,7 +443,8 @@
 
   void Check(Node& node) {
     const State& state = *node.state;
-    const std::uint64_t known = state.configuration->configuration().revision;
+    const std::uint64_t known =
+        state.configuration->configuration().revision.number;
     if (known < node.highest) Violate("the configuration went back");
     node.highest = known;
     if (store_.HadNewer(known, state.confirmed_at)) {
@@ -458,7 +462,8 @@
     const bool looks = (now_ - kStart) % kLookEvery == Duration::zero();
     if (!calm || !looks || !IsServing(state)) return;
     const Time due = now_ - kNewsWithin;
-    if (store_.HadNewer(state.configuration->configuration().revision, due)) {
+    if (store_.HadNewer(state.configuration->configuration().revision.number,
+                        due)) {
       Violate("a calm daemon serves by an old configuration");
     }
     const std::string missing = store_.Missing(state.backends, due);
--- a/testing/test/store_restore_test.cc
+++ b/testing/test/store_restore_test.cc
@@ -46,6 +46,17 @@
     REQUIRE(Until([&] { return asked->done; }));
     return asked->status();
   }
+  // That daemon's figures have that line.
+  bool Shows(std::size_t i, const std::string& line) {
+    const auto asked = Get(settings(i).fleet->metrics_listen, "/metrics");
+    return asked->body().find(line + "\n") != std::string::npos;
+  }
+  bool AllShow(const std::string& line) {
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      if (!Eventually([&] { return Shows(i, line); })) return false;
+    }
+    return true;
+  }
   bool EventuallyAll(const std::string& path, int status) {
     for (std::size_t i = 0; i < kDaemons; ++i) {
       if (!Eventually([&] { return StatusAt(i, path) == status; })) {
@@ -62,10 +73,10 @@
   RestoredFleet fleet;
   fleet.LoseFromNow();
   fleet.WriteBesides(4);
-  fleet.Configure(ConfigurationWithout("/plain/safe/", 2));
+  fleet.Configure(ConfigurationWithout("/plain/safe/", 4));
   REQUIRE(fleet.EventuallyAll("/plain/safe/a", 404));
   fleet.store().RestoreCopy();
-  fleet.Configure(ConfigurationWithout("/plain/unsafe/", 3));
+  fleet.Configure(ConfigurationWithout("/plain/unsafe/", 5));
   CHECK(fleet.EventuallyAll("/plain/safe/a", 200));
   CHECK(fleet.EventuallyAll("/plain/unsafe/a", 404));
 }
@@ -74,10 +85,10 @@
 TEST_CASE("A configuration at the very revision that was known is taken") {
   RestoredFleet fleet;
   fleet.LoseFromNow();
-  fleet.Configure(ConfigurationWithout("/plain/safe/", 2));
+  fleet.Configure(ConfigurationWithout("/plain/safe/", 4));
   REQUIRE(fleet.EventuallyAll("/plain/safe/a", 404));
   fleet.store().RestoreCopy();
-  fleet.Configure(ConfigurationWithout("/plain/unsafe/", 3));
+  fleet.Configure(ConfigurationWithout("/plain/unsafe/", 5));
   CHECK(fleet.EventuallyAll("/plain/unsafe/a", 404));
   CHECK(fleet.EventuallyAll("/plain/safe/a", 200));
 }
@@ -87,7 +98,7 @@
   RestoredFleet fleet;
   fleet.LoseFromNow();
   nlohmann::json without_key = FleetConfiguration();
-  without_key["version"] = 2;
+  without_key["version"] = 4;
   without_key["tenants"][0]["api_keys"] = {"k2"};
   fleet.Configure(without_key);
   REQUIRE(fleet.EventuallyAll("/plain/safe/a", 401));
@@ -113,7 +124,7 @@
   RestoredFleet fleet;
   fleet.LoseFromNow();
   fleet.WriteBesides(4);
-  fleet.Configure(ConfigurationWithout("/plain/safe/", 2));
+  fleet.Configure(ConfigurationWithout("/plain/safe/", 4));
   REQUIRE(fleet.EventuallyAll("/plain/safe/a", 404));
   fleet.store().RestoreCopy();
   const int calls = fleet.store().calls();
@@ -153,21 +164,20 @@
 TEST_CASE("A server that had gone is not used because a copy lists it") {
   RestoredFleet fleet;
   FakeWorker& gone = fleet.AddWorker("app");
-  REQUIRE(fleet.Eventually([&] {
-    fleet.StatusAt(0, "/plain/safe/a");
-    return gone.runs() > 0;
-  }));
+  REQUIRE(fleet.AllShow("scaleshed_backends_open 2"));
   fleet.LoseFromNow();
   fleet.store().Remove("servers/" + gone.id());
-  REQUIRE(fleet.StopsGetting(gone, "/plain/safe/a"));
-  fleet.store().RestoreCopy();
-  const int questions = fleet.store().questions();
+  REQUIRE(fleet.AllShow("scaleshed_backends_open 1"));
   const int before = gone.runs();
-  // The first of them finds that the store was restored.
-  REQUIRE(fleet.Until([&] {
-    fleet.Send("/plain/safe/a");
-    return fleet.store().questions() >= questions + 2;
-  }));
+  fleet.store().RestoreCopy();
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    REQUIRE(fleet.Eventually([&] {
+      fleet.StatusAt(i, "/plain/safe/a");
+      return fleet.Shows(i, "scaleshed_store_era 2");
+    }));
+    // Whatever of the copy was told beside it.
+    for (int n = 0; n < 20; ++n) fleet.StatusAt(i, "/plain/safe/a");
+  }
   CHECK(gone.runs() == before);
 }
 
@@ -197,7 +207,7 @@
     fleet.AddWorker("deadly").EndUnder("deadly", milliseconds(20), [] {});
   }
   nlohmann::json configuration = FleetConfiguration();
-  configuration["version"] = 2;
+  configuration["version"] = 4;
   for (auto& it : configuration["routes"]) {
     if (it["path_prefix"] == "/plain/safe/") it["service"] = "deadly";
   }
@@ -220,11 +230,11 @@
   RestoredFleet fleet;
   fleet.LoseFromNow();
   fleet.WriteBesides(4);
-  fleet.Configure(ConfigurationWithout("/plain/safe/", 2));
+  fleet.Configure(ConfigurationWithout("/plain/safe/", 4));
   REQUIRE(fleet.EventuallyAll("/plain/safe/a", 404));
   fleet.store().RestoreCopy();
   fleet.store().RestoreCopy();
-  fleet.Configure(ConfigurationWithout("/plain/unsafe/", 3));
+  fleet.Configure(ConfigurationWithout("/plain/unsafe/", 5));
   CHECK(fleet.EventuallyAll("/plain/unsafe/a", 404));
   CHECK(fleet.EventuallyAll("/plain/safe/a", 200));
 }
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -47,7 +47,11 @@
   to.set_life(snapshot.life);
   to.set_sequence(snapshot.sequence);
   to.set_serving(snapshot.serving);
-  to.set_revision(snapshot.revision);
+  to.set_version(snapshot.configuration.version);
+  to.set_revision(snapshot.configuration.revision.number);
+  to.set_configuration_era(snapshot.configuration.revision.era);
+  to.set_era(snapshot.era);
+  to.set_unsettled_us(snapshot.unsettled_for.count());
   to.set_asks_store(snapshot.asks_store);
   to.set_partial(snapshot.partial);
   to.set_is_hub(snapshot.is_hub);
@@ -112,7 +116,11 @@
       .is_hub = from.is_hub(),
       .places = from.places(),
       .capacity = from.capacity(),
-      .revision = from.revision(),
+      .configuration = {.version = from.version(),
+                        .revision = {.era = from.configuration_era(),
+                                     .number = from.revision()}},
+      .era = from.era(),
+      .unsettled_for = Duration(std::max<std::int64_t>(from.unsettled_us(), 0)),
       .partial = from.partial(),
       .works = {},
       .ended = {from.ended().begin(), from.ended().end()},
@@ -152,7 +160,8 @@
 void WriteChange(const serving::BackendChange& change,
                  wire::BackendChange& to) {
   to.set_id(change.id);
-  to.set_revision(change.revision);
+  to.set_revision(change.revision.number);
+  to.set_era(change.revision.era);
   to.set_certain(change.certain);
   if (!change.server) return;
   wire::BackendServer& server = *to.mutable_server();
@@ -166,10 +175,11 @@
 }
 
 serving::BackendChange ReadChange(const wire::BackendChange& from) {
-  serving::BackendChange change{.id = from.id(),
-                                .revision = from.revision(),
-                                .server = {},
-                                .certain = from.certain()};
+  serving::BackendChange change{
+      .id = from.id(),
+      .revision = {.era = from.era(), .number = from.revision()},
+      .server = {},
+      .certain = from.certain()};
   if (!from.has_server()) return change;
   change.server = {.id = from.id(),
                    .service = from.server().service(),
@@ -177,35 +187,45 @@
                    .data_centre = from.server().data_centre(),
                    .slots = from.server().slots(),
                    .leaving = from.server().leaving(),
-                   .revision = from.revision(),
+                   .revision = change.revision,
                    .born = from.server().born(),
                    .fault = from.server().fault()};
   return change;
 }
 
 serving::StoreRelay ReadRelay(const wire::StoreRelay& from) {
-  serving::StoreRelay relay{.peer_address = from.peer_address(),
-                            .digest = {.configuration = from.configuration(),
-                                       .backends = from.backends(),
-                                       .endings = from.endings_digest()},
-                            .changes = {},
-                            .endings = {},
-                            .complete_at = from.complete_at(),
-                            .age = {},
-                            .daemons = 0,
-                            .daemons_age = {},
-                            .heard_life = from.heard_life(),
-                            .heard_sequence = from.heard_sequence()};
+  serving::StoreRelay relay{
+      .peer_address = from.peer_address(),
+      .era = from.era(),
+      .digest = {.configuration = {.version = from.version(),
+                                   .revision = {.era = from.configuration_era(),
+                                                .number =
+                                                    from.configuration()}},
+                 .backends = from.backends(),
+                 .endings = from.endings_digest()},
+      .changes = {},
+      .endings = {},
+      .complete_at = {.era = from.complete_era(), .number = from.complete_at()},
+      .age = {},
+      .configuration_age = {},
+      .daemons = 0,
+      .daemons_age = {},
+      .heard_life = from.heard_life(),
+      .heard_sequence = from.heard_sequence()};
   for (const auto& it : from.changes()) relay.changes.push_back(ReadChange(it));
   for (const auto& it : from.endings()) {
-    relay.endings.push_back({.content = it.content(),
-                             .lives = {it.lives().begin(), it.lives().end()},
-                             .revision = it.revision()});
+    relay.endings.push_back(
+        {.content = it.content(),
+         .lives = {it.lives().begin(), it.lives().end()},
+         .revision = {.era = it.era(), .number = it.revision()}});
   }
   // An age below zero would make the proof younger than it is.
   if (from.has_age_us() && from.age_us() >= 0) {
     relay.age = Duration(from.age_us());
   }
+  if (from.has_configuration_age_us() && from.configuration_age_us() >= 0) {
+    relay.configuration_age = Duration(from.configuration_age_us());
+  }
   if (from.has_daemons_age_us() && from.daemons_age_us() >= 0) {
     relay.daemons = from.daemons();
     relay.daemons_age = Duration(from.daemons_age_us());
@@ -310,7 +330,10 @@
   wire::Datagram datagram;
   wire::StoreRelay& to = *datagram.mutable_relay();
   to.set_peer_address(relay.peer_address);
-  to.set_configuration(relay.digest.configuration);
+  to.set_era(relay.era);
+  to.set_version(relay.digest.configuration.version);
+  to.set_configuration(relay.digest.configuration.revision.number);
+  to.set_configuration_era(relay.digest.configuration.revision.era);
   to.set_backends(relay.digest.backends);
   for (const auto& it : relay.changes) WriteChange(it, *to.add_changes());
   to.set_endings_digest(relay.digest.endings);
@@ -318,14 +341,19 @@
     wire::StoredEndings& endings = *to.add_endings();
     endings.set_content(it.content);
     for (const auto life : it.lives) endings.add_lives(life);
-    endings.set_revision(it.revision);
+    endings.set_revision(it.revision.number);
+    endings.set_era(it.revision.era);
   }
   if (relay.age) to.set_age_us(relay.age->count());
+  if (relay.configuration_age) {
+    to.set_configuration_age_us(relay.configuration_age->count());
+  }
   if (relay.daemons_age) {
     to.set_daemons(relay.daemons);
     to.set_daemons_age_us(relay.daemons_age->count());
   }
-  to.set_complete_at(relay.complete_at);
+  to.set_complete_at(relay.complete_at.number);
+  to.set_complete_era(relay.complete_at.era);
   to.set_heard_life(relay.heard_life);
   to.set_heard_sequence(relay.heard_sequence);
   return datagram.SerializeAsString();
--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -23,23 +23,31 @@
 TEST_CASE("A relay comes back as it was") {
   serving::StoreRelay relay{
       .peer_address = "1.1.1.1:2",
-      .digest = {.configuration = 7,
+      .era = 2,
+      .digest = {.configuration = {.version = 6,
+                                   .revision = {.era = 1, .number = 7}},
                  .backends = 0xfedc'ba98'7654'3210,
                  .endings = 13},
       .changes = {{.id = "a",
-                   .revision = 8,
+                   .revision = {.era = 2, .number = 8},
                    .server = serving::BackendServer{.id = "a",
                                                     .service = "s",
                                                     .address = "2.2.2.2:3",
                                                     .data_centre = "z",
                                                     .slots = 6,
                                                     .leaving = true,
-                                                    .revision = 8}},
-                  {.id = "b", .revision = 9, .server = {}, .certain = false}},
-      .endings = {{.content = 14, .lives = {15, 16}, .revision = 17},
-                  {.content = 18, .lives = {}, .revision = 19}},
-      .complete_at = 10,
+                                                    .revision = {.number = 8}}},
+                  {.id = "b",
+                   .revision = {.number = 9},
+                   .server = {},
+                   .certain = false}},
+      .endings = {{.content = 14,
+                   .lives = {15, 16},
+                   .revision = {.era = 2, .number = 17}},
+                  {.content = 18, .lives = {}, .revision = {.number = 19}}},
+      .complete_at = {.era = 2, .number = 10},
       .age = milliseconds(3),
+      .configuration_age = milliseconds(4),
       .daemons = 75,
       .daemons_age = seconds(4),
       .heard_life = 11,
@@ -49,8 +57,10 @@
   CHECK(back.peer_address == relay.peer_address);
   CHECK(back.digest == relay.digest);
   CHECK(back.endings == relay.endings);
-  CHECK(back.complete_at == 10);
+  CHECK(back.complete_at == relay.complete_at);
+  CHECK(back.era == 2);
   CHECK(back.age == relay.age);
+  CHECK(back.configuration_age == relay.configuration_age);
   CHECK(back.daemons == 75);
   CHECK(back.daemons_age == relay.daemons_age);
   CHECK(back.heard_life == 11);
@@ -60,7 +70,8 @@
   CHECK(back.changes[0].server->id == "a");
   CHECK(back.changes[0].server->address == "2.2.2.2:3");
   CHECK(back.changes[0].server->leaving);
-  CHECK(back.changes[0].server->revision == 8);
+  CHECK(back.changes[0].revision == relay.changes[0].revision);
+  CHECK(back.changes[0].server->revision == relay.changes[0].revision);
   CHECK_FALSE(back.changes[1].server.has_value());
   CHECK_FALSE(back.changes[1].certain);
   relay.age.reset();
