--- /dev/null
+++ b/serving/test/relay_fleet.h
@@ -0,0 +1,621 @@
+#ifndef SCALESHED_SERVING_TEST_RELAY_FLEET_H_
+#define SCALESHED_SERVING_TEST_RELAY_FLEET_H_
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "drawn_step.h"
+#include "serving_harness.h"
+
+namespace scaleshed::serving::test {
+
+inline constexpr int kDaemons = 5;
+inline constexpr int kServers = 4;
+inline constexpr Duration kStep = milliseconds(10);
+// Of a calm fleet: what the store has taken is known everywhere within this.
+inline constexpr Duration kNewsWithin = seconds(2);
+// So long after trouble a daemon counts as calm again.
+inline constexpr Duration kCalmAfter = seconds(3);
+// A daemon that serves by something old does so for longer than this.
+inline constexpr Duration kLookEvery = 5 * kStep;
+
+// The store's truth, with the times of its changes.
+//
+// It may be restored from a copy. Whoever wrote to it writes its last word
+// again after that.
+class Store {
+ public:
+  Store() {
+    for (int i = 0; i < kServers; ++i) Put(i, false, kStart);
+    Accept(1, kStart);
+  }
+
+  void Configure(Time now) { Accept(stored_.version + 1, now); }
+  void MakeCopy() { copy_ = {revision_, stored_, servers_}; }
+  // All that was taken since the copy is lost. The store says so itself.
+  void Restore() {
+    ++revision_.era;
+    revision_.number = copy_.revision.number;
+    stored_ = InThisEra(copy_.stored);
+    servers_ = copy_.servers;
+    for (auto& [id, server] : servers_) server.revision.era = revision_.era;
+  }
+  // The operators and the servers write what the copy lacks.
+  void WriteAgain(Time now) {
+    const std::int64_t newest = accepted_.back().first.version;
+    if (stored_.version < newest) Accept(newest, now);
+    for (const auto& [id, server] : alive_) {
+      const auto found = servers_.find(id);
+      const bool same = found != servers_.end() &&
+                        found->second.born == server.born &&
+                        found->second.leaving == server.leaving &&
+                        found->second.fault == server.fault;
+      if (!same) Write(server, now);
+    }
+    // Leases of those that have gone run out.
+    std::vector<std::string> gone;
+    for (const auto& [id, server] : servers_) {
+      if (!alive_.contains(id)) gone.push_back(id);
+    }
+    for (const std::string& it : gone) Erase(it, now);
+  }
+  bool HasCopy() const { return copy_.revision.number != 0; }
+  void Put(int i, bool leaving, Time now) {
+    const std::string id = "app" + std::to_string(i);
+    Write({.id = id,
+           .service = "app",
+           .address = id + ":1",
+           .slots = 8,
+           .leaving = leaving,
+           .born = born_[id]},
+          now);
+  }
+  // Another life under the same id.
+  void StartAgain(int i, Time now) {
+    born_["app" + std::to_string(i)] += 1000;
+    Put(i, false, now);
+  }
+  // A late write of the life before.
+  void WriteLate(int i, Time now) {
+    const std::string id = "app" + std::to_string(i);
+    if (!servers_.contains(id) || born_[id] == 0) return;
+    Put(i, true, now);
+    servers_[id].born -= 1000;
+    alive_[id] = servers_[id];
+    changes_.back().server = servers_[id];
+  }
+  // Somebody else writes what names no backend server.
+  void Forge(int i, Time now) {
+    Write({.id = "app" + std::to_string(i), .fault = "state: ?"}, now);
+  }
+  void Remove(int i, Time now) {
+    const std::string id = "app" + std::to_string(i);
+    alive_.erase(id);
+    Erase(id, now);
+  }
+
+  const ConfigurationStamp& stored() const { return stored_; }
+  const StoreRevision& revision() const { return revision_; }
+  const std::map<std::string, BackendServer>& servers() const {
+    return servers_;
+  }
+  // Whether a newer configuration than `known` had been accepted at `then`,
+  // lost or not.
+  bool HadNewer(const ConfigurationStamp& known, Time then) const {
+    return std::any_of(accepted_.begin(), accepted_.end(), [&](const auto& it) {
+      return IsNewer(it.first, known) && it.second < then;
+    });
+  }
+  // The change of an entry up to `then` that `known` lacks; empty if none.
+  std::string Missing(const std::map<std::string, Backend>& known,
+                      Time then) const {
+    std::map<std::string, const Change*> last;
+    for (const auto& it : changes_) {
+      if (it.at < then) last[it.id] = &it;
+    }
+    for (const auto& [id, change] : last) {
+      const BackendServer& server = change->server;
+      const auto found = known.find(id);
+      const bool listed = found != known.end() && !found->second.gone_at;
+      const bool gone = change->gone;
+      if (gone && listed && found->second.server.revision < server.revision) {
+        return id + " is gone";
+      }
+      if (!gone && listed && found->second.server.revision < server.revision) {
+        return id + " has changed";
+      }
+    }
+    return "";
+  }
+
+ private:
+  struct Change {
+    std::string id;
+    Time at{};
+    BackendServer server;
+    bool gone = false;
+  };
+  struct Copy {
+    StoreRevision revision;
+    ConfigurationStamp stored;
+    std::map<std::string, BackendServer> servers;
+  };
+
+  StoreRevision Next() {
+    ++revision_.number;
+    return revision_;
+  }
+  ConfigurationStamp InThisEra(ConfigurationStamp stamp) const {
+    stamp.revision.era = revision_.era;
+    return stamp;
+  }
+  void Accept(std::int64_t version, Time now) {
+    stored_ = {.version = version, .revision = Next()};
+    accepted_.emplace_back(stored_, now);
+  }
+  void Write(BackendServer server, Time now) {
+    server.revision = Next();
+    servers_[server.id] = server;
+    alive_[server.id] = server;
+    changes_.push_back({server.id, now, server});
+  }
+  void Erase(const std::string& id, Time now) {
+    if (servers_.erase(id) == 0) return;
+    changes_.push_back(
+        {id, now, BackendServer{.id = id, .revision = Next()}, true});
+  }
+
+  StoreRevision revision_{.era = 1, .number = 100};
+  ConfigurationStamp stored_;
+  Copy copy_;
+  // All that were ever accepted, and when.
+  std::vector<std::pair<ConfigurationStamp, Time>> accepted_;
+  std::map<std::string, BackendServer> servers_;
+  std::map<std::string, BackendServer> alive_;  // as they last wrote
+  std::map<std::string, std::uint64_t> born_;   // of the lives, by id
+  std::vector<Change> changes_;
+};
+
+// Five daemons of one data centre, their messages and the store.
+class Fleet {
+ public:
+  Fleet() {
+    for (int i = 0; i < kDaemons; ++i) nodes_.emplace_back(Fresh(i));
+    Pass(seconds(3));
+  }
+
+  void Play(const DrawnStep& step) {
+    Node& node = nodes_[static_cast<std::size_t>(step.first % kDaemons)];
+    const Time before = node.troubled_until;
+    switch (step.kind) {
+      case 0:
+        store_.Configure(now_);
+        break;
+      case 1:
+        store_.Put(step.first % kServers, step.second % 2 == 0, now_);
+        break;
+      case 2:
+        store_.Remove(step.first % kServers, now_);
+        break;
+      case 3:  // frozen: what comes waits, its clock goes on
+        node.frozen_until = now_ + milliseconds(step.second * 5);
+        break;
+      case 4:  // dies and comes back with nothing
+        node = Fresh(step.first % kDaemons);
+        break;
+      case 5:  // cut from the store
+        node.store_away_until = now_ + milliseconds(step.second * 5);
+        break;
+      case 6:  // hears nobody, or is heard by nobody
+        (step.second % 2 == 0 ? node.deaf_until : node.mute_until) =
+            now_ + milliseconds(step.second * 4);
+        break;
+      case 7:  // messages are late and doubled
+        late_until_ = now_ + milliseconds(step.second * 4);
+        break;
+      case 8:  // watches say nothing
+        watches_muted_until_ = now_ + milliseconds(step.second * 5);
+        break;
+      case 9:  // answers begin at once, and are whole much later
+        crawls_until_ = now_ + milliseconds(step.second * 8);
+        crawl_ = milliseconds(100 + step.first * 3);
+        break;
+      case 10:
+        store_.StartAgain(step.first % kServers, now_);
+        break;
+      case 11:
+        if (step.second % 2 == 0) {
+          store_.Forge(step.first % kServers, now_);
+        } else {
+          store_.WriteLate(step.first % kServers, now_);
+        }
+        break;
+      case kCopies:
+        store_.MakeCopy();
+        break;
+      case kRestores:
+        if (!store_.HasCopy()) break;
+        Restore(milliseconds(step.first * 2), milliseconds(step.second * 2));
+        break;
+      default:
+        Pass(milliseconds(step.second));
+    }
+    // A daemon that died begins with the trouble of its last life.
+    node.troubled_until =
+        std::max({before, node.troubled_until, TroubleEnd(node, step)});
+    Pass(kStep);
+  }
+
+  // Kinds of steps beyond those.
+  static constexpr int kCopies = 16;
+  static constexpr int kRestores = 17;
+
+  // All is well again: everybody knows what the store took before.
+  void Calm() {
+    crawls_until_ = now_;
+    Pass(seconds(10));
+    store_.Configure(now_);
+    store_.Put(0, true, now_);
+    store_.Remove(1, now_);
+    store_.StartAgain(2, now_);
+    store_.Forge(3, now_);
+    Pass(kNewsWithin);
+    for (const Node& it : nodes_) {
+      if (it.state->configuration->configuration().stamp() != store_.stored()) {
+        Violate("a calm daemon has an old configuration");
+      }
+      const std::string missing = store_.Missing(it.state->backends, now_);
+      if (!missing.empty()) Violate("a calm daemon does not know: " + missing);
+      CheckUse(*it.state);
+    }
+  }
+  const std::vector<std::string>& violations() const { return violations_; }
+
+ private:
+  // Who is there is used as the life that it is now.
+  void CheckUse(const State& state) {
+    for (const auto& [id, entry] : store_.servers()) {
+      const auto found = state.backends.find(id);
+      if (found == state.backends.end()) {
+        Violate(id + " is not known");
+        continue;
+      }
+      const BackendServer& known = found->second.server;
+      if (known.fault.empty() != entry.fault.empty()) {
+        Violate(id + " is used though its entry names none, or is not");
+      }
+      if (entry.fault.empty() && known.born < entry.born) {
+        Violate(id + " is known by an earlier life");
+      }
+    }
+    if (state.backends.at("app2").server.leaving) {
+      Violate("a new life is taken to leave");
+    }
+  }
+
+  struct Node {
+    std::unique_ptr<State> state;
+    std::deque<EventBody> waiting;  // while it is frozen
+    Time frozen_until{};
+    Time store_away_until{};
+    Time deaf_until{};
+    Time mute_until{};
+    Time troubled_until{};
+    bool watching = false;
+    StoreRevision watched;  // of the store, that a watch has told
+    ConfigurationStamp highest;
+    bool is_cut_off = false;  // from all others, for a part of its life
+  };
+  struct Message {
+    Time due{};
+    std::size_t to = 0;
+    std::uint64_t life = 0;  // whose call it answers; zero: a datagram
+    EventBody body;
+  };
+
+  // Until when what was drawn harms that daemon itself.
+  Time TroubleEnd(const Node& node, const DrawnStep& step) const {
+    constexpr int kFirst = 3;
+    constexpr int kLast = 6;
+    if (step.kind < kFirst || step.kind > kLast) return Time{};
+    return std::max({now_, node.frozen_until, node.store_away_until,
+                     node.deaf_until, node.mute_until});
+  }
+
+  Node Fresh(int i) {
+    const std::string address = "10.0.0." + std::to_string(i) + ":1";
+    Node node;
+    node.state =
+        std::make_unique<State>(ServingOptions{.instance = address,
+                                               .peer_address = address,
+                                               .data_centre = "z",
+                                               .life = ++lives_,
+                                               .seed = lives_,
+                                               .news_within = kNewsWithin});
+    for (int k = 0; k < kDaemons; ++k) {
+      if (k != i) {
+        node.state->listed_peers.emplace("10.0.0." + std::to_string(k) + ":1",
+                                         "z");
+      }
+    }
+    node.state->peers_listed = true;
+    List(*node.state, now_);
+    node.watched = store_.revision();
+    return node;
+  }
+
+  // The store is away for a while; later its writers find what it has lost.
+  void Restore(Duration away, Duration written_after) {
+    store_.Restore();
+    away_until_ = now_ + away;
+    write_again_at_ = away_until_ + written_after;
+    excused_until_ = write_again_at_ + kNewsWithin + kCalmAfter;
+  }
+  void WriteAgainDue() {
+    if (write_again_at_ > now_) return;
+    write_again_at_ = Time::max();
+    store_.WriteAgain(now_);
+  }
+  // The newest that any daemon has that can tell the others of it.
+  void NoteNewestKnown() {
+    ConfigurationStamp newest;
+    for (const Node& it : nodes_) {
+      const bool tells = std::max(it.frozen_until, it.mute_until) <= now_;
+      if (tells && IsNewer(StampOf(it), newest)) newest = StampOf(it);
+    }
+    newest_known_.emplace_back(now_, newest);
+  }
+  // Some daemon could tell of a newer one than `known` at that time.
+  bool WasKnownToAny(const ConfigurationStamp& known, Time then) const {
+    return std::any_of(newest_known_.begin(), newest_known_.end(),
+                       [&](const auto& it) {
+                         return it.first <= then && IsNewer(it.second, known);
+                       });
+  }
+
+  void List(State& state, Time asked) {
+    Reduce(state, {.now = now_, .body = StoreEraSeen{store_.revision().era}});
+    Reduce(state, {.now = now_, .body = Configuration(asked)});
+    Reduce(state, {.now = now_, .body = Servers(asked)});
+  }
+  static serving::Configuration WithStamp(const ConfigurationStamp& stamp) {
+    serving::Configuration configuration = MakeConfiguration(0);
+    configuration.version = stamp.version;
+    configuration.revision = stamp.revision;
+    return configuration;
+  }
+  EventBody Configuration(Time asked) const {
+    return ConfigurationSeen{.configuration = WithStamp(store_.stored()),
+                             .asked = asked};
+  }
+  EventBody Servers(Time asked) const {
+    BackendsListed all{.revision = store_.revision(), .asked = asked};
+    for (const auto& [id, server] : store_.servers()) {
+      all.backends.push_back(server);
+    }
+    return all;
+  }
+
+  void Pass(Duration time) {
+    for (const Time until = now_ + time; now_ < until;) {
+      now_ += kStep;
+      WriteAgainDue();
+      Deliver();
+      NoteNewestKnown();
+      for (std::size_t i = 0; i < nodes_.size(); ++i) Step(i);
+    }
+  }
+
+  void Deliver() {
+    std::vector<Message> due;
+    std::vector<Message> later;
+    for (Message& it : messages_) {
+      (it.due <= now_ ? due : later).push_back(std::move(it));
+    }
+    messages_ = std::move(later);
+    for (Message& it : due) {
+      const bool dead =
+          it.life != 0 && it.life != nodes_[it.to].state->options.life;
+      if (!dead) Give(it.to, std::move(it.body));
+    }
+  }
+
+  void Give(std::size_t to, EventBody body) {
+    Node& node = nodes_[to];
+    node.waiting.push_back(std::move(body));
+    if (node.frozen_until <= now_) Drain(to);
+  }
+
+  void Drain(std::size_t i) {
+    while (!nodes_[i].waiting.empty()) {
+      const EventBody body = std::move(nodes_[i].waiting.front());
+      nodes_[i].waiting.pop_front();
+      Feed(i, body);
+    }
+  }
+
+  void Step(std::size_t i) {
+    Node& node = nodes_[i];
+    if (node.frozen_until > now_) return;
+    Drain(i);
+    WatchTells(i);
+    if (NextWake(*node.state) <= now_) Feed(i, Tick{});
+    Check(node);
+  }
+
+  void WatchTells(std::size_t i) {
+    Node& node = nodes_[i];
+    const bool told =
+        node.watching && IsStoreThere(node) && watches_muted_until_ <= now_;
+    if (!told || node.watched == store_.revision()) return;
+    node.watched = store_.revision();
+    Feed(i, StoreEraSeen{store_.revision().era});
+    Feed(i, Configuration(Time{}));
+    Feed(i, Servers(Time{}));
+  }
+  bool IsStoreThere(const Node& node) const {
+    return std::max(node.store_away_until, away_until_) <= now_;
+  }
+
+  void Feed(std::size_t i, const EventBody& body) {
+    const Effects effects =
+        Reduce(*nodes_[i].state, {.now = now_, .body = body});
+    for (const Effect& it : effects) Carry(i, it);
+  }
+
+  void Carry(std::size_t i, const Effect& effect) {
+    std::visit(
+        Overloaded{[&](const AskStore& it) { AnswerQuestion(i, it); },
+                   [&](const ListStore&) { AnswerList(i); },
+                   [&](const ReadConfiguration& it) { AnswerRead(i, it); },
+                   [&](const WatchStore& it) { nodes_[i].watching = it.on; },
+                   [&](const RelayStore& it) {
+                     for (const auto& [to, relay] : it.messages) {
+                       Send(i, to, StoreRelayReceived{relay});
+                     }
+                   },
+                   [&](const PublishSnapshot& it) {
+                     for (const std::string& to : it.to) {
+                       Send(i, to, SnapshotReceived{it.snapshot});
+                     }
+                   },
+                   [](const auto&) {}},
+        effect);
+  }
+
+  bool ReachesStore(std::size_t i) {
+    if (IsStoreThere(nodes_[i])) return true;
+    Answer(i, now_ + milliseconds(300), StoreUnreachable{});
+    return false;
+  }
+  // Answers tell the store as it was when the question came there.
+  void AnswerQuestion(std::size_t i, const AskStore& question) {
+    if (!ReachesStore(i)) return;
+    const Time back = Back(i);
+    Answer(i, back, StoreEraSeen{store_.revision().era});
+    if (question.configuration == store_.stored().revision) {
+      Answer(i, back,
+             ConfigurationConfirmed{.revision = question.configuration,
+                                    .asked = now_});
+    } else {
+      Answer(i, back, Configuration(now_));
+    }
+    Answer(i, back, Servers(now_));
+  }
+  void AnswerList(std::size_t i) {
+    if (!ReachesStore(i)) return;
+    const Time back = Back(i);
+    Answer(i, back, StoreEraSeen{store_.revision().era});
+    Answer(i, back, Configuration(now_));
+    Answer(i, back, Servers(now_));
+  }
+  // Another daemon tells it, or else the store.
+  void AnswerRead(std::size_t i, const ReadConfiguration& read) {
+    const Node* from = FindNode(read.from);
+    const bool told = from != nullptr && from->mute_until <= now_ &&
+                      nodes_[i].deaf_until <= now_ &&
+                      !IsNewer(read.wanted, StampOf(*from));
+    if (told) {
+      Answer(i, now_ + kStep,
+             ConfigurationSeen{.configuration = WithStamp(StampOf(*from))});
+    } else if (ReachesStore(i)) {
+      Answer(i, Back(i), StoreEraSeen{store_.revision().era});
+      Answer(i, Back(i), Configuration(now_));
+    }
+  }
+  const Node* FindNode(const std::string& peer_address) const {
+    const auto it =
+        std::find_if(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+          return node.state->options.peer_address == peer_address;
+        });
+    return it == nodes_.end() ? nullptr : &*it;
+  }
+  static ConfigurationStamp StampOf(const Node& node) {
+    return node.state->configuration->configuration().stamp();
+  }
+  // When an answer is whole; that it began is seen at once.
+  Time Back(std::size_t i) {
+    if (crawls_until_ <= now_) return now_ + 2 * kStep;
+    Answer(i, now_ + 2 * kStep, StoreHeard{});
+    return now_ + crawl_;
+  }
+
+  void Send(std::size_t from, const std::string& to, const EventBody& body) {
+    const auto target = static_cast<std::size_t>(to[7] - '0');
+    if (nodes_[from].mute_until > now_ || nodes_[target].deaf_until > now_) {
+      return;
+    }
+    Post(target, now_ + kStep, body);
+    if (late_until_ > now_) Post(target, now_ + milliseconds(700), body);
+  }
+  void Post(std::size_t to, Time due, EventBody body) {
+    messages_.push_back({.due = due, .to = to, .body = std::move(body)});
+  }
+  void Answer(std::size_t to, Time due, EventBody body) {
+    messages_.push_back({.due = due,
+                         .to = to,
+                         .life = nodes_[to].state->options.life,
+                         .body = std::move(body)});
+  }
+
+  void Check(Node& node) {
+    const State& state = *node.state;
+    const ConfigurationStamp known = StampOf(node);
+    if (IsNewer(node.highest, known)) Violate("the configuration went back");
+    node.highest = known;
+    node.is_cut_off =
+        node.is_cut_off || std::max(node.deaf_until, node.mute_until) > now_;
+    // One that has heard nobody since it started can't know what the store has
+    // lost; nor can anybody where nobody is left who did.
+    const bool can_know =
+        !node.is_cut_off && WasKnownToAny(known, state.confirmed_at);
+    if (can_know && store_.HadNewer(known, state.confirmed_at)) {
+      Violate("an old configuration is taken for proved");
+    }
+    const std::string missing =
+        store_.Missing(state.backends, state.store.backends_confirmed_at);
+    if (!missing.empty()) Violate("taken for proved: " + missing);
+    CheckServing(node);
+  }
+
+  void CheckServing(const Node& node) {
+    const State& state = *node.state;
+    const bool calm =
+        std::max(node.troubled_until + kCalmAfter, excused_until_) <= now_;
+    const bool looks = (now_ - kStart) % kLookEvery == Duration::zero();
+    if (!calm || !looks || !IsServing(state)) return;
+    const Time due = now_ - kNewsWithin;
+    if (store_.HadNewer(StampOf(node), due)) {
+      Violate("a calm daemon serves by an old configuration");
+    }
+    const std::string missing = store_.Missing(state.backends, due);
+    if (!missing.empty()) Violate("a calm daemon serves though " + missing);
+  }
+
+  void Violate(const std::string& what) { violations_.push_back(what); }
+
+  Time now_ = kStart;
+  Store store_;
+  std::uint64_t lives_ = 0;
+  std::vector<Node> nodes_;
+  std::vector<Message> messages_;
+  std::vector<std::pair<Time, ConfigurationStamp>> newest_known_;
+  Time away_until_{};
+  Time write_again_at_ = Time::max();
+  Time excused_until_{};  // of what the operators wrote again late
+  Time late_until_{};
+  Time watches_muted_until_{};
+  Time crawls_until_{};
+  Duration crawl_{};
+  std::vector<std::string> violations_;
+};
+
+}  // namespace scaleshed::serving::test
+
+#endif  // SCALESHED_SERVING_TEST_RELAY_FLEET_H_
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -34,6 +34,7 @@
 
   std::string address() const;
   void SetMode(StoreMode mode) { mode_ = mode; }
+  StoreMode mode() const { return mode_; }
   // As the operator or a backend server does it. Gives the revision.
   std::uint64_t Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
@@ -65,6 +66,7 @@
   // Lists are not answered until this is over.
   void HoldLists(bool hold);
   bool Has(const std::string& key) const { return items_.contains(key); }
+  std::vector<std::string> KeysWith(const std::string& prefix) const;
   // The first key that begins so; empty: none.
   std::string KeyWith(const std::string& prefix) const {
     const auto it = items_.lower_bound(prefix);
--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -22,6 +22,9 @@
   kStoreOverRate,  // 429
   kStoreLoses,     // writes are done and not answered
   kStoreForgets,   // its history
+  // It is copied, goes away at half of `length`, and is back from that copy at
+  // its end; its writers write what that lacks a little later.
+  kStoreRestores,
   kConfiguration,  // a newer one
   kServersRefuse,  // a share of requests is refused, and not run
   kServersReset,   // a share is run, and the connection closed
@@ -33,7 +36,7 @@
   kServersRest,   // a share refuses everything, and asks for rest each time
   kServersSayLeaving,  // one says so in its answers only, and another one comes
 };
-inline constexpr NameTable<SoakFault, 20> kSoakFaultNames{{
+inline constexpr NameTable<SoakFault, 21> kSoakFaultNames{{
     {SoakFault::kKill, "kill"},
     {SoakFault::kRestart, "restart"},
     {SoakFault::kRoll, "roll"},
@@ -44,6 +47,7 @@
     {SoakFault::kStoreOverRate, "store_over_rate"},
     {SoakFault::kStoreLoses, "store_loses"},
     {SoakFault::kStoreForgets, "store_forgets"},
+    {SoakFault::kStoreRestores, "store_restores"},
     {SoakFault::kConfiguration, "configuration"},
     {SoakFault::kServersRefuse, "servers_refuse"},
     {SoakFault::kServersReset, "servers_reset"},
@@ -98,6 +102,7 @@
   std::size_t faults = 0;    // that were injected
   std::size_t ends = 0;      // of servers, under a deadly request
   std::size_t words = 0;     // that servers said of themselves
+  std::size_t probes = 0;    // answers by which configuration is in force
   Duration latest{};         // the stand-ins were kept from looking so long
   std::string folder;        // of the logs, where they are kept
 };
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -90,6 +90,14 @@
   AnswerWatches();
 }
 
+std::vector<std::string> FakeStore::KeysWith(const std::string& prefix) const {
+  std::vector<std::string> keys;
+  for (const auto& [key, item] : items_) {
+    if (HasPrefix(key, prefix)) keys.push_back(key);
+  }
+  return keys;
+}
+
 void FakeStore::ForgetHistory() {
   forgotten_ = ++revision_;
   history_.clear();
--- a/testing/src/internal/soak_callers.h
+++ b/testing/src/internal/soak_callers.h
@@ -35,6 +35,10 @@
           tell) {
     tell_ = std::move(tell);
   }
+  // Somebody else has sent a request.
+  void NoteSend(const std::string& request_id, const std::string& daemon) {
+    sends_[request_id] = {.daemon = daemon, .at = loop_.Now()};
+  }
   // The daemon that a request was sent to, by its address for callers.
   const std::string& DaemonOf(const std::string& request_id) const {
     return sends_.at(request_id).daemon;
--- a/testing/src/internal/soak_daemons.h
+++ b/testing/src/internal/soak_daemons.h
@@ -24,6 +24,17 @@
   const std::string& data_centre(std::size_t i) const {
     return daemons_.at(i).data_centre;
   }
+  const std::string& listen_address(std::size_t i) const {
+    return daemons_.at(i).listen;
+  }
+  const std::string& peer_address(std::size_t i) const {
+    return daemons_.at(i).peer_listen;
+  }
+  // It runs, and has been asked neither to stand still nor to end.
+  bool IsUp(std::size_t i) const {
+    const Daemon& it = daemons_.at(i);
+    return it.process && !it.frozen && !it.stopping;
+  }
   const std::string& look_up_address(std::size_t i) const {
     return daemons_.at(i).look_up;
   }
@@ -50,6 +61,7 @@
     std::string data_centre;
     std::string look_up;
     std::string listen;
+    std::string peer_listen;
     std::string settings;  // the file
     int lives = 0;
     bool frozen = false;
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -10,10 +10,12 @@
 #include <memory>
 #include <random>
 
+#include "internal/configuration_prober.h"
 #include "internal/soak_callers.h"
 #include "internal/soak_daemons.h"
 #include "internal/temporary_folder.h"
 #include "scaleshed/runtime/event_loop.h"
+#include "scaleshed/testing/configuration_ledger.h"
 #include "scaleshed/testing/fleet_stand_ins.h"
 #include "scaleshed/testing/server_ledger.h"
 
@@ -33,6 +35,12 @@
 // Answers that are under way when the callers end come within this.
 constexpr Duration kLastAnswers = seconds(8);
 constexpr std::size_t kStorePage = 500;
+constexpr char kConfigurationKey[] = "op/config";
+constexpr Duration kProbeEvery = milliseconds(150);
+// Entries of servers that went lapse within three heartbeats.
+constexpr Duration kLapsesWithin = seconds(4);
+// A lease is found to be over at its next renewal at the latest.
+constexpr Duration kEntryWithin = seconds(7);
 
 // How the requests of a time are treated, by the series that are on.
 struct Trouble {
@@ -53,6 +61,7 @@
         daemons_(loop_, options, store_.address(), folder_) {
     std::signal(SIGPIPE, SIG_IGN);
     store_.SetPage(kStorePage);
+    store_.SetEra(1);
     store_.LapseLeases();
     Configure();
     for (std::size_t i = 0; i < kEngines; ++i) AddServer("llm");
@@ -67,7 +76,19 @@
     callers_->OnAnswer([this](const auto& daemon, const HttpResponse& it) {
       Passed(daemon, it);
     });
-    daemons_.OnDisturbed([this](const std::string& it) { words_.Excuse(it); });
+    daemons_.OnDisturbed([this](const std::string& it) {
+      words_.Excuse(it);
+      configurations_.DaemonDisturbed(loop_.Now(), it);
+    });
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      addresses.push_back(daemons_.listen_address(i));
+    }
+    prober_ = std::make_unique<ConfigurationProber>(loop_, std::move(addresses),
+                                                    configurations_, ledger_);
+    prober_->OnSend([this](const std::string& id, const std::string& daemon) {
+      callers_->NoteSend(id, daemon);
+    });
     look_.Every(kLook);
   }
   ~Soak() {
@@ -89,18 +110,24 @@
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       At(options_.start_gap * i, [this, i] { daemons_.Start(i); });
     }
-    At(options_.warm_up,
-       [this] { callers_->Begin(options_.requests_per_second); });
+    At(options_.warm_up, [this] {
+      callers_->Begin(options_.requests_per_second);
+      prober_->Begin(kProbeEvery);
+    });
     for (const SoakSeries& it : options_.series) {
       for (int n = 0; n < it.times; ++n) {
         At(options_.warm_up + it.at + it.gap * n, [this, it] { Inject(it); });
       }
     }
-    At(options_.warm_up + options_.length, [this] { callers_->End(); });
+    At(options_.warm_up + options_.length, [this] {
+      callers_->End();
+      prober_->End();
+    });
     const Duration end = options_.warm_up + options_.length;
     At(end + kLastAnswers, [this] { loop_.Stop(); });
     Timer quiet(loop_, [&] {
-      if (loop_.Now() > started_ + end && callers_->waiting() == 0) {
+      const bool quiet = callers_->waiting() + prober_->waiting() == 0;
+      if (loop_.Now() > started_ + end && quiet) {
         loop_.Stop();
       }
     });
@@ -122,12 +149,55 @@
     // and this may come before or after it in each.
     constexpr std::size_t kRounds = 4;
     if (looks_.size() > kRounds) looks_.pop_front();
+    const bool lacks = !lost_until_.empty() && lost_until_.back() > now;
+    if (store_.mode() != StoreMode::kUp || lacks) {
+      configurations_.StoreDisturbed(now);
+    }
+  }
+
+  // As its owner does it, who writes it again where the store has lost it.
+  void Write(const std::string& key, const std::string& value) {
+    written_[key] = value;
+    store_.Put(key, value);
+  }
+  void Erase(const std::string& key) {
+    written_.erase(key);
+    store_.Remove(key);
+  }
+
+  void RestoreStore(Duration length) {
+    store_.MakeCopy();
+    At(length / 2, [this] { store_.SetMode(StoreMode::kSilent); });
+    At(length, [this] {
+      store_.RestoreCopy();
+      store_.SetMode(StoreMode::kUp);
+      configurations_.StoreDisturbed(loop_.Now());
+    });
+    constexpr int kMostMs = 1500;
+    const Duration again = milliseconds(random_() % kMostMs);
+    lost_until_.push_back(loop_.Now() + length + again);
+    At(length + again, [this] { WriteAgain(); });
+    At(length + kLapsesWithin, [this] { EndLapsed(); });
+  }
+  void WriteAgain() {
+    for (const auto& [key, value] : written_) {
+      if (store_.Value(key) != value) store_.Put(key, value);
+    }
+  }
+  // Entries of servers that had gone before the copy was brought back.
+  void EndLapsed() {
+    for (const std::string& it : store_.KeysWith("servers/")) {
+      if (!written_.contains(it)) store_.Remove(it);
+    }
   }
 
   void Configure() {
     nlohmann::json configuration = FleetConfiguration();
     configuration["version"] = ++version_;
-    store_.Put("op/config", configuration.dump());
+    auto& keys = configuration["tenants"][0]["api_keys"];
+    keys.push_back(ConfigurationLedger::KeyOf(version_));
+    Write(kConfigurationKey, configuration.dump());
+    configurations_.Acknowledged(loop_.Now(), version_);
   }
 
   void AddServer(const std::string& service) {
@@ -159,7 +229,7 @@
                      std::chrono::duration_cast<Duration>(
                          std::chrono::duration<double>(std::stod(rest))));
     });
-    store_.Put("servers/" + it.id(), it.Entry(service));
+    Write("servers/" + it.id(), it.Entry(service));
     serving_.push_back({.server = n, .service = service});
   }
 
@@ -170,9 +240,9 @@
     Say(n);
     At(kDownFor, [this, n, service] {
       FakeWorker& server = *servers_[n];
-      store_.Remove("servers/" + server.id());
+      Erase("servers/" + server.id());
       server.Begin(server.id() + "+");
-      store_.Put("servers/" + server.id(), server.Entry(service));
+      Write("servers/" + server.id(), server.Entry(service));
     });
   }
 
@@ -318,6 +388,8 @@
         return store(StoreMode::kLosingWrites);
       case SoakFault::kStoreForgets:
         return store_.ForgetHistory();
+      case SoakFault::kStoreRestores:
+        return RestoreStore(series.length);
       case SoakFault::kConfiguration:
         return Configure();
       case SoakFault::kServersRefuse:
@@ -375,18 +447,33 @@
     Say(leaving.server);
     FakeWorker& server = *servers_[leaving.server];
     const std::string key = "servers/" + server.id();
-    store_.Put(key, server.Entry(leaving.service, "draining"));
+    Write(key, server.Entry(leaving.service, "draining"));
     constexpr Duration kDrain = milliseconds(2500);
-    At(kDrain, [this, key] { store_.Remove(key); });
+    At(kDrain, [this, key] { Erase(key); });
     AddServer(leaving.service);
   }
 
+  // Long after the last restore each daemon has written its entry again.
+  void ReportEntries(SoakReport& report) {
+    const bool late = lost_until_.empty() ||
+                      loop_.Now() < lost_until_.back() + kEntryWithin ||
+                      store_.mode() != StoreMode::kUp;
+    if (late) return;
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      const std::string& peer = daemons_.peer_address(i);
+      if (daemons_.IsUp(i) && !store_.Has("scaleshed/members/" + peer)) {
+        report.broken.push_back("no entry of " + peer + " after a restore");
+      }
+    }
+  }
+
   SoakReport Report() {
     SoakReport report;
     if (callers_->waiting() > 0) {
       report.broken.push_back(std::to_string(callers_->waiting()) +
                               " requests got no answer");
     }
+    ReportEntries(report);
     // What is still planned would start daemons anew while they stop.
     plan_.clear();
     for (const std::string& it : daemons_.StopAll())
@@ -394,6 +481,10 @@
     callers_->Tell(report);
     for (const std::string& it : ledger_.Broken()) report.broken.push_back(it);
     for (const std::string& it : words_.Broken()) report.broken.push_back(it);
+    for (const std::string& it : configurations_.Broken()) {
+      report.broken.push_back(it);
+    }
+    report.probes = configurations_.answers();
     report.words = words_said_;
     if (LateSends() > 0) {
       report.broken.push_back(
@@ -415,6 +506,11 @@
   Time started_ = loop_.Now();
   FakeStore store_;
   SoakLedger ledger_;
+  ConfigurationLedger configurations_;
+  std::unique_ptr<ConfigurationProber> prober_;
+  std::map<std::string, std::string> written_;  // by others, by key
+  // For each restore, until when its writers have not written again.
+  std::vector<Time> lost_until_;
   ServerLedger words_;
   std::map<std::size_t, Words> said_;  // by server
   std::size_t words_said_ = 0;
--- a/testing/src/soak_daemons.cc
+++ b/testing/src/soak_daemons.cc
@@ -36,13 +36,14 @@
   daemon.settings = folder_ + "/" + daemon.name + ".yaml";
   daemon.look_up = FreeAddress();
   daemon.listen = FreeAddress();
+  daemon.peer_listen = FreeAddress();
   const double window =
       std::chrono::duration<double>(options.bound.window).count();
   std::ofstream(daemon.settings)
       << "instance: " << daemon.name << "\n"
       << "data_centre: " << daemon.data_centre << "\n"
       << "listen: " << daemon.listen << "\n"
-      << "peer_listen: " << FreeAddress() << "\n"
+      << "peer_listen: " << daemon.peer_listen << "\n"
       << "platform: " << platform << "\n"
       << "fleet:\n"
       << "  ready_listen: " << FreeAddress() << "\n"
--- a/testing/src/soak_main.cc
+++ b/testing/src/soak_main.cc
@@ -60,7 +60,8 @@
             << report.requests << " requests, " << report.answered
             << " answered, " << report.refused << " refused, " << report.failed
             << " failed, " << report.faults << " faults, " << report.ends
-            << " ends, " << report.words << " words";
+            << " ends, " << report.words << " words, " << report.probes
+            << " probes";
   for (const RepeatWindow& it : report.windows) {
     std::cout << ", " << it.service << " repeats " << it.repeats << " of "
               << it.allowed;
--- a/testing/src/soak_series.cc
+++ b/testing/src/soak_series.cc
@@ -70,6 +70,18 @@
                       .times = static_cast<int>(draw(1, 4)),
                       .gap = Millis(draw(300, 3000))});
   }
+  if (draw(0, 1) == 0) {
+    // Configurations among what is lost.
+    series.push_back({.fault = SoakFault::kStoreRestores,
+                      .at = Millis(draw(0, whole / 2)),
+                      .times = static_cast<int>(draw(1, 2)),
+                      .gap = Millis(draw(3000, 5000)),
+                      .length = Millis(draw(400, 3500))});
+    series.push_back({.fault = SoakFault::kConfiguration,
+                      .at = Millis(draw(0, 1000)),
+                      .times = static_cast<int>(whole / 1000),
+                      .gap = Millis(draw(300, 1000))});
+  }
   return series;
 }
 
--- a/testing/test/soak_test.cc
+++ b/testing/test/soak_test.cc
@@ -90,6 +90,18 @@
   CheckHeld(options);
 }
 
+// New configurations were never in force after a restore, and keys that they
+// had dropped were accepted for good; see store_restore_test.cc.
+TEST_CASE("Configurations and entries outlast a store's restore from a copy") {
+  SoakOptions options = Options(1);
+  options.length = seconds(14);
+  options.series = ParseSeries(
+      "configuration:200:14:900:1:0,store_restores:1500:2:6000:1:2600,"
+      "servers_leave:1800:3:2500:1:0,kill:4400:1:0:0.3:0,"
+      "deadly:700:3:300:1:0");
+  CheckHeld(options);
+}
+
 TEST_CASE("Drawn faults leave the promises whole") {
   for (const std::uint64_t seed : {11, 12, 13}) {
     SoakOptions options = Options(seed);
