--- a/daemon/src/registration.cc
+++ b/daemon/src/registration.cc
@@ -17,8 +17,9 @@
 constexpr Duration kRetry = seconds(4);
 // A lease that is over is opened anew within this, half of it drawn.
 constexpr Duration kAgain = milliseconds(100);
-// After a restore all daemons write at once: 800 make 3,200 calls a second.
-constexpr Duration kAfterRestore = milliseconds(1000);
+// After a restore all daemons write, two calls each: 800 of them 1,600 calls
+// within a second.
+constexpr Duration kAfterRestore = seconds(2);
 
 }  // namespace
 
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -110,19 +110,20 @@
 }
 
 bool StoreFollower::Noted(const char* call, std::optional<StoreError> error) {
+  if (error == StoreError::kOtherEra) {
+    ++failures_;
+    LogInfo("answer_of_other_era",
+            {{"call", call}, {"era", std::to_string(store_.era())}});
+    return false;
+  }
   // These are answers of a store that is there.
   const bool there = !error || *error == StoreError::kForgotten ||
                      *error == StoreError::kNoLease ||
-                     *error == StoreError::kConflict ||
-                     *error == StoreError::kOtherEra;
+                     *error == StoreError::kConflict;
   if (there) {
     failures_ = 0;
     if (std::exchange(lost_, false))
       LogInfo("store_regained", {{"call", call}});
-    if (error == StoreError::kOtherEra) {
-      LogInfo("answer_of_other_era",
-              {{"call", call}, {"era", std::to_string(store_.era())}});
-    }
     return !error;
   }
   ++failures_;
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -85,7 +85,7 @@
 
 void LogKept(State& state, const ConfigurationStamp& seen) {
   const ConfigurationStamp known = StampOf(state);
-  if (seen.version == known.version || seen == state.store.era.stored) return;
+  if (seen.version == known.version) return;
   Log(state, "configuration_kept",
       {{"version", std::to_string(known.version)},
        {"era", std::to_string(known.revision.era)},
@@ -97,11 +97,6 @@
 
 void TakeConfiguration(State& state, const ConfigurationSeen& event) {
   const Configuration& seen = event.configuration;
-  // A copy's, or the same, or read late.
-  if (!IsNewer(seen.stamp(), StampOf(state))) {
-    LogKept(state, seen.stamp());
-    return;
-  }
   state.configuration.emplace(seen);
   state.effects.emplace_back(ApplyLimits{.limits = seen.limits});
   Log(state, "configuration",
@@ -123,10 +118,13 @@
   const ConfigurationStamp seen = event.configuration.stamp();
   // A watch says that the store is there, and proves nothing.
   event.asked != Time{} ? NoteStoreReached(state) : NoteStoreHeard(state);
+  const bool is_newer = IsNewer(seen, StampOf(state));
+  // A copy's, or read late.
+  if (!is_newer && seen != state.store.era.stored) LogKept(state, seen);
   // Before it is taken: what was known tells whether it was written since a
   // restore.
   NoteStored(state, seen);
-  TakeConfiguration(state, event);
+  if (is_newer) TakeConfiguration(state, event);
   // It was the newest when the question was put: what is known is at least as
   // new, also where a watch has told of a newer one since.
   ProveByStore(state, seen.revision.era, event.asked);
--- a/serving/src/store_eras.cc
+++ b/serving/src/store_eras.cc
@@ -17,19 +17,14 @@
 constexpr Duration kSettlesWithin = milliseconds(2500);
 // An entry of a backend server that has gone lapses within three heartbeats.
 constexpr Duration kCopyLapses = seconds(5);
-// A daemon that starts waits so long for a word of the others before the store
-// alone proves its configuration: they may know of a restore.
-constexpr Duration kHearWithin = milliseconds(400);
-
-// So many of them are asked: one of these may have just started too.
+// A daemon that starts waits for a word of so many others before the store
+// alone proves its configuration: they may know of a restore, unless they have
+// just started too.
 constexpr std::size_t kFewOthers = 4;
-
-bool HearsOthers(const State& state) {
-  const auto heard = static_cast<std::size_t>(
-      std::count_if(state.members.begin(), state.members.end(),
-                    [&](const auto& it) { return IsHeard(state, it.second); }));
-  return heard >= std::min(state.listed_peers.size(), kFewOthers);
-}
+// No longer than that where it hears some, or nobody: entries outlast daemons,
+// and a copy may lack those of daemons that live.
+constexpr Duration kHearsFewFor = milliseconds(400);
+constexpr Duration kHearsNobodyFor = seconds(1);
 
 // The newest that this daemon has or has heard of.
 ConfigurationStamp NewestStamp(const State& state) {
@@ -40,14 +35,23 @@
 bool HasHeardOthers(const State& state) {
   // A store that tells no era is not known to have been restored.
   if (state.store.era.number == 0 || state.confirmed_at != Time{}) return true;
-  return (state.peers_listed && HearsOthers(state)) ||
-         state.now >= state.started_at + kHearWithin;
+  const auto heard = static_cast<std::size_t>(
+      std::count_if(state.members.begin(), state.members.end(),
+                    [&](const auto& it) { return IsHeard(state, it.second); }));
+  const Duration waited = state.now - state.started_at;
+  if (heard == 0) return waited >= kHearsNobodyFor;
+  const bool hears_enough =
+      state.peers_listed &&
+      heard >= std::min(state.listed_peers.size(), kFewOthers);
+  return hears_enough || waited >= kHearsFewFor;
 }
 
 void Settle(State& state, const std::string& why) {
   StoreEra& era = state.store.era;
   if (std::exchange(era.settled, true)) return;
   state.changed = true;
+  // Now a question can prove the configuration.
+  state.store.ask_due = state.now;
   Log(state, "store_settled",
       {{"era", std::to_string(era.number)}, {"why", why}});
 }
