The soak asks under older keys too, and loses many revisions with each restore

Now keys of the last five versions are asked under, and heartbeats take revisions between the copy and the restore.

The drawn test's operators write versions that rise above what was lost.

--- a/serving/test/relay_fleet.h
+++ b/serving/test/relay_fleet.h
@@ -36,7 +36,7 @@
     Accept(1, kStart);
   }
 
-  void Configure(Time now) { Accept(stored_.version + 1, now); }
+  void Configure(Time now) { Accept(newest() + 1, now); }
   void MakeCopy() { copy_ = {revision_, stored_, servers_}; }
   // All that was taken since the copy is lost. The store says so itself.
   void Restore() {
@@ -48,8 +48,7 @@
   }
   // The operators and the servers write what the copy lacks.
   void WriteAgain(Time now) {
-    const std::int64_t newest = accepted_.back().first.version;
-    if (stored_.version < newest) Accept(newest, now);
+    if (stored_.version < newest()) Accept(newest(), now);
     for (const auto& [id, server] : alive_) {
       const auto found = servers_.find(id);
       const bool same = found != servers_.end() &&
@@ -147,6 +146,10 @@
     std::map<std::string, BackendServer> servers;
   };
 
+  // The operators' last version, whether or not the store still has it.
+  std::int64_t newest() const {
+    return accepted_.empty() ? 0 : accepted_.back().first.version;
+  }
   StoreRevision Next() {
     ++revision_.number;
     return revision_;
--- a/testing/src/configuration_prober.cc
+++ b/testing/src/configuration_prober.cc
@@ -24,8 +24,11 @@
 
 void ConfigurationProber::AskAll() {
   const int newest = ledger_.newest();
-  dropped_ = !dropped_;
-  const int version = dropped_ ? newest - 1 : newest;
+  // Every second round under a key that was dropped lately, or longer ago.
+  constexpr int kOldest = 4;
+  ++round_;
+  const bool dropped = round_ % 2 == 0;
+  const int version = dropped ? newest - 1 - round_ / 2 % kOldest : newest;
   for (const std::string& it : daemons_) Ask(it, version);
 }
 
--- a/testing/src/internal/configuration_prober.h
+++ b/testing/src/internal/configuration_prober.h
@@ -14,7 +14,7 @@
 namespace scaleshed::testing {
 
 // Asks each daemon again and again under the key of the newest configuration
-// and of the one before, and tells both ledgers what came of it.
+// and of those before, and tells both ledgers what came of it.
 class ConfigurationProber {
  public:
   // `daemons`: their addresses for callers. All must outlive this.
@@ -42,7 +42,7 @@
   std::function<void(const std::string&, const std::string&)> tell_;
   std::uint64_t last_id_ = 0;
   std::size_t waiting_ = 0;
-  bool dropped_ = false;  // the last round asked under that key
+  int round_ = 0;
   Timer timer_;
 };
 
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -167,6 +167,13 @@
 
   void RestoreStore(Duration length) {
     store_.MakeCopy();
+    // What is lost has many revisions, as heartbeats write them.
+    constexpr int kHeartbeats = 20;
+    for (int n = 0; n < kHeartbeats; ++n) {
+      for (const std::string& it : store_.KeysWith("servers/")) {
+        store_.Put(it, store_.Value(it));
+      }
+    }
     At(length / 2, [this] { store_.SetMode(StoreMode::kSilent); });
     At(length, [this] {
       store_.RestoreCopy();
--- a/testing/src/soak_series.cc
+++ b/testing/src/soak_series.cc
@@ -80,7 +80,7 @@
     series.push_back({.fault = SoakFault::kConfiguration,
                       .at = Millis(draw(0, 1000)),
                       .times = static_cast<int>(whole / 1000),
-                      .gap = Millis(draw(300, 1000))});
+                      .gap = Millis(draw(300, 3500))});
   }
   return series;
 }
--- a/testing/test/soak_test.cc
+++ b/testing/test/soak_test.cc
@@ -96,7 +96,7 @@
   SoakOptions options = Options(1);
   options.length = seconds(14);
   options.series = ParseSeries(
-      "configuration:200:14:900:1:0,store_restores:1500:2:6000:1:2600,"
+      "configuration:2000:5:2700:1:0,store_restores:1500:2:6000:1:2600,"
       "servers_leave:1800:3:2500:1:0,kill:4400:1:0:0.3:0,"
       "deadly:700:3:300:1:0");
   CheckHeld(options);
