--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -103,6 +103,7 @@
   std::size_t ends = 0;      // of servers, under a deadly request
   std::size_t words = 0;     // that servers said of themselves
   std::size_t probes = 0;    // answers by which configuration is in force
+  int most_calls = 0;        // at the store, in one second
   Duration latest{};         // the stand-ins were kept from looking so long
   std::string folder;        // of the logs, where they are kept
 };
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -149,12 +149,20 @@
     // and this may come before or after it in each.
     constexpr std::size_t kRounds = 4;
     if (looks_.size() > kRounds) looks_.pop_front();
+    CountCalls(now);
     const bool lacks = !lost_until_.empty() && lost_until_.back() > now;
     if (store_.mode() != StoreMode::kUp || lacks) {
       configurations_.StoreDisturbed(now);
     }
   }
 
+  void CountCalls(Time now) {
+    if (now < counted_at_ + seconds(1)) return;
+    const int calls = store_.calls() - std::exchange(calls_, store_.calls());
+    counted_at_ = now;
+    most_calls_ = std::max(most_calls_, calls);
+  }
+
   // As its owner does it, who writes it again where the store has lost it.
   void Write(const std::string& key, const std::string& value) {
     written_[key] = value;
@@ -492,6 +500,7 @@
       report.broken.push_back(it);
     }
     report.probes = configurations_.answers();
+    report.most_calls = most_calls_;
     report.words = words_said_;
     if (LateSends() > 0) {
       report.broken.push_back(
@@ -518,6 +527,9 @@
   std::map<std::string, std::string> written_;  // by others, by key
   // For each restore, until when its writers have not written again.
   std::vector<Time> lost_until_;
+  int calls_ = 0;  // at the store, when last counted
+  int most_calls_ = 0;
+  Time counted_at_{};
   ServerLedger words_;
   std::map<std::size_t, Words> said_;  // by server
   std::size_t words_said_ = 0;
--- a/testing/src/soak_daemons.cc
+++ b/testing/src/soak_daemons.cc
@@ -114,8 +114,12 @@
   it.timer->Once(length);
 }
 
+// Before a process has come to its first statement, and written its first line,
+// the signal ends it whatever it is.
 void SoakDaemons::HangUp(std::size_t i) {
-  if (daemons_[i].process) daemons_[i].process->Signal(SIGHUP);
+  Daemon& it = daemons_[i];
+  const bool has_begun = it.process && !it.process->Output().empty();
+  if (has_begun) it.process->Signal(SIGHUP);
 }
 
 // One that is told to end before it has begun, and written its first line, has
--- a/testing/src/soak_main.cc
+++ b/testing/src/soak_main.cc
@@ -61,7 +61,7 @@
             << " answered, " << report.refused << " refused, " << report.failed
             << " failed, " << report.faults << " faults, " << report.ends
             << " ends, " << report.words << " words, " << report.probes
-            << " probes";
+            << " probes, " << report.most_calls << " store calls in a second";
   for (const RepeatWindow& it : report.windows) {
     std::cout << ", " << it.service << " repeats " << it.repeats << " of "
               << it.allowed;
