Entries and ends that are adopted into a new era keep no number of the lost one

Found by reading the change: a listener that knows just as much as its asker takes its revisions into the new era. An entry that the copy lacks kept its number of the lost history there, and what its server wrote again at a lower one was dropped as old until its wait was over; ends kept theirs too, and an operator's release was dropped. Entries without a place in the new era are left out, ends begin at none.

--- a/serving/src/quarantine.cc
+++ b/serving/src/quarantine.cc
@@ -119,7 +119,10 @@
 }
 
 void Quarantine::AdoptEra(std::uint64_t era) {
-  for (auto& [content, record] : records_) record.revision.era = era;
+  for (auto& [content, record] : records_) {
+    // Its number there is not known: any that is told is later.
+    if (record.revision.era < era) record.revision = {.era = era};
+  }
 }
 
 std::vector<std::uint64_t> Quarantine::StoredContents() const {
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -275,7 +275,8 @@
   const std::uint64_t era = state.store.era.number;
   if (std::exchange(state.store.era.adopted, era) == era) return;
   for (auto& [id, backend] : state.backends) {
-    backend.server.revision.era = era;
+    // One that the copy lacks has no revision there.
+    if (!backend.gone_at) backend.server.revision.era = era;
   }
   state.quarantine.AdoptEra(era);
 }
--- a/serving/test/quarantine_test.cc
+++ b/serving/test/quarantine_test.cc
@@ -130,5 +130,42 @@
   CHECK(quarantine.EndsOf(100 + Quarantine::kMostContents) == 1);
 }
 
+// A restore would have freed a request that ends servers.
+TEST_CASE("What a restored store lacks is written again, and not forgiven") {
+  Quarantine quarantine = Seen(3);
+  quarantine.TakeStored({.content = kContent,
+                         .lives = {1, 2, 3},
+                         .revision = {.era = 1, .number = 20}},
+                        kNow);
+  REQUIRE_FALSE(quarantine.has_unsaved());
+  quarantine.TakeStored(
+      {.content = kContent, .lives = {1}, .revision = {.era = 2, .number = 9}},
+      kNow);
+  CHECK(quarantine.Holds(kContent));
+  const auto unsaved = quarantine.Unsaved(10);
+  REQUIRE(unsaved.size() == 1);
+  CHECK(unsaved.front().lives == std::vector<BackendId>{1, 2, 3});
+  CHECK(unsaved.front().revision == StoreRevision{.era = 2, .number = 9});
+  // What is taken away in that era was taken away by somebody who knew.
+  quarantine.TakeStored(
+      {.content = kContent, .lives = {}, .revision = {.era = 2, .number = 12}},
+      kNow);
+  CHECK(quarantine.EndsOf(kContent) == 2);
+}
+
+// Numbers of the era before were kept, and lower ones dropped as old.
+TEST_CASE("Ends that are removed in an era that was adopted are forgiven") {
+  Quarantine quarantine = Seen(3);
+  quarantine.TakeStored({.content = kContent,
+                         .lives = {1, 2, 3},
+                         .revision = {.era = 1, .number = 20}},
+                        kNow);
+  quarantine.AdoptEra(2);
+  quarantine.TakeStored(
+      {.content = kContent, .lives = {}, .revision = {.era = 2, .number = 9}},
+      kNow);
+  CHECK(quarantine.EndsOf(kContent) == 0);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving
--- a/serving/test/store_following_test.cc
+++ b/serving/test/store_following_test.cc
@@ -379,5 +379,35 @@
   CHECK(message.changes.back().server->leaving);
 }
 
+// Its number of the era before was kept, and the lower one dropped as old.
+TEST_CASE("A server that a copy lacks is known by what it writes again") {
+  Listener listener;
+  Daemon& daemon = listener.daemon();
+  daemon.Feed(StoreEraSeen{.era = 1});
+  const BackendServer server = daemon.state().backends.at("app0").server;
+  StoreRelay relay = listener.Proof();
+  relay.era = 2;
+  relay.changes = {
+      {.id = "app0", .revision = {.era = 2, .number = 3}, .certain = false}};
+  listener.Relay(relay);
+  REQUIRE(daemon.state().backends.at("app0").gone_at.has_value());
+  // The others are proved to be as they were.
+  listener.Hear();
+  daemon.Pass(milliseconds(100));
+  StoreRelay proof = listener.Proof();
+  proof.era = 2;
+  proof.digest.backends ^= daemon.state().backends.at("app0").entry_hash;
+  listener.Relay(proof);
+  CHECK(daemon.state().backends.at("app1").server.revision.era == 2);
+  BackendServer again = server;
+  again.revision = {.era = 2, .number = 4};
+  REQUIRE(again.revision.number < server.revision.number);
+  relay.changes = {{.id = "app0", .revision = again.revision, .server = again}};
+  listener.Relay(relay);
+  const Backend& known = daemon.state().backends.at("app0");
+  CHECK(known.server.revision == again.revision);
+  CHECK_FALSE(known.gone_at.has_value());
+}
+
 }  // namespace
 }  // namespace scaleshed::serving
