Files with one job each: items of the store, the soak's writers, the drawn store

What reads the store's items, who writes to it in a soak, and the store of the drawn tests stand in files of their own. No behaviour changes.

--- /dev/null
+++ b/serving/test/relay_store.h
@@ -0,0 +1,179 @@
+#ifndef SCALESHED_SERVING_TEST_RELAY_STORE_H_
+#define SCALESHED_SERVING_TEST_RELAY_STORE_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "serving_harness.h"
+
+namespace scaleshed::serving::test {
+
+inline constexpr int kServers = 4;
+
+// The store's truth, with the times of its changes.
+//
+// It may be restored from a copy. Whoever wrote to it writes its last word
+// again after that.
+class Store {
+ public:
+  Store() {
+    for (int i = 0; i < kServers; ++i) Put(i, false, kStart);
+    Accept(1, kStart);
+  }
+
+  void Configure(Time now) { Accept(newest() + 1, now); }
+  void MakeCopy() { copy_ = {revision_, stored_, servers_}; }
+  // All that was taken since the copy is lost. The store says so itself.
+  void Restore() {
+    ++revision_.era;
+    revision_.number = copy_.revision.number;
+    stored_ = InThisEra(copy_.stored);
+    servers_ = copy_.servers;
+    for (auto& [id, server] : servers_) server.revision.era = revision_.era;
+  }
+  // The operators and the servers write what the copy lacks.
+  void WriteAgain(Time now) {
+    if (stored_.version < newest()) Accept(newest(), now);
+    for (const auto& [id, server] : alive_) {
+      const auto found = servers_.find(id);
+      const bool same = found != servers_.end() &&
+                        found->second.born == server.born &&
+                        found->second.leaving == server.leaving &&
+                        found->second.fault == server.fault;
+      if (!same) Write(server, now);
+    }
+    // Leases of those that have gone run out.
+    std::vector<std::string> gone;
+    for (const auto& [id, server] : servers_) {
+      if (!alive_.contains(id)) gone.push_back(id);
+    }
+    for (const std::string& it : gone) Erase(it, now);
+  }
+  bool HasCopy() const { return copy_.revision.number != 0; }
+  void Put(int i, bool leaving, Time now) {
+    const std::string id = "app" + std::to_string(i);
+    Write({.id = id,
+           .service = "app",
+           .address = id + ":1",
+           .slots = 8,
+           .leaving = leaving,
+           .born = born_[id]},
+          now);
+  }
+  // Another life under the same id.
+  void StartAgain(int i, Time now) {
+    born_["app" + std::to_string(i)] += 1000;
+    Put(i, false, now);
+  }
+  // A late write of the life before.
+  void WriteLate(int i, Time now) {
+    const std::string id = "app" + std::to_string(i);
+    if (!servers_.contains(id) || born_[id] == 0) return;
+    Put(i, true, now);
+    servers_[id].born -= 1000;
+    alive_[id] = servers_[id];
+    changes_.back().server = servers_[id];
+  }
+  // Somebody else writes what names no backend server.
+  void Forge(int i, Time now) {
+    Write({.id = "app" + std::to_string(i), .fault = "state: ?"}, now);
+  }
+  void Remove(int i, Time now) {
+    const std::string id = "app" + std::to_string(i);
+    alive_.erase(id);
+    Erase(id, now);
+  }
+
+  const ConfigurationStamp& stored() const { return stored_; }
+  const StoreRevision& revision() const { return revision_; }
+  const std::map<std::string, BackendServer>& servers() const {
+    return servers_;
+  }
+  // Whether a newer configuration than `known` had been accepted at `then`,
+  // lost or not.
+  bool HadNewer(const ConfigurationStamp& known, Time then) const {
+    return std::any_of(accepted_.begin(), accepted_.end(), [&](const auto& it) {
+      return IsNewer(it.first, known) && it.second < then;
+    });
+  }
+  // The change of an entry up to `then` that `known` lacks; empty if none.
+  std::string Missing(const std::map<std::string, Backend>& known,
+                      Time then) const {
+    std::map<std::string, const Change*> last;
+    for (const auto& it : changes_) {
+      if (it.at < then) last[it.id] = &it;
+    }
+    for (const auto& [id, change] : last) {
+      const BackendServer& server = change->server;
+      const auto found = known.find(id);
+      const bool listed = found != known.end() && !found->second.gone_at;
+      const bool gone = change->gone;
+      if (gone && listed && found->second.server.revision < server.revision) {
+        return id + " is gone";
+      }
+      if (!gone && listed && found->second.server.revision < server.revision) {
+        return id + " has changed";
+      }
+    }
+    return "";
+  }
+
+ private:
+  struct Change {
+    std::string id;
+    Time at{};
+    BackendServer server;
+    bool gone = false;
+  };
+  struct Copy {
+    StoreRevision revision;
+    ConfigurationStamp stored;
+    std::map<std::string, BackendServer> servers;
+  };
+
+  // The operators' last version, whether or not the store still has it.
+  std::int64_t newest() const {
+    return accepted_.empty() ? 0 : accepted_.back().first.version;
+  }
+  StoreRevision Next() {
+    ++revision_.number;
+    return revision_;
+  }
+  ConfigurationStamp InThisEra(ConfigurationStamp stamp) const {
+    stamp.revision.era = revision_.era;
+    return stamp;
+  }
+  void Accept(std::int64_t version, Time now) {
+    stored_ = {.version = version, .revision = Next()};
+    accepted_.emplace_back(stored_, now);
+  }
+  void Write(BackendServer server, Time now) {
+    server.revision = Next();
+    servers_[server.id] = server;
+    alive_[server.id] = server;
+    changes_.push_back({server.id, now, server});
+  }
+  void Erase(const std::string& id, Time now) {
+    if (servers_.erase(id) == 0) return;
+    changes_.push_back(
+        {id, now, BackendServer{.id = id, .revision = Next()}, true});
+  }
+
+  StoreRevision revision_{.era = 1, .number = 100};
+  ConfigurationStamp stored_;
+  Copy copy_;
+  // All that were ever accepted, and when.
+  std::vector<std::pair<ConfigurationStamp, Time>> accepted_;
+  std::map<std::string, BackendServer> servers_;
+  std::map<std::string, BackendServer> alive_;  // as they last wrote
+  std::map<std::string, std::uint64_t> born_;   // of the lives, by id
+  std::vector<Change> changes_;
+};
+
+}  // namespace scaleshed::serving::test
+
+#endif  // SCALESHED_SERVING_TEST_RELAY_STORE_H_
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -13,6 +13,7 @@
 #include "internal/configuration_prober.h"
 #include "internal/soak_callers.h"
 #include "internal/soak_daemons.h"
+#include "internal/soak_writers.h"
 #include "internal/temporary_folder.h"
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/testing/configuration_ledger.h"
@@ -37,8 +38,6 @@
 constexpr std::size_t kStorePage = 500;
 constexpr char kConfigurationKey[] = "op/config";
 constexpr Duration kProbeEvery = milliseconds(150);
-// Entries of servers that went lapse within three heartbeats.
-constexpr Duration kLapsesWithin = seconds(4);
 // A lease is found to be over at its next renewal at the latest.
 constexpr Duration kEntryWithin = seconds(7);
 
@@ -56,6 +55,7 @@
         random_(options.seed),
         folder_(NewFolder("scaleshed-soak")),
         store_(loop_),
+        writers_(loop_, store_, options.seed),
         ledger_(options.bound),
         look_(loop_, [this] { Look(); }),
         daemons_(loop_, options, store_.address(), folder_) {
@@ -150,8 +150,7 @@
     constexpr std::size_t kRounds = 4;
     if (looks_.size() > kRounds) looks_.pop_front();
     CountCalls(now);
-    const bool lacks = !lost_until_.empty() && lost_until_.back() > now;
-    if (store_.mode() != StoreMode::kUp || lacks) {
+    if (store_.mode() != StoreMode::kUp || writers_.LackAnything()) {
       configurations_.StoreDisturbed(now);
     }
   }
@@ -163,55 +162,12 @@
     most_calls_ = std::max(most_calls_, calls);
   }
 
-  // As its owner does it, who writes it again where the store has lost it.
-  void Write(const std::string& key, const std::string& value) {
-    written_[key] = value;
-    store_.Put(key, value);
-  }
-  void Erase(const std::string& key) {
-    written_.erase(key);
-    store_.Remove(key);
-  }
-
-  void RestoreStore(Duration length) {
-    store_.MakeCopy();
-    // What is lost has many revisions, as heartbeats write them.
-    constexpr int kHeartbeats = 20;
-    for (int n = 0; n < kHeartbeats; ++n) {
-      for (const std::string& it : store_.KeysWith("servers/")) {
-        store_.Put(it, store_.Value(it));
-      }
-    }
-    At(length / 2, [this] { store_.SetMode(StoreMode::kSilent); });
-    At(length, [this] {
-      store_.RestoreCopy();
-      store_.SetMode(StoreMode::kUp);
-      configurations_.StoreDisturbed(loop_.Now());
-    });
-    constexpr int kMostMs = 1500;
-    const Duration again = milliseconds(random_() % kMostMs);
-    lost_until_.push_back(loop_.Now() + length + again);
-    At(length + again, [this] { WriteAgain(); });
-    At(length + kLapsesWithin, [this] { EndLapsed(); });
-  }
-  void WriteAgain() {
-    for (const auto& [key, value] : written_) {
-      if (store_.Value(key) != value) store_.Put(key, value);
-    }
-  }
-  // Entries of servers that had gone before the copy was brought back.
-  void EndLapsed() {
-    for (const std::string& it : store_.KeysWith("servers/")) {
-      if (!written_.contains(it)) store_.Remove(it);
-    }
-  }
-
   void Configure() {
     nlohmann::json configuration = FleetConfiguration();
     configuration["version"] = ++version_;
     auto& keys = configuration["tenants"][0]["api_keys"];
     keys.push_back(ConfigurationLedger::KeyOf(version_));
-    Write(kConfigurationKey, configuration.dump());
+    writers_.Write(kConfigurationKey, configuration.dump());
     configurations_.Acknowledged(loop_.Now(), version_);
   }
 
@@ -244,7 +200,7 @@
                      std::chrono::duration_cast<Duration>(
                          std::chrono::duration<double>(std::stod(rest))));
     });
-    Write("servers/" + it.id(), it.Entry(service));
+    writers_.Write("servers/" + it.id(), it.Entry(service));
     serving_.push_back({.server = n, .service = service});
   }
 
@@ -255,9 +211,9 @@
     Say(n);
     At(kDownFor, [this, n, service] {
       FakeWorker& server = *servers_[n];
-      Erase("servers/" + server.id());
+      writers_.Erase("servers/" + server.id());
       server.Begin(server.id() + "+");
-      Write("servers/" + server.id(), server.Entry(service));
+      writers_.Write("servers/" + server.id(), server.Entry(service));
     });
   }
 
@@ -404,7 +360,7 @@
       case SoakFault::kStoreForgets:
         return store_.ForgetHistory();
       case SoakFault::kStoreRestores:
-        return RestoreStore(series.length);
+        return writers_.Restore(series.length);
       case SoakFault::kConfiguration:
         return Configure();
       case SoakFault::kServersRefuse:
@@ -462,18 +418,17 @@
     Say(leaving.server);
     FakeWorker& server = *servers_[leaving.server];
     const std::string key = "servers/" + server.id();
-    Write(key, server.Entry(leaving.service, "draining"));
+    writers_.Write(key, server.Entry(leaving.service, "draining"));
     constexpr Duration kDrain = milliseconds(2500);
-    At(kDrain, [this, key] { Erase(key); });
+    At(kDrain, [this, key] { writers_.Erase(key); });
     AddServer(leaving.service);
   }
 
   // Long after the last restore each daemon has written its entry again.
   void ReportEntries(SoakReport& report) {
-    const bool late = lost_until_.empty() ||
-                      loop_.Now() < lost_until_.back() + kEntryWithin ||
-                      store_.mode() != StoreMode::kUp;
-    if (late) return;
+    const bool is_due = writers_.HaveWrittenFor(kEntryWithin) &&
+                        store_.mode() == StoreMode::kUp;
+    if (!is_due) return;
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       const std::string& peer = daemons_.peer_address(i);
       if (daemons_.IsUp(i) && !store_.Has("scaleshed/members/" + peer)) {
@@ -521,12 +476,10 @@
   EventLoop loop_;
   Time started_ = loop_.Now();
   FakeStore store_;
+  SoakWriters writers_;
   SoakLedger ledger_;
   ConfigurationLedger configurations_;
   std::unique_ptr<ConfigurationProber> prober_;
-  std::map<std::string, std::string> written_;  // by others, by key
-  // For each restore, until when its writers have not written again.
-  std::vector<Time> lost_until_;
   int calls_ = 0;  // at the store, when last counted
   int most_calls_ = 0;
   Time counted_at_{};
