--- a/serving/test/relay_fleet.h
+++ b/serving/test/relay_fleet.h
@@ -1,6 +1,8 @@
 #ifndef SCALESHED_SERVING_TEST_RELAY_FLEET_H_
 #define SCALESHED_SERVING_TEST_RELAY_FLEET_H_
 
+#include <rapidcheck.h>
+
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -459,6 +461,18 @@
   std::vector<std::string> violations_;
 };
 
+// Whether no sequence of drawn steps of the first `kinds` kinds breaks a rule.
+inline bool HoldsUnderSteps(const char* what, int kinds) {
+  return rc::check(what, [kinds] {
+    const auto steps =
+        *rc::gen::container<std::vector<DrawnStep>>(AnyStep(kinds));
+    Fleet fleet;
+    for (const DrawnStep& it : steps) fleet.Play(it);
+    fleet.Calm();
+    if (!fleet.violations().empty()) RC_FAIL(fleet.violations().front());
+  });
+}
+
 }  // namespace scaleshed::serving::test
 
 #endif  // SCALESHED_SERVING_TEST_RELAY_FLEET_H_
