Soak: a request counts at the life that it names, not at the one that has its address

Cause: a server ends and its next life has its address. Until the older entry is gone from the store, or again once a copy brought it back, daemons that don't know of the end send for the older life; these are refused with 421, which ends its use. The ledger took the life at the address for the one that was asked.

Ruled out: a word of leaving that was forgotten with a restore or a kill (the daemon had sent nothing for i-5+).

Change: requests are counted under the server that they name, wherever they arrive, none is left out. For the same reason a rest is noted only where the refusal was the server's own; a 421 carries no such word.

--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -186,7 +186,8 @@
 struct BackendArrival {
   std::string request_id;
   std::string path;
-  bool ran = false;  // it began to work on it
+  std::string expected;  // the life that it names
+  bool ran = false;      // it began to work on it
 };
 
 // A backend server of the platform: streams of numbered events, or plain
--- a/testing/include/scaleshed/testing/server_ledger.h
+++ b/testing/include/scaleshed/testing/server_ledger.h
@@ -14,11 +14,13 @@
 
 // A request that came to a backend server.
 struct ServerArrival {
-  Time sent{};   // by its caller
-  Time after{};  // it came later than this,
-  Time now{};    // and not later than this
-  std::string server;
+  Time sent{};           // by its caller
+  Time after{};          // it came later than this,
+  Time now{};            // and not later than this
+  std::string server;    // the life that got it
+  std::string expected;  // the one that it names
   std::string daemon;
+  std::string request;
 };
 
 // What backend servers said of themselves and got all the same, as they saw it.
@@ -27,9 +29,9 @@
 //     kLimitWindow from daemons that had passed on such an answer kHeed before
 //     or earlier, against half as much again as the limit allows, and
 //     kLimitSlack more;
-//   - requests that a caller sent later than kDrain after their daemon had
-//   passed
-//     on that the server leaves: none;
+//   - requests for a server that a caller sent later than kDrain after their
+//     daemon had passed on that this server leaves: none, whichever life has
+//     its address when they arrive;
 //   - requests from kHeed after a server asked a daemon for rest until that is
 //     over, from that daemon: kMostInRest.
 // Times never fall. Where the process that counts was kept from looking, an
@@ -110,7 +112,8 @@
   std::map<std::string, Server> servers_;
   // When daemons had passed on that servers leave, by server and daemon.
   std::map<std::pair<std::string, std::string>, Time> leaving_;
-  std::vector<ServerArrival> late_;
+  // With how long after kDrain they were sent.
+  std::vector<std::pair<ServerArrival, Duration>> late_;
   std::vector<Rest> rests_;
 };
 
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -137,6 +137,7 @@
   if (!tell_) return;
   tell_({.request_id = exchange.Header("X-Request-Id"),
          .path = exchange.path(),
+         .expected = exchange.Header("X-Expect-Instance"),
          .ran = ran});
 }
 
--- a/testing/src/server_ledger.cc
+++ b/testing/src/server_ledger.cc
@@ -64,10 +64,10 @@
 }
 
 void ServerLedger::CountLate(const ServerArrival& arrival) {
-  const auto told = leaving_.find({arrival.server, arrival.daemon});
-  const bool late =
-      told != leaving_.end() && arrival.sent > told->second + kDrain;
-  if (late) late_.push_back(arrival);
+  const auto told = leaving_.find({arrival.expected, arrival.daemon});
+  if (told == leaving_.end()) return;
+  const Duration beyond = arrival.sent - (told->second + kDrain);
+  if (beyond > Duration::zero()) late_.emplace_back(arrival, beyond);
 }
 
 void ServerLedger::CountInRest(const ServerArrival& arrival) {
@@ -143,9 +143,11 @@
                      std::to_string(it.requests) + " in one window, of " +
                      std::to_string(it.allowed) + " allowed");
   }
-  for (const ServerArrival& it : late_) {
-    broken.push_back("leaving: " + it.server + " got a request from " +
-                     it.daemon + ", which had passed on that it leaves");
+  for (const auto& [it, beyond] : late_) {
+    broken.push_back("leaving: " + it.server + " got " + it.request + " for " +
+                     it.expected + " from " + it.daemon +
+                     ", which had passed on that it leaves, " +
+                     std::to_string(SecondsOf(beyond)) + " s late");
   }
   for (const Rest& it : rests_) {
     if (it.requests <= kMostInRest) continue;
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -193,9 +193,12 @@
                       .after = after,
                       .now = loop_.Now(),
                       .server = servers_[n]->id(),
-                      .daemon = daemon});
+                      .expected = arrival.expected,
+                      .daemon = daemon,
+                      .request = arrival.request_id});
       const std::string& rest = said_[n].rest;
-      if (arrival.ran || rest.empty()) return;
+      const bool is_meant = arrival.expected == servers_[n]->id();
+      if (arrival.ran || rest.empty() || !is_meant) return;
       words_.AskRest(loop_.Now(), servers_[n]->id(), daemon,
                      std::chrono::duration_cast<Duration>(
                          std::chrono::duration<double>(std::stod(rest))));
