The store itself says which of its eras the daemons have got over

What callers saw (a test of whole daemons): all daemons were killed, the store came back from a copy, and the daemon that started next accepted a key that an acknowledged configuration had dropped, as it read the copy and nobody was left who knew of the restore. One that was cut off from all others did the same.

Cause: that the era had risen was known to the memory of daemons only. A start forgets it, and the first era that is heard of counts as no restore.

Ruled out: waiting at each start for the time that writers have after a restore (every first start and every rolling restart of a lone daemon would refuse keys for 2.5 s); notes between daemons (they are what is lost).

Change: an item of the store, scaleshed/settled-era, names the era whose restore the daemons last got over. It is written once an era, within a second, by those that lead their data centres' questions, and again until it is seen; a copy brings back an older one. A daemon that starts and reads an older era there than the store names is as those that saw the restore: nothing proves its configuration until the operators have written, a relay proves it, or 2.5 s are over. It proves nothing before the store's first list, which has that note. Without a note the store is believed as before.

The gauge store_awaits_operators counts that wait too.

--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -164,6 +164,9 @@
           },
           [&](const serving::ListStore&) { store_->List(); },
           [&](const serving::WriteEntryAgain&) { store_->WriteEntryAgain(); },
+          [&](const serving::WriteSettledEra& it) {
+            store_->WriteSettledEra(it.era);
+          },
           [&](const serving::WatchStore& it) { store_->SetWatch(it.on); },
           [&](const serving::SaveEndings& it) { store_->Save(it); },
           [&](const serving::RelayStore& it) {
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -106,7 +106,7 @@
   }
   RenderGauge(out, "store_era", static_cast<double>(state.store.era.number));
   RenderGauge(out, "store_awaits_operators",
-              serving::AwaitsOperators(state) ? 1 : 0);
+              serving::AwaitsOperators(state) || !state.store.era.settled);
   RenderGauge(out, "backends_proof_age_seconds",
               SecondsOf(state.now - state.store.backends_confirmed_at));
   RenderBackends(out, state);
--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -55,6 +55,7 @@
   void Save(const serving::SaveEndings& save);
   // The store may have lost this daemon's entry.
   void WriteEntryAgain();
+  void WriteSettledEra(std::uint64_t era);
 
   std::uint64_t calls() const { return store_.calls(); }
 
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -188,6 +188,13 @@
 
 void StoreFollower::WriteEntryAgain() { registration_.WriteAgain(); }
 
+void StoreFollower::WriteSettledEra(std::uint64_t era) {
+  // A watch tells that it is there.
+  store_.WriteSettledEra(era, [this](const auto& result) {
+    Noted("write_settled_era", FaultOf(result));
+  });
+}
+
 void StoreFollower::TellBackends(const platform::StoredItems& items,
                                  Time asked) {
   serving::BackendsListed all{.backends = {},
@@ -259,6 +266,9 @@
                  [&](const platform::StoredEndingsItem& it) {
                    feed_(serving::EndingsStored{it.endings});
                  },
+                 [&](const platform::StoredSettledEra& it) {
+                   feed_(serving::SettledEraSeen{it.era});
+                 },
                  [&](const platform::Unreadable& it) {
                    LogWarn("store_entry_unreadable",
                            {{"key", it.key}, {"fault", it.fault}});
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -158,6 +158,10 @@
 struct ListStore {};
 // The store was restored from a copy: what this daemon has there may be lost.
 struct WriteEntryAgain {};
+// Notes in the store that this era of it is settled. SettledEraSeen follows.
+struct WriteSettledEra {
+  std::uint64_t era = 0;
+};
 // Whether to be told by the store of what changes there.
 struct WatchStore {
   bool on = false;
@@ -257,9 +261,9 @@
     std::variant<StartAttempt, CancelAttempt, DeliverAnswer, BeginStream,
                  PassEvent, EndStream, BreakAnswer, Refuse, ReserveMemory,
                  ReleaseMemory, AskReport, AskLife, PublishSnapshot, AskStore,
-                 ReadConfiguration, ListStore, WriteEntryAgain, WatchStore,
-                 SaveEndings, RelayStore, AskPlacer, AnswerPlace, LogDecision,
-                 Count, ObserveLatency, ApplyLimits, Exit>;
+                 ReadConfiguration, ListStore, WriteEntryAgain, WriteSettledEra,
+                 WatchStore, SaveEndings, RelayStore, AskPlacer, AnswerPlace,
+                 LogDecision, Count, ObserveLatency, ApplyLimits, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace scaleshed::serving
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -165,6 +165,12 @@
   std::uint64_t era = 0;
 };
 
+// The store holds a note that the daemons got over the restore that began that
+// era; zero: the note is gone.
+struct SettledEraSeen {
+  std::uint64_t era = 0;
+};
+
 // The store was asked for what ReadConfiguration wants, as no daemon told it.
 struct StoreAsked {};
 
@@ -256,11 +262,11 @@
     RequestArrived, ClientGone, StreamEvent, AttemptAnswered, AttemptFailed,
     AnswerBegun, MemoryAnswered, ReportSeen, LifeSeen, ConfigurationSeen,
     ConfigurationConfirmed, BackendsConfirmed, BackendsComplete, StoreEraSeen,
-    StoreAsked, StoreHeard, StoreUnreachable, StoreRelayReceived, BackendListed,
-    BackendUnlisted, BackendsListed, EndingsStored, AllEndingsListed,
-    EndingsSaved, PeersListed, EntryHeld, EntryEnded, EntryForgotten,
-    DaemonsCounted, SnapshotReceived, PlaceQuestionReceived,
-    PlaceAnswerReceived, Tick, StopRequested>;
+    SettledEraSeen, StoreAsked, StoreHeard, StoreUnreachable,
+    StoreRelayReceived, BackendListed, BackendUnlisted, BackendsListed,
+    EndingsStored, AllEndingsListed, EndingsSaved, PeersListed, EntryHeld,
+    EntryEnded, EntryForgotten, DaemonsCounted, SnapshotReceived,
+    PlaceQuestionReceived, PlaceAnswerReceived, Tick, StopRequested>;
 
 struct Event {
   Time now;
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -114,6 +114,9 @@
   // time for it.
   bool settled = true;
   Time settles_at{};
+  // The last era that the store itself says is settled; zero: not known.
+  std::uint64_t noted = 0;
+  Time note_due{};
   // The revisions that are known here are of this era.
   std::uint64_t adopted = 0;
   // When a daemon that starts asked for its configuration: proved with a word
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -351,6 +351,10 @@
 ConfigurationStamp StampOf(const State& state);
 // The store is in that era, by its own word (`told_by` empty) or a daemon's.
 void NoteEra(State& state, std::uint64_t number, const std::string& told_by);
+// The store's own note of the era that was last settled.
+void OnSettledEra(State& state, std::uint64_t era);
+// Writes that note where it is older, if it is this daemon's turn.
+void NoteSettledEraDue(State& state);
 // Others may not have written again yet what the copy lacks; until when.
 bool IsJustRestored(const State& state);
 Time RestoreEnd(const State& state);
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -91,6 +91,7 @@
           [&](const BackendsConfirmed& it) { OnBackendsConfirmed(state, it); },
           [&](const BackendsComplete& it) { NoteComplete(state, it.revision); },
           [&](const StoreEraSeen& it) { NoteEra(state, it.era, ""); },
+          [&](const SettledEraSeen& it) { OnSettledEra(state, it.era); },
           [&](const StoreAsked&) { NoteQuestion(state); },
           [&](const StoreHeard&) { NoteStoreHeard(state); },
           [&](const StoreUnreachable&) { OnStoreUnreachable(state); },
--- a/serving/src/store_eras.cc
+++ b/serving/src/store_eras.cc
@@ -26,6 +26,15 @@
 constexpr Duration kHearsFewFor = milliseconds(400);
 constexpr Duration kHearsNobodyFor = seconds(1);
 
+// One of the daemons that lead their data centres' questions notes that an era
+// is settled; the others see it by then.
+constexpr Duration kNoteWithin = seconds(1);
+// Unless the note is seen, it is written again.
+constexpr Duration kNoteAgain = seconds(4);
+
+// Nothing has proved its configuration yet.
+bool IsStarting(const State& state) { return state.confirmed_at == Time{}; }
+
 // The newest that this daemon has or has heard of.
 ConfigurationStamp NewestStamp(const State& state) {
   const ConfigurationStamp& heard = state.store.read_wanted;
@@ -34,14 +43,15 @@
 
 bool HasHeardOthers(const State& state) {
   // A store that tells no era is not known to have been restored.
-  if (state.store.era.number == 0 || state.confirmed_at != Time{}) return true;
+  if (state.store.era.number == 0 || !IsStarting(state)) return true;
+  // With the peers the store told which era was settled last.
+  if (!state.peers_listed) return false;
   const auto heard = static_cast<std::size_t>(
       std::count_if(state.members.begin(), state.members.end(),
                     [&](const auto& it) { return IsHeard(state, it.second); }));
   const Duration waited = state.now - state.started_at;
   if (heard == 0) return waited >= kHearsNobodyFor;
   const bool hears_enough =
-      state.peers_listed &&
       heard >= std::min(state.listed_peers.size(), kFewOthers);
   return hears_enough || waited >= kHearsFewFor;
 }
@@ -50,12 +60,22 @@
   StoreEra& era = state.store.era;
   if (std::exchange(era.settled, true)) return;
   state.changed = true;
+  era.note_due = state.now + Drawn(state, kNoteWithin);
   // Now a question can prove the configuration.
   state.store.ask_due = state.now;
   Log(state, "store_settled",
       {{"era", std::to_string(era.number)}, {"why", why}});
 }
 
+// A daemon that starts hears of a restore that the others know, or that none of
+// them was there to notice.
+void JoinRestore(State& state, Duration unsettled_for) {
+  StoreEra& era = state.store.era;
+  era.restored_at = era.restored_at.value_or(state.now);
+  era.settled = false;
+  era.settles_at = std::max(era.settles_at, state.now + unsettled_for);
+}
+
 // The operators wrote it since the restore, so that it is their newest.
 bool IsRewritten(const State& state, const ConfigurationStamp& stored) {
   const StoreEra& era = state.store.era;
@@ -82,6 +102,8 @@
   if (number <= era.number) return;
   const bool first = !std::exchange(era.heard, true);
   const std::uint64_t before = std::exchange(era.number, number);
+  era.noted = 0;
+  era.note_due = state.now + Drawn(state, kNoteWithin);
   if (first) return;
   era.restored_at = state.now;
   era.first_number = 0;
@@ -102,6 +124,31 @@
   if (state.store.watching) state.effects.emplace_back(ListStore{});
 }
 
+void OnSettledEra(State& state, std::uint64_t settled) {
+  StoreEra& era = state.store.era;
+  era.noted = settled;
+  const bool unnoticed = settled != 0 && settled < era.number;
+  if (!unnoticed || !IsStarting(state) || era.restored_at) return;
+  Log(state, "store_restored",
+      {{"era", std::to_string(era.number)},
+       {"era_before", std::to_string(settled)},
+       {"told_by", "store"}});
+  JoinRestore(state, kSettlesWithin);
+}
+
+void NoteSettledEraDue(State& state) {
+  StoreEra& era = state.store.era;
+  const bool settled =
+      era.settled && !IsStarting(state) && !AwaitsOperators(state);
+  const bool lacks = settled && era.noted < era.number;
+  if (!lacks || !state.store.leads || state.now < era.note_due) return;
+  era.note_due = state.now + kNoteAgain;
+  Log(state, "notes_settled_era",
+      {{"era", std::to_string(era.number)},
+       {"noted", std::to_string(era.noted)}});
+  state.effects.emplace_back(WriteSettledEra{.era = era.number});
+}
+
 bool IsJustRestored(const State& state) {
   const auto& restored = state.store.era.restored_at;
   return restored && state.now < *restored + kSettlesWithin;
@@ -147,11 +194,9 @@
   NoteEra(state, told.era, told.peer_address);
   StoreEra& era = state.store.era;
   // A daemon that starts can't know of it otherwise.
-  const bool starts = state.confirmed_at == Time{} && told.era == era.number;
+  const bool starts = IsStarting(state) && told.era == era.number;
   if (starts && told.unsettled_for > Duration::zero()) {
-    era.restored_at = era.restored_at.value_or(state.now);
-    era.settled = false;
-    era.settles_at = std::max(era.settles_at, state.now + told.unsettled_for);
+    JoinRestore(state, told.unsettled_for);
   }
   // It is known to daemons only: the store has lost it.
   const bool lost = told.configuration.revision.era < era.number;
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -346,6 +346,7 @@
   if (QuestionDue(state) <= state.now) Ask(state);
   ReadWhatIsNewer(state);
   if (store.watching && (HasProof(state) || HasNews(state))) Relay(state);
+  NoteSettledEraDue(state);
   ForgetOld(state);
 }
 
--- a/serving/test/relay_fleet.h
+++ b/serving/test/relay_fleet.h
@@ -52,7 +52,7 @@
         node.frozen_until = now_ + milliseconds(step.second * 5);
         break;
       case 4:  // dies and comes back with nothing
-        node = Fresh(step.first % kDaemons);
+        KillOf(step.first % kDaemons);
         break;
       case 5:  // cut from the store
         node.store_away_until = now_ + milliseconds(step.second * 5);
@@ -88,6 +88,9 @@
         if (!store_.HasCopy()) break;
         Restore(milliseconds(step.first * 2), milliseconds(step.second * 2));
         break;
+      case kKillsAll:  // nobody is left who knows anything
+        for (int i = 0; i < kDaemons; ++i) KillOf(i);
+        break;
       default:
         Pass(milliseconds(step.second));
     }
@@ -100,6 +103,13 @@
   // Kinds of steps beyond those.
   static constexpr int kCopies = 16;
   static constexpr int kRestores = 17;
+  static constexpr int kKillsAll = 18;
+
+  void KillOf(int i) {
+    Node& node = nodes_[static_cast<std::size_t>(i)];
+    node = Fresh(i);
+    node.troubled_until = now_;
+  }
 
   // All is well again: everybody knows what the store took before.
   void Calm() {
@@ -155,7 +165,6 @@
     bool watching = false;
     StoreRevision watched;  // of the store, that a watch has told
     ConfigurationStamp highest;
-    bool is_cut_off = false;  // from all others, for a part of its life
   };
   struct Message {
     Time due{};
@@ -207,28 +216,16 @@
     write_again_at_ = Time::max();
     store_.WriteAgain(now_);
   }
-  // The newest that any daemon has that can tell the others of it.
-  void NoteNewestKnown() {
-    ConfigurationStamp newest;
-    for (const Node& it : nodes_) {
-      const bool tells = std::max(it.frozen_until, it.mute_until) <= now_;
-      if (tells && IsNewer(StampOf(it), newest)) newest = StampOf(it);
-    }
-    newest_known_.emplace_back(now_, newest);
-  }
-  // Some daemon could tell of a newer one than `known` at that time.
-  bool WasKnownToAny(const ConfigurationStamp& known, Time then) const {
-    return std::any_of(newest_known_.begin(), newest_known_.end(),
-                       [&](const auto& it) {
-                         return it.first <= then && IsNewer(it.second, known);
-                       });
-  }
 
   void List(State& state, Time asked) {
     Reduce(state, {.now = now_, .body = StoreEraSeen{store_.revision().era}});
     Reduce(state, {.now = now_, .body = Configuration(asked)});
+    Reduce(state, {.now = now_, .body = SettledEra()});
     Reduce(state, {.now = now_, .body = Servers(asked)});
   }
+  EventBody SettledEra() const {
+    return SettledEraSeen{.era = store_.settled_era()};
+  }
   static serving::Configuration WithStamp(const ConfigurationStamp& stamp) {
     serving::Configuration configuration = MakeConfiguration(0);
     configuration.version = stamp.version;
@@ -252,7 +249,6 @@
       now_ += kStep;
       WriteAgainDue();
       Deliver();
-      NoteNewestKnown();
       for (std::size_t i = 0; i < nodes_.size(); ++i) Step(i);
     }
   }
@@ -302,6 +298,7 @@
     node.watched = store_.revision();
     Feed(i, StoreEraSeen{store_.revision().era});
     Feed(i, Configuration(Time{}));
+    Feed(i, SettledEra());
     Feed(i, Servers(Time{}));
   }
   bool IsStoreThere(const Node& node) const {
@@ -320,6 +317,9 @@
                    [&](const ListStore&) { AnswerList(i); },
                    [&](const ReadConfiguration& it) { AnswerRead(i, it); },
                    [&](const WatchStore& it) { nodes_[i].watching = it.on; },
+                   [&](const WriteSettledEra& it) {
+                     if (ReachesStore(i)) store_.NoteSettledEra(it.era);
+                   },
                    [&](const RelayStore& it) {
                      for (const auto& [to, relay] : it.messages) {
                        Send(i, to, StoreRelayReceived{relay});
@@ -358,6 +358,7 @@
     const Time back = Back(i);
     Answer(i, back, StoreEraSeen{store_.revision().era});
     Answer(i, back, Configuration(now_));
+    Answer(i, back, SettledEra());
     Answer(i, back, Servers(now_));
   }
   // Another daemon tells it, or else the store.
@@ -414,13 +415,7 @@
     const ConfigurationStamp known = StampOf(node);
     if (IsNewer(node.highest, known)) Violate("the configuration went back");
     node.highest = known;
-    node.is_cut_off =
-        node.is_cut_off || std::max(node.deaf_until, node.mute_until) > now_;
-    // One that has heard nobody since it started can't know what the store has
-    // lost; nor can anybody where nobody is left who did.
-    const bool can_know =
-        !node.is_cut_off && WasKnownToAny(known, state.confirmed_at);
-    if (can_know && store_.HadNewer(known, state.confirmed_at)) {
+    if (store_.HadNewer(known, state.confirmed_at)) {
       Violate("an old configuration is taken for proved");
     }
     const std::string missing =
@@ -430,7 +425,9 @@
   }
 
   void CheckServing(const Node& node) {
-    const State& state = *node.state;
+    State& state = *node.state;
+    // A request that came now would be decided by now's clock.
+    state.now = std::max(state.now, now_);
     const bool calm =
         std::max(node.troubled_until + kCalmAfter, excused_until_) <= now_;
     const bool looks = (now_ - kStart) % kLookEvery == Duration::zero();
@@ -450,7 +447,6 @@
   std::uint64_t lives_ = 0;
   std::vector<Node> nodes_;
   std::vector<Message> messages_;
-  std::vector<std::pair<Time, ConfigurationStamp>> newest_known_;
   Time away_until_{};
   Time write_again_at_ = Time::max();
   Time excused_until_{};  // of what the operators wrote again late
--- a/serving/test/relay_store.h
+++ b/serving/test/relay_store.h
@@ -26,13 +26,14 @@
   }
 
   void Configure(Time now) { Accept(newest() + 1, now); }
-  void MakeCopy() { copy_ = {revision_, stored_, servers_}; }
+  void MakeCopy() { copy_ = {revision_, stored_, servers_, settled_era_}; }
   // All that was taken since the copy is lost. The store says so itself.
   void Restore() {
     ++revision_.era;
     revision_.number = copy_.revision.number;
     stored_ = InThisEra(copy_.stored);
     servers_ = copy_.servers;
+    settled_era_ = copy_.settled_era;
     for (auto& [id, server] : servers_) server.revision.era = revision_.era;
   }
   // The operators and the servers write what the copy lacks.
@@ -53,6 +54,12 @@
     }
     for (const std::string& it : gone) Erase(it, now);
   }
+  // The daemons' own note.
+  void NoteSettledEra(std::uint64_t era) {
+    Next();
+    settled_era_ = era;
+  }
+  std::uint64_t settled_era() const { return settled_era_; }
   bool HasCopy() const { return copy_.revision.number != 0; }
   void Put(int i, bool leaving, Time now) {
     const std::string id = "app" + std::to_string(i);
@@ -133,6 +140,7 @@
     StoreRevision revision;
     ConfigurationStamp stored;
     std::map<std::string, BackendServer> servers;
+    std::uint64_t settled_era = 0;
   };
 
   // The operators' last version, whether or not the store still has it.
@@ -165,6 +173,7 @@
 
   StoreRevision revision_{.era = 1, .number = 100};
   ConfigurationStamp stored_;
+  std::uint64_t settled_era_ = 0;
   Copy copy_;
   // All that were ever accepted, and when.
   std::vector<std::pair<ConfigurationStamp, Time>> accepted_;
--- a/serving/test/store_restores_drawn_test.cc
+++ b/serving/test/store_restores_drawn_test.cc
@@ -9,6 +9,7 @@
 namespace scaleshed::serving {
 namespace {
 
+using test::DrawnStep;
 using test::Fleet;
 using test::HoldsUnderSteps;
 
@@ -19,7 +20,26 @@
   setenv("RC_PARAMS", "seed=20261202 max_success=200 max_size=60",
          /*overwrite=*/0);
   CHECK(HoldsUnderSteps("what was accepted stays in force",
-                        Fleet::kRestores + 1));
+                        Fleet::kKillsAll + 1));
+}
+
+// The daemons that started took the copy for proof.
+TEST_CASE("A restore that no daemon lived through is known all the same") {
+  constexpr int kConfigures = 0;
+  constexpr int kPasses = 12;
+  Fleet fleet;
+  for (const DrawnStep& it : std::vector<DrawnStep>{
+           {.kind = Fleet::kCopies},
+           {.kind = kConfigures},
+           {.kind = kPasses, .second = 900},
+           {.kind = Fleet::kRestores, .first = 100, .second = 900},
+           {.kind = Fleet::kKillsAll},
+           {.kind = kPasses, .second = 900},
+           {.kind = kPasses, .second = 900}}) {
+    fleet.Play(it);
+  }
+  fleet.Calm();
+  CHECK(fleet.violations() == std::vector<std::string>{});
 }
 
 }  // namespace
--- a/testing/test/fleet_harness.h
+++ b/testing/test/fleet_harness.h
@@ -87,6 +87,8 @@
                                 .grace = milliseconds(500)}});
     daemons_.push_back(std::make_unique<FleetDaemon>(loop_, settings_.back()));
   }
+  // It ends without a word.
+  void KillDaemon(std::size_t i) { daemons_.at(i).reset(); }
   FleetDaemon& daemon(std::size_t i) { return *daemons_.at(i); }
   const Settings& settings(std::size_t i) { return settings_.at(i); }
 
--- a/testing/test/store_restore_test.cc
+++ b/testing/test/store_restore_test.cc
@@ -119,6 +119,33 @@
       [&] { return fleet.StatusAt(kDaemons, "/plain/safe/a") == 401; }));
 }
 
+// A dropped key was accepted: nobody was left who knew of the restore.
+TEST_CASE("Daemons that all start after a restore take no copy for proof") {
+  RestoredFleet fleet;
+  // They have served by this era for a while.
+  REQUIRE(
+      fleet.Until([&] { return fleet.store().Has("scaleshed/settled-era"); }));
+  fleet.LoseFromNow();
+  nlohmann::json without_key = FleetConfiguration();
+  without_key["version"] = 4;
+  without_key["tenants"][0]["api_keys"] = {"k2"};
+  fleet.Configure(without_key);
+  REQUIRE(fleet.EventuallyAll("/plain/safe/a", 401));
+  for (std::size_t i = 0; i < kDaemons; ++i) fleet.KillDaemon(i);
+  fleet.store().RestoreCopy();
+  fleet.AddDaemon();
+  int status = 0;
+  REQUIRE(fleet.Eventually([&] {
+    status = fleet.StatusAt(kDaemons, "/plain/safe/a");
+    return status != 503 ||
+           fleet.Shows(kDaemons, "scaleshed_store_awaits_operators 1");
+  }));
+  CHECK(status != 200);
+  fleet.Configure(without_key);
+  CHECK(fleet.Eventually(
+      [&] { return fleet.StatusAt(kDaemons, "/plain/safe/a") == 401; }));
+}
+
 // Each list was followed by a watch from where the lost history had ended.
 TEST_CASE("A restored store is not asked again and again") {
   RestoredFleet fleet;
