An era far above the known one is not believed

Found by reading, listed as open in the postmortem: one answer, or one relay, that named a huge era (a broken proxy, a forged datagram) made every daemon take all later answers of the store for those of a lost history until it was restarted: no configuration and no server would have been known again.

Change: between two words of it a store isn't restored over 1,000 times.

Ruled out: going back to a lower era once it is the only one heard (an answer of a lost history that is long on its way would undo a restore).

--- a/serving/include/scaleshed/serving/store_revision.h
+++ b/serving/include/scaleshed/serving/store_revision.h
@@ -16,6 +16,15 @@
   auto operator<=>(const StoreRevision&) const = default;
 };
 
+// Between two words of it a store isn't restored so often.
+inline constexpr std::uint64_t kMostRestoresAtOnce = 1000;
+
+// Whether a store that was in the era `known` may be in `told` now. Zero: none
+// was told.
+constexpr bool IsPlausibleEra(std::uint64_t known, std::uint64_t told) {
+  return known == 0 || told <= known || told - known <= kMostRestoresAtOnce;
+}
+
 // Which configuration it is, and where the store held it.
 struct ConfigurationStamp {
   std::int64_t version = 0;  // the operators' own count
--- a/serving/src/store_eras.cc
+++ b/serving/src/store_eras.cc
@@ -100,6 +100,14 @@
 void NoteEra(State& state, std::uint64_t number, const std::string& told_by) {
   StoreEra& era = state.store.era;
   if (number <= era.number) return;
+  if (!IsPlausibleEra(era.number, number)) {
+    Log(state, "era_refused",
+        {{"era", std::to_string(number)},
+         {"known", std::to_string(era.number)},
+         {"told_by", told_by}},
+        /*routine=*/true);
+    return;
+  }
   const bool first = !std::exchange(era.heard, true);
   const std::uint64_t before = std::exchange(era.number, number);
   era.noted = 0;
--- a/serving/test/store_eras_test.cc
+++ b/serving/test/store_eras_test.cc
@@ -44,6 +44,7 @@
     }
   }
   bool is_proved() const { return state_.confirmed_at != Time{}; }
+  std::uint64_t era() const { return state_.store.era.number; }
   int notes() const { return notes_; }
   void Feed(EventBody body) {
     const Effects effects =
@@ -83,6 +84,17 @@
   CHECK(starter.is_proved());
 }
 
+TEST_CASE("A daemon's word of an era far above the store's is not believed") {
+  Starter starter;
+  starter.List(kEra);
+  starter.Pass(milliseconds(1100));
+  const std::uint64_t told = kEra + kMostRestoresAtOnce + 1;
+  starter.Feed(StoreRelayReceived{{.peer_address = "a:1", .era = told}});
+  CHECK(starter.era() == kEra);
+  starter.Feed(StoreRelayReceived{{.peer_address = "a:1", .era = told - 1}});
+  CHECK(starter.era() == told - 1);
+}
+
 TEST_CASE("A store whose era is settled, or that has no note, is believed") {
   for (const std::uint64_t settled : {kEra, std::uint64_t{0}}) {
     Starter starter;
