Ends under many contents are written, sixteen to a transaction

Ends of 17 contents and more at once were never stored, the daemons asked again and again, and for 2.5 s after each refusal took the store for away: servers that had gone were waited for as if their entries had only lapsed.

Cause: the store takes 32 entries in a transaction, conditions among them; 32 contents have 64. Our stand-in of the store took any number.

Ruled out: what the writes hold (the ones of up to 16 contents all stood); the rate (no 429).

Change: 16 contents a write. A refusal with another 4xx is an error of its own (rejected, line store_rejects): the store is there, the call is wrong. The stand-in refuses what is over its 32.

The tests of the store's client stand in a file of their own; none was changed.

--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -116,9 +116,12 @@
             {{"call", call}, {"era", std::to_string(store_.era())}});
     return false;
   }
+  if (error == StoreError::kRejected)
+    LogWarn("store_rejects", {{"call", call}});
   // These are answers of a store that is there.
   const bool there = !error || *error == StoreError::kForgotten ||
                      *error == StoreError::kNoLease ||
+                     *error == StoreError::kRejected ||
                      *error == StoreError::kConflict;
   if (there) {
     failures_ = 0;
--- a/serving/src/stored_endings.cc
+++ b/serving/src/stored_endings.cc
@@ -17,8 +17,8 @@
 constexpr Duration kSaveAnyhow = milliseconds(1500);
 // After one, until which its own news have come back.
 constexpr Duration kSaveAgain = milliseconds(200);
-// The store takes 32 in a transaction.
-constexpr std::size_t kMostSaved = 32;
+// Each takes a condition and a write, of 32 entries that a transaction has.
+constexpr std::size_t kMostSaved = 16;
 
 // How long what the store lacks waits for this daemon to write it.
 Duration SaveAfter(State& state) {
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -30,6 +30,9 @@
 // The platform's key-value store with conditions, watches and leases.
 class FakeStore {
  public:
+  // Conditions, writes and removals of one transaction.
+  static constexpr std::size_t kMostEntries = 32;
+
   explicit FakeStore(EventLoop& loop);
 
   std::string address() const;
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -237,6 +237,12 @@
 
 void FakeStore::OnTransaction(const std::shared_ptr<HttpExchange>& exchange) {
   const Json body = Json::parse(exchange->TakeBody());
+  const std::size_t entries = body.at("expected_rev").size() +
+                              body.at("put").size() + body.at("remove").size();
+  if (entries > kMostEntries) {
+    Answer(exchange, 400, Json::object());
+    return;
+  }
   if (body.at("put").empty()) ++questions_;
   Json items = Json::array();
   bool holds = true;
--- a/testing/test/deadly_requests_test.cc
+++ b/testing/test/deadly_requests_test.cc
@@ -74,6 +74,30 @@
   CHECK(fleet.ends() == 3);
 }
 
+// The store refused the write of more than it takes at once, again and again,
+// and daemons took it for away.
+TEST_CASE("Ends under more contents than one write takes are all kept") {
+  constexpr std::size_t kHeld = 40;
+  Fleet fleet;
+  fleet.Configure();
+  FakeWorker& worker = fleet.AddWorker("app");
+  worker.SetMode(WorkerMode::kHanging);
+  worker.EndUnder("deadly", milliseconds(20), [] {});
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  std::vector<std::shared_ptr<Asked>> held;
+  for (std::size_t i = 0; i < kHeld; ++i) {
+    held.push_back(
+        fleet.Send("/plain/safe/a", {}, 0, "held " + std::to_string(i)));
+  }
+  REQUIRE(
+      fleet.Until([&] { return worker.runs() == static_cast<int>(kHeld); }));
+  held.push_back(fleet.Send("/plain/safe/a", {}, 0, "deadly"));
+  CHECK(fleet.Until([&] {
+    return fleet.store().KeysWith("scaleshed/endings/").size() == kHeld + 1;
+  }));
+}
+
 TEST_CASE("An operator releases a content by its entry in the store") {
   DeadlyFleet fleet;
   fleet.AddDaemon();
