Ends of many servers at once cost neither the store's calls nor the links

Ruled out: the doubt itself.

Change: while more than two servers ended within 10 s, only contents that were at two of the ends are written; taking away is as before.

Tests: quarantine_test for both (the functions' new parameters); deadly_requests_test and the drawn kills of all are as strict as before and hold.

--- a/serving/include/scaleshed/serving/quarantine.h
+++ b/serving/include/scaleshed/serving/quarantine.h
@@ -53,8 +53,9 @@
   std::size_t size() const;
   std::size_t held() const;
 
-  // What the others are to be told: news of the last seconds, the newest last.
-  std::vector<Ending> News(Time now);
+  // What the others are to be told: news of the last seconds, the newest last;
+  // `latest`: only what they may not have been told often enough yet.
+  std::vector<Ending> News(Time now, bool latest = false);
 
   // The store held that at its revision. False where that is known or older.
   // What it lacks was taken away by somebody who knew better, unless it was
@@ -67,9 +68,10 @@
   // Of all that the store is known to hold.
   std::uint64_t digest() const { return digest_; }
   // What the store is to hold and doesn't, the oldest first; since when at the
-  // earliest.
-  std::vector<StoredEndings> Unsaved(std::size_t most) const;
-  Time unsaved_since() const;
+  // earliest. Contents with fewer ends than `least` are only to be taken away.
+  std::vector<StoredEndings> Unsaved(std::size_t most,
+                                     std::size_t least = 1) const;
+  Time UnsavedSince(std::size_t least) const;
   bool has_unsaved() const { return !unsaved_.empty(); }
 
  private:
@@ -85,6 +87,7 @@
   };
 
   static std::vector<BackendId> Counting(const Record& record);
+  bool IsWorthSaving(std::uint64_t content, std::size_t least) const;
   void NoteChanged(std::uint64_t content, Time now);
   void MakeRoom(Time now);
   // Those that were forgiven are remembered while news of them may be underway.
--- a/serving/src/quarantine.cc
+++ b/serving/src/quarantine.cc
@@ -9,9 +9,11 @@
 namespace scaleshed::serving {
 namespace {
 
-// Each snapshot within this carries what is new: several, of which some may be
-// lost.
+// Each whole snapshot within this carries what is new: several, of which some
+// may be lost.
 constexpr Duration kTellFor = seconds(3);
+// So do the partial ones between them within this: many follow each other.
+constexpr Duration kTellAtOnceFor = milliseconds(200);
 // In one message, of 18 bytes each. What ended together with one that had 16
 // requests is told whole.
 constexpr std::size_t kMostTold = 64;
@@ -80,11 +82,16 @@
       [](const auto& it) { return Counting(it.second).size() >= kMostEnds; }));
 }
 
-std::vector<Ending> Quarantine::News(Time now) {
+std::vector<Ending> Quarantine::News(Time now, bool latest) {
   while (!news_.empty() && news_.front().first < now - kTellFor) {
     news_.pop_front();
   }
-  const std::size_t n = std::min(news_.size(), kMostTold);
+  const auto from =
+      std::find_if(news_.begin(), news_.end(), [&](const auto& it) {
+        return !latest || it.first >= now - kTellAtOnceFor;
+      });
+  const auto told = static_cast<std::size_t>(news_.end() - from);
+  const std::size_t n = std::min(told, kMostTold);
   std::vector<Ending> news;
   news.reserve(n);
   for (auto it = news_.end() - static_cast<std::ptrdiff_t>(n);
@@ -145,11 +152,17 @@
   }
 }
 
-std::vector<StoredEndings> Quarantine::Unsaved(std::size_t most) const {
+bool Quarantine::IsWorthSaving(std::uint64_t content, std::size_t least) const {
+  const Record& record = records_.at(content);
+  return !record.stored.empty() || Counting(record).size() >= least;
+}
+
+std::vector<StoredEndings> Quarantine::Unsaved(std::size_t most,
+                                               std::size_t least) const {
   std::vector<std::pair<Time, std::uint64_t>> oldest;
   oldest.reserve(unsaved_.size());
   for (const auto& [content, since] : unsaved_) {
-    oldest.emplace_back(since, content);
+    if (IsWorthSaving(content, least)) oldest.emplace_back(since, content);
   }
   std::sort(oldest.begin(), oldest.end());
   if (oldest.size() > most) oldest.resize(most);
@@ -165,9 +178,11 @@
   return unsaved;
 }
 
-Time Quarantine::unsaved_since() const {
+Time Quarantine::UnsavedSince(std::size_t least) const {
   Time since = Time::max();
-  for (const auto& [content, at] : unsaved_) since = std::min(since, at);
+  for (const auto& [content, at] : unsaved_) {
+    if (IsWorthSaving(content, least)) since = std::min(since, at);
+  }
   return since;
 }
 
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -43,7 +43,7 @@
                         .configuration = StampOf(state),
                         .era = state.store.era.number,
                         .unsettled_for = UnsettledFor(state)};
-  snapshot.endings = state.quarantine.News(state.now);
+  snapshot.endings = state.quarantine.News(state.now, /*latest=*/partial);
   snapshot.asked = AskedContents(state);
   snapshot.limits = LimitsToTell(state, /*news=*/partial);
   snapshot.leaving = LeavingToTell(state, /*news=*/partial);
--- a/serving/src/stored_endings.cc
+++ b/serving/src/stored_endings.cc
@@ -20,6 +20,20 @@
 // Each takes a condition and a write, of 32 entries that a transaction has.
 constexpr std::size_t kMostSaved = 16;
 
+// Where more servers than these end within this, one of the ends says next to
+// nothing of a content that was there, and whole answers forgive it soon: only
+// contents that were at two are written.
+constexpr std::size_t kFewEnds = 2;
+constexpr Duration kLately = seconds(10);
+
+// The ends of a content from which on they are worth a write.
+std::size_t LeastEndsToSave(const State& state) {
+  const auto ends = std::count_if(
+      state.ended_lives.begin(), state.ended_lives.end(),
+      [&](const auto& it) { return state.now < it.second + kLately; });
+  return static_cast<std::size_t>(ends) > kFewEnds ? 2 : 1;
+}
+
 // How long what the store lacks waits for this daemon to write it.
 Duration SaveAfter(State& state) {
   // Where it is not known yet who leads, as after a kill of all, a late write
@@ -71,11 +85,12 @@
 
 void SaveEndingsDue(State& state) {
   StoreFollowing& store = state.store;
-  const Time since = state.quarantine.unsaved_since();
+  const std::size_t least = LeastEndsToSave(state);
+  const Time since = state.quarantine.UnsavedSince(least);
   if (store.saving || since == Time::max()) return;
   if (store.save_due < since) store.save_due = since + SaveAfter(state);
   if (store.save_due > state.now) return;
-  SaveEndings save{.endings = state.quarantine.Unsaved(kMostSaved)};
+  SaveEndings save{.endings = state.quarantine.Unsaved(kMostSaved, least)};
   Log(state, "saves_endings",
       {{"contents", std::to_string(save.endings.size())},
        {"waited_ms", Millis(state.now - since)}});
--- a/serving/test/quarantine_test.cc
+++ b/serving/test/quarantine_test.cc
@@ -118,6 +118,37 @@
   CHECK(quarantine.News(kNow + seconds(4)).empty());
 }
 
+// Each of a hundred snapshots a second repeated all of them for seconds.
+TEST_CASE("The latest news are told for a moment") {
+  Quarantine quarantine;
+  quarantine.Take({.content = 1, .life = 1}, kNow);
+  quarantine.Take({.content = 2, .life = 1}, kNow + seconds(1));
+  const auto latest = quarantine.News(kNow + seconds(1), /*latest=*/true);
+  REQUIRE(latest.size() == 1);
+  CHECK(latest.front().content == 2);
+  CHECK(quarantine.News(kNow + seconds(2), /*latest=*/true).empty());
+  CHECK(quarantine.News(kNow + seconds(2)).size() == 2);
+}
+
+TEST_CASE(
+    "Contents with too few ends are not written, and taken away all the "
+    "same") {
+  Quarantine quarantine;
+  quarantine.Take({.content = 1, .life = 1}, kNow);
+  quarantine.Take({.content = 2, .life = 1}, kNow + seconds(1));
+  quarantine.Take({.content = 2, .life = 2}, kNow + seconds(1));
+  quarantine.TakeStored({.content = 3, .lives = {7}, .revision = {.number = 5}},
+                        kNow);
+  quarantine.Forgive(3, kNow + seconds(2));
+  CHECK(quarantine.UnsavedSince(1) == kNow);
+  CHECK(quarantine.UnsavedSince(2) == kNow + seconds(1));
+  const auto unsaved = quarantine.Unsaved(10, 2);
+  REQUIRE(unsaved.size() == 2);
+  CHECK(unsaved[0].content == 2);
+  CHECK(unsaved[1].content == 3);
+  CHECK(unsaved[1].lives.empty());
+}
+
 TEST_CASE("Of too many contents those with the fewest ends go first") {
   Quarantine quarantine = Seen(3);
   for (std::uint64_t i = 0; i < Quarantine::kMostContents + 50; ++i) {
