--- a/serving/test/quarantine_test.cc
+++ b/serving/test/quarantine_test.cc
@@ -118,7 +118,7 @@
   CHECK(quarantine.News(kNow + seconds(4)).empty());
 }
 
-// Each of a hundred snapshots a second repeated all of them for seconds.
+// Each snapshot of a change repeated all of them for seconds.
 TEST_CASE("The latest news are told for a moment") {
   Quarantine quarantine;
   quarantine.Take({.content = 1, .life = 1}, kNow);
