A call that the store rejects is not repeated without a pause

Read in the change before: a rejected call counted as an answer and set the count of failures back, so that a list or a watch that the store never takes would have been put ten times a second by each daemon. It leaves the store where it is, there or away, and counts for the pause, as an answer of another era does.

--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -116,12 +116,15 @@
             {{"call", call}, {"era", std::to_string(store_.era())}});
     return false;
   }
-  if (error == StoreError::kRejected)
+  // The store is there; asking the same again has to wait all the same.
+  if (error == StoreError::kRejected) {
+    ++failures_;
     LogWarn("store_rejects", {{"call", call}});
+    return false;
+  }
   // These are answers of a store that is there.
   const bool there = !error || *error == StoreError::kForgotten ||
                      *error == StoreError::kNoLease ||
-                     *error == StoreError::kRejected ||
                      *error == StoreError::kConflict;
   if (there) {
     failures_ = 0;
