--- a/serving/test/store_restores_drawn_test.cc
+++ b/serving/test/store_restores_drawn_test.cc
@@ -39,7 +39,8 @@
     fleet.Play(it);
   }
   fleet.Calm();
-  CHECK(fleet.violations() == std::vector<std::string>{});
+  for (const std::string& it : fleet.violations()) UNSCOPED_INFO(it);
+  CHECK(fleet.violations().empty());
 }
 
 }  // namespace
