--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -112,6 +112,8 @@
   RenderGauge(out, "backends_proof_age_seconds",
               SecondsOf(state.now - state.store.backends_confirmed_at));
   RenderBackends(out, state);
+  RenderGauge(out, "paths_doubtful",
+              static_cast<double>(state.doubtful_services.size()));
   const auto daemons =
       std::count_if(state.members.begin(), state.members.end(),
                     [](const auto& it) { return it.second.snapshot.serving; });
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -19,6 +19,7 @@
 #include "scaleshed/serving/placement.h"
 #include "scaleshed/serving/quarantine.h"
 #include "scaleshed/serving/repeat_budget.h"
+#include "scaleshed/serving/service_paths.h"
 #include "scaleshed/serving/slack_share.h"
 #include "scaleshed/serving/start_meter.h"
 #include "scaleshed/serving/work.h"
@@ -361,6 +362,7 @@
   Time last_event_at{};
   // Last liveness signal of the request's backend server; at first the send.
   Time backend_alive_at{};
+  bool answered = false;  // some part of a response has come
   Time probe_due{};       // earliest next liveness probe of that server
   int possible_runs = 0;  // sends that may have run, with the current one
   // Counts the first event of each stream and each end of an attempt that may
@@ -425,6 +427,10 @@
   std::map<BackendId, KnownLeaving> leaving;
   // Backend servers that this daemon backs off from, and until when.
   std::map<BackendId, Time> backoffs;
+  // This daemon's network path to the servers of each service that it has
+  // called, and the services whose path it doubts.
+  std::map<std::string, ServicePath> paths;
+  std::set<std::string> doubtful_services;
   std::map<std::string, Member> members;  // by peer address
   // Data centre by peer address.
   std::map<std::string, std::string> listed_peers;
@@ -447,6 +453,7 @@
   std::map<std::string, Time> full_snapshot_due;  // by peer address
   PublishedHeader published_header;
   std::vector<Suspicion> published_suspicions;
+  std::set<std::string> published_doubtful_services;
   std::vector<std::uint64_t> published_crash_checks;
 
   std::optional<Time> stop_at;
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -80,6 +80,15 @@
   Time received_at{};
 };
 
+// What a daemon publishes of its network path to the backend servers of one
+// service.
+struct PublishedPath {
+  std::string service;
+  Time answered{};        // when its latest answered call began
+  bool doubtful = false;  // its calls fail, probably because of the path
+  bool operator==(const PublishedPath&) const = default;
+};
+
 // What a daemon publishes about itself: a full snapshot at intervals, and an
 // incremental one at each change. The effect of a lost snapshot lasts only
 // until the next full one. A heartbeat is a snapshot without active requests.
@@ -106,7 +115,8 @@
   // In an incremental snapshot, `active_requests` are those that began or
   // changed since the last snapshot, and `finished_ids` those that finished.
   // All other fields are complete in each snapshot, except `crashes`,
-  // `limits` and `leaving`.
+  // `limits` and `leaving`, and except `paths`, which an incremental snapshot
+  // has only if a path began or ceased to be doubtful.
   bool incremental = false;
   std::vector<ActiveRequest> active_requests;
   std::vector<std::uint64_t> finished_ids;
@@ -120,6 +130,7 @@
   std::vector<BackendId> leaving;
   // Request fingerprints for which this daemon has a crash check under way.
   std::vector<std::uint64_t> crash_checks;
+  std::vector<PublishedPath> paths;
 };
 
 }  // namespace scaleshed::serving
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "internal/durations.h"
 #include "internal/steps.h"
@@ -157,11 +158,22 @@
   }
 }
 
+// Records that an attempt has ended, or will, without any part of a response.
+void RecordNoResponse(State& state, const Request& request) {
+  if (!request.answered) RecordMissed(state, request.backend, request.sent_at);
+}
+
 }  // namespace
 
+void RecordResponse(State& state, Request& request) {
+  if (std::exchange(request.answered, true)) return;
+  RecordAnswered(state, request.backend, request.sent_at);
+}
+
 void OnStreamEvent(State& state, const StreamEvent& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr) return;
+  RecordResponse(state, *request);
   if (!request->active_request.decoding) {
     ++request->delivered_sends;
     request->time_to_first_token = state.now - request->sent_at;
@@ -194,6 +206,7 @@
 void OnAnswered(State& state, const AttemptAnswered& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr) return;
+  RecordResponse(state, *request);
   ++request->delivered_sends;
   switch (event.kind) {
     case AnswerKind::kSuccess:
@@ -222,6 +235,7 @@
 void OnFailed(State& state, const AttemptFailed& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr) return;
+  RecordNoResponse(state, *request);
   RecordFailure(state, request->backend, event.detail);
   if (event.error == AttemptError::kNotSent) {
     Log(state, "not_sent",
@@ -299,6 +313,7 @@
     if (running && MayRunAgain(request.route.kind) &&
         state.now >= request.progress_deadline) {
       ++request.delivered_sends;
+      RecordNoResponse(state, request);
       RecordFailure(state, request.backend, "silent");
       HandleLostAttempt(state, request, "silent");
     }
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -192,6 +192,8 @@
 
 // attempts.cc: processes backend servers' responses and their failures.
 
+// Records that a part of a response to the request's attempt has come.
+void RecordResponse(State& state, Request& request);
 void OnStreamEvent(State& state, const StreamEvent& event);
 void OnAnswered(State& state, const AttemptAnswered& event);
 void OnFailed(State& state, const AttemptFailed& event);
@@ -304,6 +306,20 @@
 void RecordAlive(State& state, BackendId backend);
 void RepeatLivenessProbes(State& state);
 
+// paths.cc: this daemon's network paths to the servers of each service.
+
+// Returns what the member published of its path to a service, or nullptr.
+const PublishedPath* PathOf(const Member& member, const std::string& service);
+// Whether this daemon's calls to the service's servers fail in such a way that
+// its path is the likelier cause.
+bool IsPathDoubtful(const State& state, const std::string& service);
+// Record that a call to a server that began at `began` got an answer, or none.
+void RecordAnswered(State& state, BackendId backend, Time began);
+void RecordMissed(State& state, BackendId backend, Time began);
+// Drops evidence that is too old or about servers that are gone.
+void UpdatePaths(State& state);
+std::vector<PublishedPath> PathsToPublish(const State& state);
+
 // server_limits.cc: rate limits that backend servers advertise.
 
 // Returns the limit in requests a second, or nothing if none is in force.
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -70,6 +70,7 @@
   StartWaitingRequests(state);
   if (state.now >= state.roles_updated_at + kRoleUpdateInterval) {
     state.roles_updated_at = state.now;
+    UpdatePaths(state);
     FetchDueReports(state);
     PublishFullSnapshots(state);
     DropExpiredRateLimits(state);
--- a/serving/src/server_words.cc
+++ b/serving/src/server_words.cc
@@ -78,7 +78,8 @@
 void OnResponseHead(State& state, const ResponseHeadReceived& event) {
   const auto found = state.attempts.find(event.attempt);
   if (found == state.attempts.end()) return;
-  const Request& request = state.requests.at(found->second);
+  Request& request = state.requests.at(found->second);
+  RecordResponse(state, request);
   const ServerSignals& signals = event.signals;
   if (signals.rate_limit || !event.rate_limit_unreadable) {
     ApplyAdvertisedRateLimit(state, request, signals.rate_limit);
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -52,6 +52,10 @@
   snapshot.limits =
       RateLimitsToPublish(state, /*only_unpublished=*/incremental);
   snapshot.leaving = LeavingToPublish(state, /*only_unpublished=*/incremental);
+  if (!incremental ||
+      state.published_doubtful_services != state.doubtful_services) {
+    snapshot.paths = PathsToPublish(state);
+  }
   // With placers, the queue is known only to the placer.
   if (state.dispatch.place_locally) snapshot.waiting = WaitingOf(state);
   for (const auto& [name, backend] : state.backends) {
@@ -134,6 +138,7 @@
   merged.instance = known.instance;
   merged.data_centre = known.data_centre;
   merged.capacity = known.capacity;
+  if (update.paths.empty()) merged.paths = std::move(known.paths);
   merged.finished_ids.clear();
   merged.active_requests = std::move(known.active_requests);
   std::erase_if(merged.active_requests, [&](const ActiveRequest& it) {
@@ -228,9 +233,12 @@
   const PublishedHeader header = HeaderOf(effect.snapshot);
   const bool crashes_changed =
       std::exchange(state.has_unpublished_crashes, false);
+  const bool paths_changed =
+      std::exchange(state.published_doubtful_services,
+                    state.doubtful_services) != state.doubtful_services;
   const bool to_heartbeat_recipients =
       std::exchange(state.published_header, header) != header ||
-      crashes_changed;
+      crashes_changed || paths_changed;
   const bool suspicions_changed =
       std::exchange(state.published_suspicions, effect.snapshot.suspicions) !=
       effect.snapshot.suspicions;
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -75,6 +75,7 @@
   request.phase = Phase::kRunning;
   request.sent_at = state.now;
   request.backend_alive_at = state.now;
+  request.answered = false;
   ++request.possible_runs;
   StartAttempt effect{.attempt = request.attempt,
                       .key = request.key,
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -88,6 +88,23 @@
     limit.set_age_us((now - it.received_at).count());
   }
   for (const auto it : snapshot.leaving) to.add_leaving(it);
+  for (const auto& it : snapshot.paths) {
+    wire::Path& path = *to.add_paths();
+    path.set_service(it.service);
+    if (it.answered != Time{})
+      path.set_answered_age_us((now - it.answered).count());
+    path.set_doubtful(it.doubtful);
+  }
+}
+
+serving::PublishedPath ReadPath(const wire::Path& from, Time now) {
+  serving::PublishedPath path{
+      .service = from.service(), .answered = {}, .doubtful = from.doubtful()};
+  if (!from.has_answered_age_us()) return path;
+  // An age below zero would make the answer later than it is.
+  path.answered =
+      now - Duration(std::max<std::int64_t>(from.answered_age_us(), 0));
+  return path;
 }
 
 // Nothing where its rate is none.
@@ -131,7 +148,11 @@
       .crashes = {},
       .limits = {},
       .leaving = {from.leaving().begin(), from.leaving().end()},
-      .crash_checks = {from.asked().begin(), from.asked().end()}};
+      .crash_checks = {from.asked().begin(), from.asked().end()},
+      .paths = {}};
+  for (const auto& it : from.paths()) {
+    snapshot.paths.push_back(ReadPath(it, now));
+  }
   for (const auto& it : from.works()) {
     snapshot.active_requests.push_back(ReadWork(it, now));
   }
