--- a/serving/test/simulated_fleet.h
+++ b/serving/test/simulated_fleet.h
@@ -16,6 +16,14 @@
 
 namespace scaleshed::serving::test {
 
+// What a daemon's calls to backend servers meet on their way.
+enum class ServerLink {
+  kOpen,
+  kRefused,  // each new connection is refused
+  kReset,    // each new connection stands and is reset after the request
+  kSilent,   // no new connection stands, and nothing says so
+};
+
 // Size of a SimulatedFleet and the faults that it injects at random.
 struct SimulatedFleetOptions {
   int daemons = 32;
@@ -94,6 +102,24 @@
     if (isolated) ledger_.Excuse(PeerOf(i));
   }
 
+  // Changes the link between a daemon and all backend servers. Responses that
+  // are under way still arrive.
+  void SetServerLink(int i, ServerLink link) {
+    nodes_.at(static_cast<std::size_t>(i)).server_link = link;
+  }
+
+  // Resets a daemon's connections to all backend servers.
+  void ResetServerConnections(int i) {
+    for (auto& [id, engine] : engines_) {
+      for (const Attempt& it : engine.attempts) {
+        if (it.daemon == i)
+          After(milliseconds(1), i, AttemptFailed{.attempt = it.id});
+      }
+      std::erase_if(engine.attempts,
+                    [&](const Attempt& it) { return it.daemon == i; });
+    }
+  }
+
   // Kills a daemon's process and starts a new incarnation, which knows what the
   // store holds.
   void RestartDaemon(int i) {
@@ -188,6 +214,8 @@
  private:
   static constexpr Duration kDeathAfter = milliseconds(150);
   static constexpr Duration kDownFor = seconds(2);
+  static constexpr Duration kConnectTimeout = milliseconds(1500);
+  static constexpr Duration kProbeTimeout = milliseconds(300);
 
   struct Attempt {
     int daemon = 0;
@@ -211,6 +239,7 @@
     std::unique_ptr<State> state;
     bool frozen = false;
     bool isolated = false;
+    ServerLink server_link = ServerLink::kOpen;
     std::size_t heard = 0;  // messages received
   };
   struct Message {
@@ -375,6 +404,10 @@
     const bool deadly = deadly_.contains(contents_.at(start.key));
     if (deadly) deadly_sends_.push_back(now_);
     if (hanging_.contains(start.instance)) return;
+    if (LinkOf(daemon) != ServerLink::kOpen) {
+      FailAtLink(daemon, start.attempt);
+      return;
+    }
     if (IsDown(start.instance)) {
       After(milliseconds(1), daemon,
             AttemptFailed{.attempt = start.attempt,
@@ -421,6 +454,62 @@
     After(milliseconds(400), daemon, answered);
   }
 
+  ServerLink LinkOf(int daemon) const {
+    return nodes_.at(static_cast<std::size_t>(daemon)).server_link;
+  }
+
+  // Ends an attempt whose call meets a link that isn't open.
+  void FailAtLink(int daemon, AttemptId attempt) {
+    switch (LinkOf(daemon)) {
+      case ServerLink::kOpen:
+        return;
+      case ServerLink::kRefused:
+        After(milliseconds(1), daemon,
+              AttemptFailed{.attempt = attempt,
+                            .error = AttemptError::kNotSent,
+                            .detail = "refused"});
+        return;
+      case ServerLink::kReset:
+        After(milliseconds(2), daemon,
+              AttemptFailed{.attempt = attempt,
+                            .error = AttemptError::kInterrupted,
+                            .detail = "cut"});
+        return;
+      case ServerLink::kSilent:
+        After(kConnectTimeout, daemon,
+              AttemptFailed{.attempt = attempt,
+                            .error = AttemptError::kNotSent,
+                            .detail = "not_sent"});
+        return;
+    }
+  }
+
+  // Carries out a probe of an address.
+  void Probe(int daemon, const ProbeLiveness& probe) {
+    bool listens = false;
+    for (const auto& [id, engine] : engines_) {
+      listens = listens || (engine.address == probe.address && !IsDown(id));
+    }
+    auto result = listens ? ProbeResult::kAlive : ProbeResult::kRefused;
+    Duration delay = milliseconds(2);
+    switch (LinkOf(daemon)) {
+      case ServerLink::kOpen:
+        break;
+      case ServerLink::kRefused:
+        result = ProbeResult::kRefused;
+        break;
+      case ServerLink::kReset:
+        result = ProbeResult::kInconclusive;
+        break;
+      case ServerLink::kSilent:
+        result = ProbeResult::kInconclusive;
+        delay = kProbeTimeout;
+        break;
+    }
+    After(delay, daemon,
+          LivenessProbed{.backend = probe.backend, .result = result});
+  }
+
   void ProveAll() {
     for (int i = 0; i < options_.daemons; ++i) {
       Feed(i, ConfigurationConfirmed{.revision = {.number = 1},
@@ -459,14 +548,7 @@
     } else if (const auto* it = std::get_if<SaveCrashes>(&effect)) {
       Save(from, *it);
     } else if (const auto* it = std::get_if<ProbeLiveness>(&effect)) {
-      bool listens = false;
-      for (const auto& [id, engine] : engines_) {
-        listens = listens || (engine.address == it->address && !IsDown(id));
-      }
-      After(milliseconds(2), from,
-            LivenessProbed{.backend = it->backend,
-                           .result = listens ? ProbeResult::kAlive
-                                             : ProbeResult::kRefused});
+      Probe(from, *it);
     } else if (const auto* it = std::get_if<ReserveMemory>(&effect)) {
       After(milliseconds(1), from,
             MemoryReservationAnswered{.attempt = it->attempt,
