A daemon that lost its paths to all services sends its clients to others

What callers saw: address answers and readiness named the daemons that reach no server for as long as that lasted, so that clients kept coming to them. Cause: IsServing asks for fresh configuration and server lists, never for a path. Evidence: the test saw all nine addresses named while four daemons reached servers. Change: a path that was doubtful for 300 ms while another daemon reached the service (by what it publishes, or as it served a relayed request) is lost. A daemon that lost the paths to all services of more than one server isn't ready, isn't named in address answers, its own included, and closes kept connections after an answer. It keeps its duties. Two servers have to answer before the path is open again. If nobody else reaches a service its path is only doubtful, so that a fleet that lost all servers stays named. A path that becomes doubtful makes the paths to other services be probed.

--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -76,6 +76,8 @@
   void OnMetrics(HttpExchange& exchange);
   void ApplyLimits(const serving::RequestLimits& limits);
   void Exit();
+  // Whether clients are to open their next connections to other daemons.
+  bool ShedsClients() const;
   // The request's exchange, which is forgotten; nothing if the client has gone.
   std::optional<ServedExchange> Take(RequestKey key);
 
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -212,12 +212,16 @@
   headers.Add(kRelayRetryHeader, RelayRetryText(outcome));
 }
 
+bool FleetDaemon::ShedsClients() const {
+  return state_.stop_at || !serving::TakesClients(state_);
+}
+
 std::optional<FleetDaemon::ServedExchange> FleetDaemon::Take(RequestKey key) {
   const auto found = exchanges_.find(key);
   if (found == exchanges_.end()) return std::nullopt;
   ServedExchange served = std::move(found->second);
   exchanges_.erase(found);
-  if (state_.stop_at) served.exchange->CloseAfter();
+  if (ShedsClients()) served.exchange->CloseAfter();
   return served;
 }
 
@@ -236,7 +240,7 @@
   const auto found = exchanges_.find(effect.key);
   if (found == exchanges_.end() || answer == nullptr) return;
   const ServedExchange& served = found->second;
-  if (state_.stop_at) served.exchange->CloseAfter();
+  if (ShedsClients()) served.exchange->CloseAfter();
   HttpHeaders headers = platform::ClientHeaders(*answer);
   served.AddOutcome(headers, {});
   served.exchange->StartStream(answer->status, headers, std::nullopt,
@@ -324,7 +328,7 @@
     exchange.Reply(kNotFound, {}, "");
     return;
   }
-  exchange.Reply(serving::IsServing(state_) ? kOk : kUnavailable, {}, "");
+  exchange.Reply(serving::TakesClients(state_) ? kOk : kUnavailable, {}, "");
 }
 
 void FleetDaemon::OnMetrics(HttpExchange& exchange) {
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -112,6 +112,11 @@
   RenderGauge(out, "backends_proof_age_seconds",
               SecondsOf(state.now - state.store.backends_confirmed_at));
   RenderBackends(out, state);
+  RenderGauge(out, "takes_clients", serving::TakesClients(state) ? 1 : 0);
+  const auto lost =
+      std::count_if(state.paths.begin(), state.paths.end(),
+                    [](const auto& it) { return it.second.evidence.lost(); });
+  RenderGauge(out, "paths_lost", static_cast<double>(lost));
   RenderGauge(out, "paths_doubtful",
               static_cast<double>(state.doubtful_services.size()));
   const auto daemons =
--- a/serving/include/scaleshed/serving/reducer.h
+++ b/serving/include/scaleshed/serving/reducer.h
@@ -19,11 +19,15 @@
 // Returns the latest time at which Reduce() must get the next Tick.
 Time NextWake(const State& state);
 
-// Whether clients may be sent to this daemon: it has a configuration that is
-// fresh enough for requests with API keys, it is not stopping, and both its
+// Whether this daemon admits requests: it has a configuration that is fresh
+// enough for requests with API keys, it is not stopping, and both its
 // configuration and its list of backend servers are usable.
 bool IsServing(const State& state);
 
+// Whether clients may be sent to this daemon: it is serving, and it hasn't lost
+// its network paths to the backend servers that other daemons reach.
+bool TakesClients(const State& state);
+
 // Whether the newest known configuration is from an earlier store epoch: the
 // operators haven't rewritten it since the restore.
 bool AwaitsConfigurationRewrite(const State& state);
--- a/serving/include/scaleshed/serving/service_paths.h
+++ b/serving/include/scaleshed/serving/service_paths.h
@@ -39,6 +39,11 @@
   // several servers to be open again.
   void SetLost(bool lost);
   bool lost() const { return lost_; }
+  // Whether the server has answered since the path was lost, or since the last
+  // call was missed.
+  bool HasReturned(BackendId backend) const {
+    return returned_.contains(backend);
+  }
   // When the latest answered call began.
   Time answered() const { return answered_; }
   // The servers whose calls were missed, with the start of the latest one.
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -262,6 +262,7 @@
   bool polls_store = false;
   bool is_hub = false;
   bool places = false;
+  bool withdrawn = false;
   ConfigurationStamp configuration;
   std::uint64_t epoch = 0;
   bool reconciled = true;
@@ -406,6 +407,10 @@
 struct TrackedPath {
   ServicePath evidence;
   Time probe_due = Time::max();
+  bool probe_asked_for = false;  // probe it even if no call was missed
+  Time doubted_at{};             // when it last became doubtful
+  // When a request of the service that was relayed last got an answer.
+  Time relay_answered_at{};
   std::map<BackendId, Time> probes;  // under way, by the time of their start
 };
 
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -107,6 +107,9 @@
   // their active requests to it.
   bool places = false;
   bool relays = false;  // serves requests that other daemons relay to it
+  // The daemon has lost its paths to the backend servers, so that clients
+  // should use other daemons.
+  bool withdrawn = false;
   double capacity = 1;  // of the machine; the strongest take on duties first
   ConfigurationStamp configuration;  // the one in use
   std::uint64_t epoch = 0;           // store epoch, as last seen
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -170,6 +170,8 @@
 
 void RecordResponse(State& state, Request& request) {
   if (std::exchange(request.answered, true)) return;
+  if (request.phase == Phase::kRelayed)
+    RecordRelayAnswered(state, request.service);
   RecordAnswered(state, request.backend, request.sent_at);
 }
 
--- a/serving/src/audience.cc
+++ b/serving/src/audience.cc
@@ -211,13 +211,15 @@
   std::vector<std::string> here;
   std::vector<std::string> elsewhere;
   for (const auto& [address, member] : state.members) {
-    if (!IsLive(state, member) || !member.snapshot.serving) continue;
+    const bool takes_clients =
+        member.snapshot.serving && !member.snapshot.withdrawn;
+    if (!IsLive(state, member) || !takes_clients) continue;
     const bool is_local =
         state.dispatch.place_locally ||
         member.snapshot.data_centre == state.options.data_centre;
     (is_local ? here : elsewhere).push_back(member.snapshot.instance);
   }
-  if (IsServing(state)) here.push_back(state.options.instance);
+  if (TakesClients(state)) here.push_back(state.options.instance);
   if (here.size() < kMinLocalAddresses) {
     here.insert(here.end(), elsewhere.begin(), elsewhere.end());
   }
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -359,6 +359,11 @@
 // Drops evidence that is too old or about servers that are gone, and sends the
 // probes that are due.
 void UpdatePaths(State& state);
+// Whether this daemon has lost its paths to all services that have several
+// servers, while other daemons reach them.
+bool HasLostItsPaths(const State& state);
+// Records that another daemon served a relayed request of the service.
+void RecordRelayAnswered(State& state, const std::string& service);
 std::vector<PublishedPath> PathsToPublish(const State& state);
 
 // server_limits.cc: rate limits that backend servers advertise.
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -153,6 +153,10 @@
          internal::AreBackendsUsable(state) && !state.stop_at;
 }
 
+bool TakesClients(const State& state) {
+  return IsServing(state) && !internal::HasLostItsPaths(state);
+}
+
 ClientAddresses LookUpClientAddresses(const State& state) {
   // The time is short so that clients soon stop using a daemon that is gone.
   // Some clients keep a response three times as long, which a planned stop
--- a/serving/src/paths.cc
+++ b/serving/src/paths.cc
@@ -13,6 +13,12 @@
 // a later call may show that the path is open.
 constexpr Duration kProbeDelay = milliseconds(100);
 constexpr Duration kProbeInterval = milliseconds(500);
+// A path is lost once it was doubtful for this long while other daemons reached
+// the service. Until then requests are relayed, and clients stay.
+constexpr Duration kDoubtBeforeLoss = milliseconds(300);
+// How long the answer to a relayed request shows that another daemon reaches
+// the service.
+constexpr Duration kRelayProofAge = seconds(3);
 // Servers that are probed together to tell the path from a server.
 constexpr std::size_t kProbesAtOnce = 2;
 
@@ -61,23 +67,70 @@
        {"peers_doubt", std::to_string(CountDoubtingPeers(state, service))}});
 }
 
+bool HasSeveralServers(const State& state, const std::string& service) {
+  return OpenBackends(state, service).size() > 1;
+}
+
+std::set<std::string> ListedServices(const State& state) {
+  std::set<std::string> services;
+  for (const auto& [name, backend] : state.backends) {
+    if (TakesWork(backend)) services.insert(backend.server.service);
+  }
+  return services;
+}
+
+// Makes the paths of all other services be probed.
+void ProbeOtherServices(State& state, const std::string& service) {
+  for (const std::string& it : ListedServices(state)) {
+    const bool probe = it != service && !state.doubtful_services.contains(it) &&
+                       HasSeveralServers(state, it);
+    if (probe) ProbePathSoon(state, it);
+  }
+}
+
 // Logs and publishes whether the path is doubted, after a change of `path`.
 void ApplyPathChange(State& state, const std::string& service,
-                     const ServicePath& path) {
+                     TrackedPath& path) {
   const bool doubtful = IsPathDoubtful(state, service);
   const bool was_doubtful = state.doubtful_services.contains(service);
   if (doubtful == was_doubtful) return;
   if (doubtful) {
     state.doubtful_services.insert(service);
+    path.doubted_at = state.now;
+    // The services that are called seldom would tell much later.
+    ProbeOtherServices(state, service);
   } else {
     state.doubtful_services.erase(service);
   }
   state.has_unpublished_changes = true;
-  LogPath(state, service, path, doubtful ? "doubtful" : "open");
+  LogPath(state, service, path.evidence, doubtful ? "doubtful" : "open");
+}
+
+// Whether another daemon has reached the service since this one doubts its own
+// path: by what it publishes, or as it served a relayed request.
+bool IsReachedByOthers(const State& state, const std::string& service,
+                       const TrackedPath& path) {
+  const Time since = path.evidence.missing_since().value_or(path.doubted_at);
+  return CountReachingPeers(state, service, since) > 0 ||
+         (path.relay_answered_at >= path.doubted_at &&
+          state.now < path.relay_answered_at + kRelayProofAge);
 }
 
-// Returns up to `most` servers to probe: those that missed no call first, then
-// in random order.
+// Updates whether a doubtful path counts as lost.
+void UpdateLost(State& state, const std::string& service, TrackedPath& path) {
+  const bool was_lost = path.evidence.lost();
+  const bool lost = state.doubtful_services.contains(service) &&
+                    state.now >= path.doubted_at + kDoubtBeforeLoss &&
+                    IsReachedByOthers(state, service, path);
+  if (lost == was_lost) return;
+  path.evidence.SetLost(lost);
+  state.has_unpublished_changes = true;
+  LogPath(state, service, path.evidence, lost ? "lost" : "doubtful");
+}
+
+// Returns up to `most` servers to probe: those that missed no call first, in
+// random order, then those whose last miss is longest ago; last those
+// that have answered since the path was lost.
 std::vector<const Backend*> ServersToProbe(State& state,
                                            const std::string& service,
                                            std::size_t most) {
@@ -88,10 +141,16 @@
         path.probes.contains(it->id) || state.liveness_checks.contains(it->id);
     if (!is_probed && !IsRateLimited(state, it->id)) servers.push_back(it);
   }
+  const auto missed_at = [&](const Backend* it) {
+    if (path.evidence.HasReturned(it->id)) return Time::max();
+    const auto miss = path.evidence.misses().find(it->id);
+    return miss == path.evidence.misses().end() ? Time{} : miss->second;
+  };
   std::shuffle(servers.begin(), servers.end(), state.random);
-  std::stable_partition(servers.begin(), servers.end(), [&](const Backend* it) {
-    return !path.evidence.misses().contains(it->id);
-  });
+  std::stable_sort(servers.begin(), servers.end(),
+                   [&](const Backend* a, const Backend* b) {
+                     return missed_at(a) < missed_at(b);
+                   });
   if (servers.size() > most) servers.resize(most);
   return servers;
 }
@@ -100,7 +159,8 @@
 void ProbePath(State& state, const std::string& service, TrackedPath& path) {
   if (path.probe_due > state.now) return;
   const bool doubtful = state.doubtful_services.contains(service);
-  if (path.evidence.misses().empty() && !doubtful) {
+  const bool asked_for = std::exchange(path.probe_asked_for, false);
+  if (path.evidence.misses().empty() && !doubtful && !asked_for) {
     path.probe_due = Time::max();
     return;
   }
@@ -137,7 +197,7 @@
   const std::string& service = backend->server.service;
   TrackedPath& path = state.paths[service];
   path.evidence.RecordAnswer(id, began, state.now);
-  ApplyPathChange(state, service, path.evidence);
+  ApplyPathChange(state, service, path);
 }
 
 void RecordMissed(State& state, BackendId id, Time began) {
@@ -146,12 +206,15 @@
   const std::string& service = backend->server.service;
   TrackedPath& path = state.paths[service];
   path.evidence.RecordMiss(id, began, state.now);
-  ApplyPathChange(state, service, path.evidence);
-  path.probe_due = std::min(path.probe_due, state.now + kProbeDelay);
+  ApplyPathChange(state, service, path);
+  if (!state.doubtful_services.contains(service))
+    path.probe_due = std::min(path.probe_due, state.now + kProbeDelay);
 }
 
 void ProbePathSoon(State& state, const std::string& service) {
-  state.paths[service].probe_due = state.now;
+  TrackedPath& path = state.paths[service];
+  path.probe_due = state.now;
+  path.probe_asked_for = true;
 }
 
 void OnPathProbed(State& state, const LivenessProbed& event) {
@@ -171,12 +234,28 @@
   for (auto& [service, path] : state.paths) {
     if (!path.evidence.misses().empty()) {
       path.evidence.DropMisses(ServersOf(state, service), state.now);
-      ApplyPathChange(state, service, path.evidence);
+      ApplyPathChange(state, service, path);
     }
+    UpdateLost(state, service, path);
     ProbePath(state, service, path);
   }
 }
 
+bool HasLostItsPaths(const State& state) {
+  bool any_lost = false;
+  for (const std::string& it : ListedServices(state)) {
+    const auto path = state.paths.find(it);
+    const bool lost = path != state.paths.end() && path->second.evidence.lost();
+    if (!lost && HasSeveralServers(state, it)) return false;
+    any_lost = any_lost || lost;
+  }
+  return any_lost;
+}
+
+void RecordRelayAnswered(State& state, const std::string& service) {
+  state.paths[service].relay_answered_at = state.now;
+}
+
 std::vector<PublishedPath> PathsToPublish(const State& state) {
   std::vector<PublishedPath> paths;
   for (const auto& [service, path] : state.paths) {
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -43,6 +43,7 @@
                         .is_hub = state.dispatch.is_hub,
                         .places = PlacesForOthers(state),
                         .relays = true,
+                        .withdrawn = HasLostItsPaths(state),
                         .capacity = state.options.capacity,
                         .configuration = StampOf(state),
                         .epoch = state.store.epoch.number,
@@ -75,6 +76,7 @@
           .polls_store = snapshot.polls_store,
           .is_hub = snapshot.is_hub,
           .places = snapshot.places,
+          .withdrawn = snapshot.withdrawn,
           .configuration = snapshot.configuration,
           .epoch = snapshot.epoch,
           .reconciled = snapshot.reconciling_for == Duration::zero()};
@@ -178,10 +180,12 @@
   const bool newer = snapshot.incarnation > last.incarnation ||
                      (same_incarnation && snapshot.sequence > last.sequence);
   if (!newer) return;
-  if (!IsLive(state, member) || last.serving != snapshot.serving) {
+  if (!IsLive(state, member) || last.serving != snapshot.serving ||
+      last.withdrawn != snapshot.withdrawn) {
     Log(state, "member",
         {{"peer", snapshot.peer_address},
          {"serving", snapshot.serving ? "true" : "false"},
+         {"withdrawn", snapshot.withdrawn ? "true" : "false"},
          {"life", std::to_string(snapshot.incarnation)}});
   }
   // A daemon that begins to place for others hasn't received the active
--- a/serving/test/partition_test.cc
+++ b/serving/test/partition_test.cc
@@ -110,8 +110,7 @@
 
 // Guards against clients being sent, for as long as it lasts, to daemons that
 // reach no server.
-TEST_CASE("Clients are directed to daemons that reach the servers",
-          "[!mayfail]") {
+TEST_CASE("Clients are directed to daemons that reach the servers") {
   const auto link =
       GENERATE(ServerLink::kRefused, ServerLink::kReset, ServerLink::kSilent);
   const Partition partition{.link = link, .daemons = {0, 1, 2, 4, 5}};
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -57,6 +57,7 @@
   to.set_is_hub(snapshot.is_hub);
   to.set_places(snapshot.places);
   to.set_relays(snapshot.relays);
+  to.set_withdrawn(snapshot.withdrawn);
   if (!snapshot.incremental) to.set_capacity(snapshot.capacity);
   for (const auto it : snapshot.finished_ids) to.add_ended(it);
   for (const auto& it : snapshot.active_requests)
@@ -135,6 +136,7 @@
       .is_hub = from.is_hub(),
       .places = from.places(),
       .relays = from.relays(),
+      .withdrawn = from.withdrawn(),
       .capacity = from.capacity(),
       .configuration = {.version = from.version(),
                         .revision = {.epoch = from.configuration_era(),
