A lost path is held against no server and no request

What callers saw: when five of eight daemons lost their path, connections to servers were reset and new ones refused; 47 crashes were recorded at all daemons, also at those that reached every server, and one of these refused a sound request as quarantined (400). Cause: two refused probes count as a server's end wherever they come from, and a daemon's suspicions and crashes bind all others. Evidence: `ended_under` 47 times, `doubted` 30 at front-hall-a-2, which had lost nothing; the test counted 18 ended servers and 4 fingerprints with crashes. Change: refusals show the end of a server only if this daemon has reached another server of the service since, asked for by a probe with the first refusal. If that doesn't happen within a second they count if no daemon reaches the service. While calls to two servers fail without a later answer, suspicions by failures aren't published; they are withdrawn when the path becomes doubtful. Engines' reports are fetched by daemons with a path.

--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -307,6 +307,7 @@
 void RecordFailure(State& state, BackendId id, const std::string& reason) {
   Backend* backend = FindBackend(state, id);
   if (backend == nullptr) return;
+  if (IsPathDoubtful(state, backend->server.service)) return;
   const int doublings =
       std::min(backend->consecutive_failures++, kMaxSuspicionDoublings);
   SuspectBackend(state, *backend, kFirstSuspicionDuration * (1 << doublings),
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -345,6 +345,16 @@
 
 // Returns what the member published of its path to a service, or nullptr.
 const PublishedPath* PathOf(const Member& member, const std::string& service);
+// Whether the service has several servers that haven't ended.
+bool HasSeveralServers(const State& state, const std::string& service);
+// Whether a server of the service answered a call that this daemon began at
+// `since` or later; whether one answered such a call of another daemon.
+bool HasReachedServiceSince(const State& state, const std::string& service,
+                            Time since);
+bool DoOthersReach(const State& state, const std::string& service, Time since);
+// Whether calls to several servers have failed without a later answer, so that
+// this daemon's failures aren't to be held against the servers by others.
+bool IsPathInQuestion(const State& state, const std::string& service);
 // Whether this daemon's calls to the service's servers fail in such a way that
 // its path is the likelier cause.
 bool IsPathDoubtful(const State& state, const std::string& service);
@@ -354,8 +364,8 @@
 // Applies the result of a probe that this daemon sent to tell whether a path or
 // a server is at fault.
 void OnPathProbed(State& state, const LivenessProbed& event);
-// Makes the probes of a service's path due now.
-void ProbePathSoon(State& state, const std::string& service);
+// Probes the path to a service, unless that has just been done.
+void ProbePathNow(State& state, const std::string& service);
 // Drops evidence that is too old or about servers that are gone, and sends the
 // probes that are due.
 void UpdatePaths(State& state);
--- a/serving/src/life_checks.cc
+++ b/serving/src/life_checks.cc
@@ -13,6 +13,9 @@
 // then.
 constexpr int kRefusalsUntilEnded = 2;
 constexpr Duration kRefusedProbeInterval = milliseconds(50);
+// Time in which another answer has to show that the path to the service is open
+// before refused connections count without that.
+constexpr Duration kPathProofTimeout = seconds(1);
 // Time until the next probe after one without a result, of which a packet may
 // have been lost.
 constexpr Duration kInconclusiveProbeInterval = milliseconds(150);
@@ -32,6 +35,22 @@
       ProbeLiveness{.backend = incarnation, .address = check.address});
 }
 
+// Whether refused connections since `since` are due to the server's end: this
+// daemon has reached another server of the service meanwhile. If there is no
+// other one, or if no daemon reaches any, the server is taken to have ended.
+bool RefusalsShowEnd(State& state, BackendId incarnation, Time since) {
+  const Backend* backend = FindBackend(state, incarnation);
+  if (backend == nullptr) return true;
+  const std::string& service = backend->server.service;
+  if (HasReachedServiceSince(state, service, since) ||
+      !HasSeveralServers(state, service)) {
+    return true;
+  }
+  ProbePathNow(state, service);
+  return state.now - since >= kPathProofTimeout &&
+         !DoOthersReach(state, service, since);
+}
+
 void LogLivenessCheck(State& state, BackendId incarnation,
                       const LivenessCheck& check, const std::string& outcome) {
   const Backend* backend = FindBackend(state, incarnation);
@@ -76,8 +95,9 @@
                      check.last_alive_at > check.since + kMaxInFlightDelay;
   const bool refused = event.result == ProbeResult::kRefused;
   check.consecutive_refusals = refused ? check.consecutive_refusals + 1 : 0;
-  const bool ended =
-      refused && check.consecutive_refusals >= kRefusalsUntilEnded;
+  const bool ended = refused &&
+                     RefusalsShowEnd(state, event.backend, check.since) &&
+                     check.consecutive_refusals >= kRefusalsUntilEnded;
   const bool timed_out = state.now - check.since > kLivenessCheckTimeout;
   if (!alive && !ended && !timed_out) {
     check.probe_due = state.now + (refused ? kRefusedProbeInterval
--- a/serving/src/paths.cc
+++ b/serving/src/paths.cc
@@ -67,8 +67,17 @@
        {"peers_doubt", std::to_string(CountDoubtingPeers(state, service))}});
 }
 
-bool HasSeveralServers(const State& state, const std::string& service) {
-  return OpenBackends(state, service).size() > 1;
+// Withdraws this daemon's suspicions of servers whose missed calls are probably
+// due to the path.
+void ClearSuspicionsOf(State& state, const ServicePath& path) {
+  for (const auto& [id, began] : path.misses()) {
+    Backend* backend = FindBackend(state, id);
+    if (backend == nullptr) continue;
+    backend->suspect_until = Time{};
+    backend->consecutive_failures = 0;
+    backend->suspected_until = Time{};
+    backend->consecutive_suspicions = 0;
+  }
 }
 
 std::set<std::string> ListedServices(const State& state) {
@@ -84,7 +93,7 @@
   for (const std::string& it : ListedServices(state)) {
     const bool probe = it != service && !state.doubtful_services.contains(it) &&
                        HasSeveralServers(state, it);
-    if (probe) ProbePathSoon(state, it);
+    if (probe) ProbePathNow(state, it);
   }
 }
 
@@ -97,6 +106,7 @@
   if (doubtful) {
     state.doubtful_services.insert(service);
     path.doubted_at = state.now;
+    ClearSuspicionsOf(state, path.evidence);
     // The services that are called seldom would tell much later.
     ProbeOtherServices(state, service);
   } else {
@@ -185,6 +195,27 @@
   return nullptr;
 }
 
+bool HasSeveralServers(const State& state, const std::string& service) {
+  return ServersOf(state, service).size() > 1;
+}
+
+bool HasReachedServiceSince(const State& state, const std::string& service,
+                            Time since) {
+  const auto it = state.paths.find(service);
+  return it != state.paths.end() && it->second.evidence.answered() >= since;
+}
+
+bool DoOthersReach(const State& state, const std::string& service, Time since) {
+  return CountReachingPeers(state, service, since) > 0;
+}
+
+bool IsPathInQuestion(const State& state, const std::string& service) {
+  constexpr std::size_t kMissedServers = 2;
+  const auto it = state.paths.find(service);
+  return it != state.paths.end() &&
+         it->second.evidence.misses().size() >= kMissedServers;
+}
+
 bool IsPathDoubtful(const State& state, const std::string& service) {
   const auto it = state.paths.find(service);
   return it != state.paths.end() &&
@@ -211,10 +242,15 @@
     path.probe_due = std::min(path.probe_due, state.now + kProbeDelay);
 }
 
-void ProbePathSoon(State& state, const std::string& service) {
+void ProbePathNow(State& state, const std::string& service) {
   TrackedPath& path = state.paths[service];
+  const bool just_probed =
+      path.probe_due != Time::max() &&
+      path.probe_due > state.now + kProbeInterval - kProbeDelay;
+  if (just_probed) return;
   path.probe_due = state.now;
   path.probe_asked_for = true;
+  ProbePath(state, service, path);
 }
 
 void OnPathProbed(State& state, const LivenessProbed& event) {
--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -30,23 +30,27 @@
   const bool is_local = data_centre == state.options.data_centre;
   if (!all_place_locally && !is_local && !ReceivesAllActiveRequests(state))
     return false;
+  const std::string& service = backend.server.service;
+  if (IsPathDoubtful(state, service)) return false;
   const std::uint64_t own_rank =
       HashBytes(state.options.peer_address, backend.id);
-  return std::none_of(state.members.begin(), state.members.end(),
-                      [&](const auto& it) {
-                        const auto& [address, member] = it;
-                        if (!IsLive(state, member) || !member.snapshot.serving)
-                          return false;
-                        const bool is_in_data_centre =
-                            member.snapshot.data_centre == data_centre;
-                        if (!all_place_locally && !is_local) {
-                          return is_in_data_centre ||
-                                 (IsPlacer(state, address) &&
-                                  HashBytes(address, backend.id) > own_rank);
-                        }
-                        return (all_place_locally || is_in_data_centre) &&
-                               HashBytes(address, backend.id) > own_rank;
-                      });
+  return std::none_of(
+      state.members.begin(), state.members.end(), [&](const auto& it) {
+        const auto& [address, member] = it;
+        const PublishedPath* path = PathOf(member, service);
+        const bool doubts = path != nullptr && path->doubtful;
+        if (!IsLive(state, member) || !member.snapshot.serving || doubts)
+          return false;
+        const bool is_in_data_centre =
+            member.snapshot.data_centre == data_centre;
+        if (!all_place_locally && !is_local) {
+          return is_in_data_centre ||
+                 (IsPlacer(state, address) &&
+                  HashBytes(address, backend.id) > own_rank);
+        }
+        return (all_place_locally || is_in_data_centre) &&
+               HashBytes(address, backend.id) > own_rank;
+      });
 }
 
 // Records for all attempts at the engine that its process runs, so that
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -61,11 +61,13 @@
   // With placers, the queue is known only to the placer.
   if (state.dispatch.place_locally) snapshot.waiting = WaitingOf(state);
   for (const auto& [name, backend] : state.backends) {
-    if (backend.avoided_until() > state.now) {
-      snapshot.suspicions.push_back(
-          {.backend = backend.id,
-           .until = backend.avoided_until(),
-           .failed = backend.suspect_until > state.now});
+    const bool failed = backend.suspect_until > state.now;
+    const bool is_path_fault =
+        failed && IsPathInQuestion(state, backend.server.service);
+    if (backend.avoided_until() > state.now && !is_path_fault) {
+      snapshot.suspicions.push_back({.backend = backend.id,
+                                     .until = backend.avoided_until(),
+                                     .failed = failed});
     }
   }
   return snapshot;
