--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -108,6 +108,11 @@
       {.backend = 8, .per_second = 2.7, .received_at = kNow - seconds(2)},
       {.backend = 9, .per_second = {}, .received_at = kNow}};
   snapshot.leaving = {10, 11};
+  snapshot.relays = true;
+  snapshot.withdrawn = true;
+  snapshot.paths = {
+      {.service = "llm", .answered = kNow - seconds(3), .doubtful = true},
+      {.service = "app", .answered = {}, .doubtful = false}};
   snapshot.waiting = {
       {.id = 3, .service = "s", .queue_key = kNow, .awaits_rate_limit = true}};
   const Time elsewhere{seconds(9000)};
@@ -121,6 +126,12 @@
   CHECK(back.polls_store);
   CHECK_FALSE(back.incremental);
   CHECK(back.leaving == snapshot.leaving);
+  CHECK(back.relays);
+  CHECK(back.withdrawn);
+  REQUIRE(back.paths.size() == 2);
+  CHECK(back.paths[0].answered == elsewhere - seconds(3));
+  CHECK(back.paths[0].doubtful);
+  CHECK(back.paths[1] == snapshot.paths[1]);
   REQUIRE(back.limits.size() == 2);
   CHECK(back.limits[0].per_second == 2.7);
   CHECK(back.limits[0].received_at == elsewhere - seconds(2));
