Soak: daemons that lose their links to all servers; more scripted partitions

Scripted: placers and a data centre of 33 daemons, all daemons at once, three servers that fall silent for 1.2 s. trace follows a request through the hop. Probes of a path spare servers that asked for a backoff.

--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -159,6 +159,23 @@
        return "placed at " + Field(line, "backend") + " for " +
               Field(line, "for");
      }},
+    {"relayed",
+     [](const TraceLine& line) {
+       return "passed to " + Field(line, "to") + " after " +
+              Field(line, "waited_ms") +
+              " ms: this daemon doesn't reach the servers of " +
+              Field(line, "service");
+     }},
+    {"relay_accepted",
+     [](const TraceLine& line) {
+       return "taken over from " + Field(line, "from");
+     }},
+    {"relay_refused",
+     [](const TraceLine& line) {
+       const bool ran = Field(line, "may_have_run") == "true";
+       return "refused by " + Field(line, "by") + " (" + Field(line, "why") +
+              "), " + (ran ? "it may have run" : "it has not run");
+     }},
     {"placer_silent",
      [](const TraceLine& line) {
        return "no answer where to send it from " + Field(line, "placer");
--- a/cli/test/trace_test.cc
+++ b/cli/test/trace_test.cc
@@ -83,5 +83,28 @@
   CHECK(explain("unheard_of", {}) == "1  a  unheard_of\n");
 }
 
+TEST_CASE("A request is followed through the daemon that it was relayed to") {
+  const auto line = [](const std::string& time, const std::string& instance,
+                       const std::string& event,
+                       std::map<std::string, std::string> fields) {
+    return TraceLine{.time = time,
+                     .instance = instance,
+                     .event = event,
+                     .fields = std::move(fields)};
+  };
+  std::vector<TraceLine> lines{
+      line("2", "b", "relay_accepted", {{"from", "a:2"}}),
+      line("3", "a", "relay_refused",
+           {{"by", "b:2"}, {"why", "overload"}, {"may_have_run", "false"}}),
+      line("1", "a", "relayed",
+           {{"to", "b:2"}, {"waited_ms", "4"}, {"service", "llm"}})};
+  SortTrace(lines);
+  CHECK(ExplainTrace(lines) ==
+        "1  a  passed to b:2 after 4 ms: this daemon doesn't reach the servers "
+        "of llm\n"
+        "2  b  taken over from a:2\n"
+        "3  a  refused by b:2 (overload), it has not run\n");
+}
+
 }  // namespace
 }  // namespace scaleshed
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -66,6 +66,11 @@
   return text;
 }
 
+std::uint16_t HttpExchange::remote_port() const {
+  const auto connection = Usable();
+  return connection == nullptr ? 0 : connection->RemotePort();
+}
+
 std::shared_ptr<internal::ServerConnection> HttpExchange::Usable() const {
   return finished_ || gone_ ? nullptr : connection_.lock();
 }
--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -98,6 +98,15 @@
   Break();
 }
 
+std::uint16_t ServerConnection::RemotePort() const {
+  if (closed_) return 0;
+  sockaddr_in name{};
+  socklen_t length = sizeof(name);
+  const int failed = getpeername(bufferevent_getfd(bev_),
+                                 reinterpret_cast<sockaddr*>(&name), &length);
+  return failed != 0 ? 0 : ntohs(name.sin_port);
+}
+
 void ServerConnection::Write(const std::string& bytes) {
   if (!closed_) bufferevent_write(bev_, bytes.data(), bytes.size());
 }
--- a/serving/src/paths.cc
+++ b/serving/src/paths.cc
@@ -149,7 +149,9 @@
   for (const Backend* it : OpenBackends(state, service)) {
     const bool is_probed =
         path.probes.contains(it->id) || state.liveness_checks.contains(it->id);
-    if (!is_probed && !IsRateLimited(state, it->id)) servers.push_back(it);
+    const bool spares =
+        IsRateLimited(state, it->id) || IsBackingOff(state, it->id);
+    if (!is_probed && !spares) servers.push_back(it);
   }
   const auto missed_at = [&](const Backend* it) {
     if (path.evidence.HasReturned(it->id)) return Time::max();
--- a/serving/test/partition_test.cc
+++ b/serving/test/partition_test.cc
@@ -34,8 +34,8 @@
   }
 };
 
-SimulatedFleetOptions FleetOptions() {
-  return {.daemons = kDaemons,
+SimulatedFleetOptions FleetOptions(int daemons = kDaemons) {
+  return {.daemons = daemons,
           .data_centres = 3,
           .engines = 18,
           .hold_slack_share = true,
@@ -45,14 +45,15 @@
 // Sends one request to each daemon in turn, every 15 ms, and returns the
 // requests that each daemon got.
 std::vector<std::vector<RequestKey>> SendFor(SimulatedFleet& fleet,
-                                             Duration length) {
+                                             Duration length,
+                                             int daemons = kDaemons) {
   constexpr Duration kInterval = milliseconds(15);
-  std::vector<std::vector<RequestKey>> sent(kDaemons);
+  std::vector<std::vector<RequestKey>> sent(static_cast<std::size_t>(daemons));
   const Time until = fleet.now() + length;
   for (int n = 0; fleet.now() < until; ++n) {
-    const int daemon = n % kDaemons;
+    const int daemon = n % daemons;
     // Every tenth request of a daemon goes to the plain service.
-    const bool is_plain = n / kDaemons % 10 == 9;
+    const bool is_plain = n / daemons % 10 == 9;
     sent.at(static_cast<std::size_t>(daemon))
         .push_back(is_plain ? fleet.SendPlainRequest(daemon)
                             : fleet.SendPrompt(daemon, 5000));
@@ -66,9 +67,9 @@
                    bool partitioned,
                    const std::vector<std::vector<RequestKey>>& sent) {
   Served served;
-  for (int i = 0; i < kDaemons; ++i) {
-    if (partition.Holds(i) != partitioned) continue;
-    for (const RequestKey it : sent.at(static_cast<std::size_t>(i))) {
+  for (std::size_t i = 0; i < sent.size(); ++i) {
+    if (partition.Holds(static_cast<int>(i)) != partitioned) continue;
+    for (const RequestKey it : sent.at(i)) {
       ++served.requests;
       if (fleet.answered().contains(it)) ++served.answered;
     }
@@ -166,5 +167,78 @@
   }
 }
 
+// In a large fleet prompts are placed by two daemons for all, and heartbeats
+// reach only some of the others.
+TEST_CASE("Placers and a data centre without a path don't stop a large fleet") {
+  constexpr int kLargeFleet = 33;
+  const auto link =
+      GENERATE(ServerLink::kRefused, ServerLink::kReset, ServerLink::kSilent);
+  CAPTURE(static_cast<int>(link));
+  SimulatedFleet fleet(FleetOptions(kLargeFleet));
+  const int placer = fleet.FirstPlacer();
+  REQUIRE(placer >= 0);
+  Partition partition{.link = link, .daemons = {placer}};
+  for (int i = 0; i < kLargeFleet; i += 3) {
+    if (i != placer) partition.daemons.push_back(i);
+  }
+  SendFor(fleet, seconds(3), kLargeFleet);
+  Begin(fleet, partition);
+  SendFor(fleet, kContactTime, kLargeFleet);
+  const auto sent = SendFor(fleet, seconds(5), kLargeFleet);
+  fleet.AdvanceTime(seconds(3));
+  CHECK(CountServed(fleet, partition, true, sent).share() >= kServedShare);
+  CHECK(CountServed(fleet, partition, false, sent).share() >= kServedShare);
+}
+
+// With nobody who reaches a server no daemon is better than another.
+TEST_CASE("Daemons that have all lost their paths refuse at once and stay") {
+  const auto link =
+      GENERATE(ServerLink::kRefused, ServerLink::kReset, ServerLink::kSilent);
+  CAPTURE(static_cast<int>(link));
+  Partition partition{.link = link, .daemons = {}};
+  for (int i = 0; i < kDaemons; ++i) partition.daemons.push_back(i);
+  SimulatedFleet fleet(FleetOptions());
+  SendFor(fleet, seconds(2));
+  Begin(fleet, partition);
+  SendFor(fleet, kContactTime);
+  const std::size_t before = fleet.refused().size();
+  const auto sent = SendFor(fleet, seconds(2));
+  std::size_t refused_at_once = 0;
+  for (std::size_t i = before; i < fleet.refused().size(); ++i) {
+    const auto& it = fleet.refused()[i];
+    constexpr int kNotRun = 503;
+    if (it.refusal.status == kNotRun && it.after <= milliseconds(50) &&
+        it.refusal.retry_after > Duration::zero()) {
+      ++refused_at_once;
+    }
+  }
+  std::size_t requests = 0;
+  for (const auto& it : sent) requests += it.size();
+  CHECK(static_cast<double>(refused_at_once) >=
+        kServedShare * static_cast<double>(requests));
+  for (int i = 0; i < kDaemons; ++i) {
+    CHECK(TakesClients(fleet.state(i)));
+    CHECK(LookUpClientAddresses(fleet.state(i)).addresses.size() == kDaemons);
+  }
+  End(fleet);
+  SendFor(fleet, seconds(2));
+  const auto after = SendFor(fleet, seconds(1));
+  fleet.AdvanceTime(seconds(2));
+  CHECK(CountServed(fleet, partition, true, after).share() >= kServedShare);
+}
+
+// Guards against a fault of some servers being taken for a lost path.
+TEST_CASE("Servers that fall silent for a second make no daemon withdraw") {
+  SimulatedFleet fleet(FleetOptions());
+  SendFor(fleet, seconds(2));
+  for (const char* it : {"llm0", "llm1", "app0"}) fleet.HangEngine(it);
+  SendFor(fleet, milliseconds(1200));
+  for (int i = 0; i < kDaemons; ++i) CHECK(TakesClients(fleet.state(i)));
+  for (const char* it : {"llm0", "llm1", "app0"}) fleet.HangEngine(it, false);
+  SendFor(fleet, seconds(2));
+  for (int i = 0; i < kDaemons; ++i) CHECK(TakesClients(fleet.state(i)));
+  CHECK(fleet.relays() == 0);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
--- a/testing/include/scaleshed/testing/cluster.h
+++ b/testing/include/scaleshed/testing/cluster.h
@@ -33,6 +33,7 @@
   std::string HowEnded();
   // What it has written so far.
   std::string Output() const;
+  int pid() const { return pid_; }
 
  private:
   int pid_ = 0;
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -207,6 +207,12 @@
   void SetMode(WorkerMode mode) { mode_ = mode; }
   // Each request is treated as that draws.
   void DrawModes(std::function<WorkerMode()> draw) { draw_ = std::move(draw); }
+  // Requests, orders and questions on connections from these ports meet a link
+  // that resets (kResetting) or holds them (kHanging), and never reach the
+  // worker; kServing: an open link.
+  void SetLink(std::function<WorkerMode(std::uint16_t port)> link) {
+    link_ = std::move(link);
+  }
   // Answers begin so long after their request.
   void SetWork(Duration work) { work_ = work; }
   void OnArrival(std::function<void(const BackendArrival&)> tell) {
@@ -249,6 +255,8 @@
 
  private:
   void Handle(const std::shared_ptr<HttpExchange>& exchange);
+  // Whether the link has kept the request from the worker.
+  bool IsLostOnLink(const std::shared_ptr<HttpExchange>& exchange);
   void OnOrder(HttpExchange& exchange);
   void OnStream(const std::shared_ptr<HttpExchange>& exchange);
   void Answer(const std::shared_ptr<HttpExchange>& exchange);
@@ -269,6 +277,7 @@
   std::function<void()> ended_;
   std::unique_ptr<Timer> end_;
   std::function<WorkerMode()> draw_;
+  std::function<WorkerMode(std::uint16_t)> link_;
   HttpHeaders said_;
   std::function<void(const BackendArrival&)> tell_;
   Duration work_{};
--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -35,8 +35,10 @@
   kServersLimit,  // a share of the servers names a limit in its answers
   kServersRest,   // a share refuses everything, and asks for rest each time
   kServersSayLeaving,  // one says so in its answers only, and another one comes
+  kCutReset,   // daemons lose their links to all servers, which are reset
+  kCutSilent,  // the same, but the links say nothing
 };
-inline constexpr NameTable<SoakFault, 21> kSoakFaultNames{{
+inline constexpr NameTable<SoakFault, 23> kSoakFaultNames{{
     {SoakFault::kKill, "kill"},
     {SoakFault::kRestart, "restart"},
     {SoakFault::kRoll, "roll"},
@@ -58,6 +60,8 @@
     {SoakFault::kServersLimit, "servers_limit"},
     {SoakFault::kServersRest, "servers_rest"},
     {SoakFault::kServersSayLeaving, "servers_say_leaving"},
+    {SoakFault::kCutReset, "cut_reset"},
+    {SoakFault::kCutSilent, "cut_silent"},
 }};
 
 // One fault, again and again. Series overlap as they come.
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -81,7 +81,20 @@
   return headers;
 }
 
+bool FakeWorker::IsLostOnLink(const std::shared_ptr<HttpExchange>& exchange) {
+  if (!link_) return false;
+  const WorkerMode mode = link_(exchange->remote_port());
+  if (mode == WorkerMode::kServing) return false;
+  if (mode == WorkerMode::kResetting) {
+    exchange->Abort();
+  } else {
+    held_.push_back(exchange);
+  }
+  return true;
+}
+
 void FakeWorker::Handle(const std::shared_ptr<HttpExchange>& exchange) {
+  if (IsLostOnLink(exchange)) return;
   if (exchange->path() == "/v1/order") return OnOrder(*exchange);
   if (exchange->path() == "/v1/report") {
     exchange->Reply(
--- a/testing/src/internal/soak_callers.h
+++ b/testing/src/internal/soak_callers.h
@@ -35,6 +35,12 @@
           tell) {
     tell_ = std::move(tell);
   }
+  // `sent` is called as a request leaves to a daemon. What it returns gets the
+  // outcome: whether the request was served.
+  using Outcome = std::function<void(bool served)>;
+  void OnSend(std::function<Outcome(const std::string& daemon)> sent) {
+    sent_ = std::move(sent);
+  }
   // Somebody else has sent a request.
   void NoteSend(const std::string& request_id, const std::string& daemon) {
     sends_[request_id] = {.daemon = daemon, .at = loop_.Now()};
@@ -84,6 +90,8 @@
   Time due_{};  // the next request
   std::function<void(const std::string&, const HttpResponse&)> tell_ =
       [](const std::string&, const HttpResponse&) {};
+  std::function<Outcome(const std::string&)> sent_ =
+      [](const std::string&) -> Outcome { return [](bool) {}; };
   std::map<std::string, Sent> sends_;  // by request id
   std::list<std::unique_ptr<KeptConnection>> connections_;
   std::uint64_t last_id_ = 0;
--- a/testing/src/internal/soak_daemons.h
+++ b/testing/src/internal/soak_daemons.h
@@ -30,6 +30,11 @@
   const std::string& peer_address(std::size_t i) const {
     return daemons_.at(i).peer_listen;
   }
+  // Zero if it doesn't run.
+  int pid(std::size_t i) const {
+    const Daemon& it = daemons_.at(i);
+    return it.process ? it.process->pid() : 0;
+  }
   // It runs, and has been asked neither to stand still nor to end.
   bool IsUp(std::size_t i) const {
     const Daemon& it = daemons_.at(i);
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -11,6 +11,7 @@
 #include <random>
 
 #include "internal/configuration_prober.h"
+#include "internal/connection_owner.h"
 #include "internal/soak_callers.h"
 #include "internal/soak_daemons.h"
 #include "internal/soak_writers.h"
@@ -18,6 +19,7 @@
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/testing/configuration_ledger.h"
 #include "scaleshed/testing/fleet_stand_ins.h"
+#include "scaleshed/testing/path_ledger.h"
 #include "scaleshed/testing/server_ledger.h"
 
 namespace scaleshed::testing {
@@ -76,8 +78,13 @@
     callers_->OnAnswer([this](const auto& daemon, const HttpResponse& it) {
       Passed(daemon, it);
     });
+    callers_->OnSend([this](const std::string& daemon) {
+      const auto group = paths_.Sent(loop_.Now(), daemon);
+      return [this, group](bool served) { paths_.Ended(group, served); };
+    });
     daemons_.OnDisturbed([this](const std::string& it) {
       words_.Excuse(it);
+      paths_.Disturbed(loop_.Now(), it);
       configurations_.DaemonDisturbed(loop_.Now(), it);
     });
     std::vector<std::string> addresses;
@@ -181,6 +188,7 @@
       const WorkerMode mode = DrawMode();
       return said_[n].rest.empty() ? mode : WorkerMode::kFull;
     });
+    it.SetLink([this](std::uint16_t port) { return LinkOf(port); });
     it.EndUnder(std::string(SoakCallers::kDeadlyBody), kEndsAfter,
                 [this, n, service] { OnEnd(n, service); });
     it.OnArrival([this, n, service](const BackendArrival& arrival) {
@@ -386,9 +394,42 @@
                        [&](std::size_t n) { Rest(n, series.length); });
       case SoakFault::kServersSayLeaving:
         return SayLeaving();
+      case SoakFault::kCutReset:
+        return some([&](std::size_t i) {
+          CutOff(i, WorkerMode::kResetting, series.length);
+        });
+      case SoakFault::kCutSilent:
+        return some([&](std::size_t i) {
+          CutOff(i, WorkerMode::kHanging, series.length);
+        });
     }
   }
 
+  // How the link of the daemon that holds the connection with that port treats
+  // what the daemon sends to servers.
+  WorkerMode LinkOf(std::uint16_t port) const {
+    std::vector<pid_t> cut_off;
+    for (const auto& [daemon, mode] : links_) {
+      cut_off.push_back(daemons_.pid(daemon));
+    }
+    if (cut_off.empty()) return WorkerMode::kServing;
+    const auto owner = OwnerOfConnection(port, cut_off);
+    if (!owner) return WorkerMode::kServing;
+    for (const auto& [daemon, mode] : links_) {
+      if (daemons_.pid(daemon) == *owner) return mode;
+    }
+    return WorkerMode::kServing;
+  }
+
+  void CutOff(std::size_t daemon, WorkerMode mode, Duration length) {
+    if (!links_.try_emplace(daemon, mode).second) return;
+    paths_.CutOff(loop_.Now(), daemons_.listen_address(daemon));
+    At(length, [this, daemon] {
+      links_.erase(daemon);
+      paths_.Reconnected(daemons_.listen_address(daemon));
+    });
+  }
+
   void Roll(const SoakSeries& series) {
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       At(series.length * i / daemons_.size(),
@@ -457,6 +498,7 @@
     for (const std::string& it : configurations_.Broken()) {
       report.broken.push_back(it);
     }
+    for (const std::string& it : paths_.Broken()) report.broken.push_back(it);
     report.probes = configurations_.answers();
     report.most_calls = most_calls_;
     report.words = words_said_;
@@ -489,6 +531,8 @@
   ServerLedger words_;
   std::map<std::size_t, Words> said_;  // by server
   std::size_t words_said_ = 0;
+  PathLedger paths_;
+  std::map<std::size_t, WorkerMode> links_;  // by daemon; those that are cut
   std::deque<Time> looks_;
   Duration latest_{};
   Timer look_;
--- a/testing/src/soak_callers.cc
+++ b/testing/src/soak_callers.cc
@@ -146,8 +146,12 @@
   KeptConnection& connection = Connection();
   sends_[id] = {.daemon = connection.address(), .at = loop_.Now()};
   connection.Ask(std::move(bytes), kGivenUp,
-                 [this, kind, id](const HttpResult& it) {
+                 [this, kind, id,
+                  outcome = sent_(connection.address())](const HttpResult& it) {
                    --waiting_;
+                   const auto* response = ValueOf(it);
+                   constexpr int kOk = 200;
+                   outcome(response != nullptr && response->status == kOk);
                    Check(kind, id, it);
                  });
 }
--- a/testing/src/soak_series.cc
+++ b/testing/src/soak_series.cc
@@ -82,6 +82,15 @@
                       .times = static_cast<int>(whole / 1000),
                       .gap = Millis(draw(300, 3500))});
   }
+  if (draw(0, 2) == 0) {
+    // Long enough to count beyond the time in which callers may notice.
+    series.push_back({.fault = draw(0, 1) == 0 ? SoakFault::kCutReset
+                                               : SoakFault::kCutSilent,
+                      .at = Millis(draw(0, whole / 3)),
+                      .times = 1,
+                      .share = static_cast<double>(draw(15, 80)) / 100,
+                      .length = Millis(draw(whole / 2, whole * 2 / 3))});
+  }
   return series;
 }
 
--- a/testing/test/soak_test.cc
+++ b/testing/test/soak_test.cc
@@ -113,6 +113,17 @@
   CheckHeld(options);
 }
 
+// Daemons that had lost their path to all servers failed all of their callers'
+// requests; see serving/test/partition_test.cc.
+TEST_CASE("Daemons cut off from all servers serve as the others do") {
+  for (const char* fault : {"cut_reset", "cut_silent"}) {
+    SoakOptions options = Options(1);
+    options.length = seconds(11);
+    options.series = ParseSeries(std::string(fault) + ":500:1:0:0.55:10000");
+    CheckHeld(options);
+  }
+}
+
 TEST_CASE("Drawn faults leave the promises whole") {
   for (const std::uint64_t seed : {11, 12, 13}) {
     SoakOptions options = Options(seed);
