Soak: a window of repeats that were seen late is not read as a huge one

Cause: a repeat counts as before the window by its earliest time and as in it by its latest one; when both are far apart the difference went below zero. Change: such a repeat isn't known to be in the window; the count stops at zero. What is certain is counted as before. soak_ledger_test has the case; it read a huge number before.

--- a/testing/src/soak_ledger.cc
+++ b/testing/src/soak_ledger.cc
@@ -55,7 +55,10 @@
     for (const Time end : times.repeats) {
       const std::size_t before =
           CountUntil(times.repeats_after, end - bound_.window);
-      const std::size_t n = CountUntil(times.repeats, end) - before;
+      // Where the process that counts was kept from looking, a repeat that may
+      // have come before the window isn't known to have come by its end.
+      const std::size_t until = CountUntil(times.repeats, end);
+      const std::size_t n = until > before ? until - before : 0;
       const double allowed = AllowedAt(times, end);
       const double beyond = static_cast<double>(n) - allowed;
       if (found.repeats > 0 && beyond <= most_beyond) continue;
--- a/testing/test/soak_ledger_test.cc
+++ b/testing/test/soak_ledger_test.cc
@@ -52,6 +52,18 @@
   CHECK(ledger.Broken().size() == 1);
 }
 
+// The count of such a window fell below zero and read as a huge one.
+TEST_CASE("Repeats that were seen late break no bound by being late") {
+  SoakLedger ledger(kBound);
+  SendMany(ledger, 100);
+  const Time end = kStart + seconds(10);
+  ledger.Arrived(kStart, kStart, "app", "r1", false);
+  ledger.Arrived(kStart, end, "app", "r2", false);
+  ledger.Arrived(kStart, end + seconds(30), "app", "r3", false);
+  CHECK(ledger.Broken().empty());
+  CHECK(ledger.WorstWindows().front().repeats <= 3);
+}
+
 TEST_CASE("What may have arrived before a window is not counted in it") {
   SoakLedger ledger(kBound);
   SendMany(ledger, 100);
