Soak: the owner of a connection is asked of the kernel, not read from its table

Cause of the pauses in those runs: with thousands of closed connections the table of all sockets takes long to read, for each request while a daemon was cut off, and the process that plays servers and callers stood still. Change: one socket is asked for by its addresses.

--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -48,7 +48,7 @@
   void Tell(DatagramKind kind, const std::string& to, const std::string& bytes);
   void Carry(const serving::Effect& effect);
   // A request that this daemon serves: a client's own, or one that another
-  // daemon relays.
+  // daemon, its origin, has relayed.
   struct ServedExchange {
     std::shared_ptr<HttpExchange> exchange;
     std::optional<HttpRequest> relayed;  // as the client sent it
@@ -56,7 +56,7 @@
     const HttpRequest& request() const {
       return relayed ? *relayed : exchange->request();
     }
-    // Adds to the headers of a response what the relaying daemon needs.
+    // Adds the outcome, which the origin needs, to the headers of a response.
     void AddOutcome(HttpHeaders& headers, const RelayOutcome& outcome) const;
   };
 
--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -143,7 +143,7 @@
   }
   const platform::AnswerHead answer = platform::ReadAnswer(head);
   const std::string fault = FaultOf(answer, it->second.request_id);
-  // The relaying daemon heeds what the server says of itself.
+  // The relay heeds what the server says of itself.
   if (!it->second.relayed && IsOwnWord(answer, fault)) TellWord(attempt, head);
   if (!fault.empty()) {
     TellFailed(attempt, serving::AttemptError::kInterrupted, fault);
@@ -219,7 +219,7 @@
     return;
   }
   platform::AnswerHead head = platform::ReadAnswer(*response);
-  // A relaying daemon passes on what ran, and refuses what didn't.
+  // A relay passes on what ran, and refuses what didn't.
   if (it->second.relayed && head.kind != serving::AnswerKind::kSuccess)
     head.kind = serving::AnswerKind::kFailure;
   const bool cut_event = it->second.stream &&
--- a/daemon/src/internal/backend_calls.h
+++ b/daemon/src/internal/backend_calls.h
@@ -27,8 +27,8 @@
   BackendCalls(EventLoop& loop, std::string peer_address, Feed feed);
 
   void Start(const serving::StartAttempt& effect, const HttpRequest& request);
-  // Passes a request to another daemon. What that daemon passes back of a
-  // backend server's response counts as if the server had sent it here.
+  // Passes a request to another daemon, its relay. What the relay passes back
+  // of a backend server's response counts as if the server had sent it here.
   void Relay(const serving::StartRelay& effect, const HttpRequest& request);
   void Cancel(AttemptId attempt);
   void Reserve(const serving::ReserveMemory& order);
@@ -47,7 +47,7 @@
     std::string request_id;
     bool stream = false;
     bool relayed = false;
-    // The refusal of the daemon that the request was relayed to.
+    // The relay's own refusal.
     std::optional<RelayOutcome> refused;
     HttpResponse answer;
     EventSplitter splitter;
@@ -57,7 +57,7 @@
   void StartCall(AttemptId attempt, const HttpRequest& request, bool stream,
                  bool relayed, HttpCall call);
   void OnHead(AttemptId attempt, const HttpResponse& head);
-  // Reads and removes what the relaying daemon says in the head of a response.
+  // Reads and removes what the relay says of itself in the head of a response.
   // Returns false if the head can't be a backend server's response.
   bool TakeRelayOutcome(AttemptId attempt, HttpResponse& head);
   void OnRelayRefusal(AttemptId attempt, int status);
--- a/runtime/include/scaleshed/runtime/http_server.h
+++ b/runtime/include/scaleshed/runtime/http_server.h
@@ -48,8 +48,8 @@
     return request_.headers.Get(name);
   }
   std::string TakeBody() { return std::move(request_.body); }
-  // The port of the client's end of the connection; zero if that has closed.
-  std::uint16_t remote_port() const;
+  // The client's end of the connection, "ip:port"; empty if that has closed.
+  std::string remote_address() const;
 
   // The connection closes after this answer; to be said before it begins.
   void CloseAfter() { close_after_ = true; }
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -66,9 +66,9 @@
   return text;
 }
 
-std::uint16_t HttpExchange::remote_port() const {
+std::string HttpExchange::remote_address() const {
   const auto connection = Usable();
-  return connection == nullptr ? 0 : connection->RemotePort();
+  return connection == nullptr ? "" : connection->RemoteAddress();
 }
 
 std::shared_ptr<internal::ServerConnection> HttpExchange::Usable() const {
--- a/runtime/src/internal/server_connection.h
+++ b/runtime/src/internal/server_connection.h
@@ -29,8 +29,8 @@
   void Break();
   void CloseIfIdle();
   bool client_keeps() const { return client_keeps_; }
-  // Zero if the connection has closed.
-  std::uint16_t RemotePort() const;
+  // See HttpExchange::remote_address().
+  std::string RemoteAddress() const;
 
  private:
   using Parser =
--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -1,11 +1,13 @@
 #include "internal/server_connection.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace scaleshed::internal {
@@ -98,13 +100,17 @@
   Break();
 }
 
-std::uint16_t ServerConnection::RemotePort() const {
-  if (closed_) return 0;
+std::string ServerConnection::RemoteAddress() const {
+  if (closed_) return "";
   sockaddr_in name{};
   socklen_t length = sizeof(name);
   const int failed = getpeername(bufferevent_getfd(bev_),
                                  reinterpret_cast<sockaddr*>(&name), &length);
-  return failed != 0 ? 0 : ntohs(name.sin_port);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  const bool known = failed == 0 && inet_ntop(AF_INET, &name.sin_addr,
+                                              text.data(), text.size());
+  if (!known) return "";
+  return std::string(text.data()) + ":" + std::to_string(ntohs(name.sin_port));
 }
 
 void ServerConnection::Write(const std::string& bytes) {
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -101,8 +101,8 @@
   AttemptId attempt = 0;
 };
 
-// The daemon that a request was relayed to responds itself, since it has no
-// backend server's response.
+// The relay, the daemon that a request was passed to, responds itself, since it
+// has no backend server's response.
 struct RelayRefused {
   AttemptId attempt = 0;
   Refusal reason = Refusal::kUnknown;
--- a/serving/include/scaleshed/serving/service_paths.h
+++ b/serving/include/scaleshed/serving/service_paths.h
@@ -23,7 +23,7 @@
 class ServicePath {
  public:
   // A call to a server that began at `began` has got an answer.
-  void RecordAnswer(BackendId backend, Time began, Time now);
+  void RecordAnswer(BackendId backend, Time began);
   // A call to a server that began at `began` has got no answer. A call that
   // began after it and was answered makes it irrelevant for the path.
   void RecordMiss(BackendId backend, Time began, Time now);
@@ -44,6 +44,7 @@
   bool HasReturned(BackendId backend) const {
     return returned_.contains(backend);
   }
+
   // When the latest answered call began.
   Time answered() const { return answered_; }
   // The servers whose calls were missed, with the start of the latest one.
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -449,6 +449,9 @@
   // called, and the services whose path it doubts.
   std::map<std::string, TrackedPath> paths;
   std::set<std::string> doubtful_services;
+  // This daemon has lost its paths to all services that have several servers,
+  // while other daemons reach them.
+  bool withdrawn = false;
   // Daemons that a relayed request didn't reach, and until when each is passed
   // over.
   std::map<std::string, Time> relays_avoided_until;
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -98,7 +98,7 @@
   std::string data_centre;
   std::uint64_t incarnation = 0;  // of the daemon; rises with each start
   std::uint64_t sequence = 0;     // rises within the incarnation
-  bool serving = false;           // clients may be directed to the daemon
+  bool serving = false;           // it admits requests
   bool polls_store = false;       // may poll the store for its data centre
   // The daemon is a hub: one of the few daemons of its data centre that send
   // heartbeats to all daemons, and from which the placers are chosen.
@@ -119,8 +119,7 @@
   // In an incremental snapshot, `active_requests` are those that began or
   // changed since the last snapshot, and `finished_ids` those that finished.
   // All other fields are complete in each snapshot, except `crashes`,
-  // `limits` and `leaving`, and except `paths`, which an incremental snapshot
-  // has only if a path began or ceased to be doubtful.
+  // `limits`, `leaving` and `paths`.
   bool incremental = false;
   std::vector<ActiveRequest> active_requests;
   std::vector<std::uint64_t> finished_ids;
@@ -134,6 +133,9 @@
   std::vector<BackendId> leaving;
   // Request fingerprints for which this daemon has a crash check under way.
   std::vector<std::uint64_t> crash_checks;
+  // The paths that this daemon or another one doubts, as those that nobody
+  // doubts would only add to the size of each heartbeat. An incremental
+  // snapshot has them only if this daemon began or ceased to doubt one.
   std::vector<PublishedPath> paths;
 };
 
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -188,7 +188,7 @@
   if (request.metadata.relayed_by.empty()) {
     CountRequest(state, request);
   } else {
-    // The daemon that relays the request counts it, and reruns it.
+    // The origin counts the request, and reruns it.
     request.route.max_sends = 1;
     state.effects.emplace_back(IncrementCounter{Counter::kRelayedForOthers});
     Log(state, "relay_accepted",
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -366,12 +366,9 @@
 void OnPathProbed(State& state, const LivenessProbed& event);
 // Probes the path to a service, unless that has just been done.
 void ProbePathNow(State& state, const std::string& service);
-// Drops evidence that is too old or about servers that are gone, and sends the
-// probes that are due.
+// Drops evidence that is too old or about servers that are gone, sends the
+// probes that are due, and decides whether this daemon withdraws from clients.
 void UpdatePaths(State& state);
-// Whether this daemon has lost its paths to all services that have several
-// servers, while other daemons reach them.
-bool HasLostItsPaths(const State& state);
 // Records that another daemon served a relayed request of the service.
 void RecordRelayAnswered(State& state, const std::string& service);
 std::vector<PublishedPath> PathsToPublish(const State& state);
--- a/serving/src/life_checks.cc
+++ b/serving/src/life_checks.cc
@@ -14,8 +14,9 @@
 constexpr int kRefusalsUntilEnded = 2;
 constexpr Duration kRefusedProbeInterval = milliseconds(50);
 // Time in which another answer has to show that the path to the service is open
-// before refused connections count without that.
-constexpr Duration kPathProofTimeout = seconds(1);
+// before refused connections count without that. It covers the full snapshot in
+// which another daemon says that it reaches the service.
+constexpr Duration kPathProofTimeout = milliseconds(1500);
 // Time until the next probe after one without a result, of which a packet may
 // have been lost.
 constexpr Duration kInconclusiveProbeInterval = milliseconds(150);
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -154,7 +154,7 @@
 }
 
 bool TakesClients(const State& state) {
-  return IsServing(state) && !internal::HasLostItsPaths(state);
+  return IsServing(state) && !state.withdrawn;
 }
 
 ClientAddresses LookUpClientAddresses(const State& state) {
--- a/serving/src/paths.cc
+++ b/serving/src/paths.cc
@@ -97,10 +97,17 @@
   }
 }
 
+bool ShouldDoubt(const State& state, const std::string& service,
+                 const ServicePath& path) {
+  // Counting the servers of a large service takes long, and is seldom needed.
+  if (path.misses().empty() && !path.lost()) return false;
+  return path.IsDoubtful(ServersOf(state, service).size());
+}
+
 // Logs and publishes whether the path is doubted, after a change of `path`.
 void ApplyPathChange(State& state, const std::string& service,
                      TrackedPath& path) {
-  const bool doubtful = IsPathDoubtful(state, service);
+  const bool doubtful = ShouldDoubt(state, service, path.evidence);
   const bool was_doubtful = state.doubtful_services.contains(service);
   if (doubtful == was_doubtful) return;
   if (doubtful) {
@@ -126,6 +133,23 @@
           state.now < path.relay_answered_at + kRelayProofAge);
 }
 
+// Whether this daemon has lost its paths to all services that have several
+// servers, while other daemons reach them.
+bool HasLostItsPaths(const State& state) {
+  const bool any_lost =
+      std::any_of(state.paths.begin(), state.paths.end(),
+                  [](const auto& it) { return it.second.evidence.lost(); });
+  if (!any_lost) return false;
+  const std::set<std::string> services = ListedServices(state);
+  return std::all_of(
+      services.begin(), services.end(), [&](const std::string& it) {
+        const auto path = state.paths.find(it);
+        const bool lost =
+            path != state.paths.end() && path->second.evidence.lost();
+        return lost || !HasSeveralServers(state, it);
+      });
+}
+
 // Updates whether a doubtful path counts as lost.
 void UpdateLost(State& state, const std::string& service, TrackedPath& path) {
   const bool was_lost = path.evidence.lost();
@@ -219,9 +243,7 @@
 }
 
 bool IsPathDoubtful(const State& state, const std::string& service) {
-  const auto it = state.paths.find(service);
-  return it != state.paths.end() &&
-         it->second.evidence.IsDoubtful(ServersOf(state, service).size());
+  return state.doubtful_services.contains(service);
 }
 
 void RecordAnswered(State& state, BackendId id, Time began) {
@@ -229,7 +251,7 @@
   if (backend == nullptr) return;
   const std::string& service = backend->server.service;
   TrackedPath& path = state.paths[service];
-  path.evidence.RecordAnswer(id, began, state.now);
+  path.evidence.RecordAnswer(id, began);
   ApplyPathChange(state, service, path);
 }
 
@@ -277,17 +299,9 @@
     UpdateLost(state, service, path);
     ProbePath(state, service, path);
   }
-}
-
-bool HasLostItsPaths(const State& state) {
-  bool any_lost = false;
-  for (const std::string& it : ListedServices(state)) {
-    const auto path = state.paths.find(it);
-    const bool lost = path != state.paths.end() && path->second.evidence.lost();
-    if (!lost && HasSeveralServers(state, it)) return false;
-    any_lost = any_lost || lost;
-  }
-  return any_lost;
+  state.withdrawn = HasLostItsPaths(state);
+  std::erase_if(state.relays_avoided_until,
+                [&](const auto& it) { return it.second <= state.now; });
 }
 
 void RecordRelayAnswered(State& state, const std::string& service) {
@@ -297,6 +311,9 @@
 std::vector<PublishedPath> PathsToPublish(const State& state) {
   std::vector<PublishedPath> paths;
   for (const auto& [service, path] : state.paths) {
+    const bool is_news = state.doubtful_services.contains(service) ||
+                         state.published_doubtful_services.contains(service);
+    if (!is_news && CountDoubtingPeers(state, service) == 0) continue;
     paths.push_back({.service = service,
                      .answered = path.evidence.answered(),
                      .doubtful = state.doubtful_services.contains(service)});
--- a/serving/src/relays.cc
+++ b/serving/src/relays.cc
@@ -5,8 +5,8 @@
 #include "internal/steps.h"
 
 // Relaying: a daemon that doubts its network path to the servers of a service
-// passes requests to another daemon, which serves them under all of its own
-// checks. A request is relayed at most once, so that it can't loop.
+// passes requests to another daemon, the relay, which serves them under all of
+// its own checks. A relayed request isn't relayed again, so that it can't loop.
 namespace scaleshed::serving::internal {
 namespace {
 
@@ -84,8 +84,8 @@
   state.effects.emplace_back(std::move(effect));
 }
 
-// Whether the refusal is due to the relaying daemon's own state, so that
-// another daemon may serve the request.
+// Whether the refusal is due to the relay's own state, so that another daemon
+// may serve the request.
 bool MayServeElsewhere(Refusal reason) {
   switch (reason) {
     case Refusal::kNoConfiguration:
--- a/serving/src/service_paths.cc
+++ b/serving/src/service_paths.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-void ServicePath::RecordAnswer(BackendId backend, Time began, Time /*now*/) {
+void ServicePath::RecordAnswer(BackendId backend, Time began) {
   answered_ = std::max(answered_, began);
   if (lost_) {
     const bool is_after_misses =
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -43,7 +43,7 @@
                         .is_hub = state.dispatch.is_hub,
                         .places = PlacesForOthers(state),
                         .relays = true,
-                        .withdrawn = HasLostItsPaths(state),
+                        .withdrawn = state.withdrawn,
                         .capacity = state.options.capacity,
                         .configuration = StampOf(state),
                         .epoch = state.store.epoch.number,
--- a/serving/test/service_paths_test.cc
+++ b/serving/test/service_paths_test.cc
@@ -35,9 +35,9 @@
 
 TEST_CASE("Only the answer to a call that began after a miss outweighs it") {
   ServicePath path = PathWithMisses(3);
-  path.RecordAnswer(9, At(0), At(500));
+  path.RecordAnswer(9, At(0));
   CHECK(path.IsDoubtful(kServers));
-  path.RecordAnswer(9, At(4), At(500));
+  path.RecordAnswer(9, At(4));
   CHECK_FALSE(path.IsDoubtful(kServers));
   CHECK(path.misses().empty());
   CHECK_FALSE(path.missing_since());
@@ -45,7 +45,7 @@
 
 TEST_CASE("A miss of a call that began before an answered one doesn't count") {
   ServicePath path;
-  path.RecordAnswer(9, At(100), At(110));
+  path.RecordAnswer(9, At(100));
   for (int i = 1; i <= 3; ++i) {
     path.RecordMiss(static_cast<BackendId>(i), At(50), At(200));
   }
@@ -54,20 +54,20 @@
 
 TEST_CASE("A lost path is open again once two servers have answered") {
   ServicePath path = PathWithMisses(3, /*lost=*/true);
-  path.RecordAnswer(1, At(1000), At(1001));
-  path.RecordAnswer(1, At(1100), At(1101));
+  path.RecordAnswer(1, At(1000));
+  path.RecordAnswer(1, At(1100));
   CHECK(path.IsDoubtful(kServers));
   CHECK(path.HasReturned(1));
-  path.RecordAnswer(2, At(1200), At(1201));
+  path.RecordAnswer(2, At(1200));
   CHECK_FALSE(path.IsDoubtful(kServers));
   CHECK_FALSE(path.lost());
 }
 
 TEST_CASE("A miss between two answers leaves a lost path lost") {
   ServicePath path = PathWithMisses(3, /*lost=*/true);
-  path.RecordAnswer(1, At(1000), At(1001));
+  path.RecordAnswer(1, At(1000));
   path.RecordMiss(2, At(1100), At(1110));
-  path.RecordAnswer(3, At(1200), At(1201));
+  path.RecordAnswer(3, At(1200));
   CHECK(path.lost());
 }
 
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -207,10 +207,10 @@
   void SetMode(WorkerMode mode) { mode_ = mode; }
   // Each request is treated as that draws.
   void DrawModes(std::function<WorkerMode()> draw) { draw_ = std::move(draw); }
-  // Requests, orders and questions on connections from these ports meet a link
-  // that resets (kResetting) or holds them (kHanging), and never reach the
-  // worker; kServing: an open link.
-  void SetLink(std::function<WorkerMode(std::uint16_t port)> link) {
+  // Says how the link from a client's address treats what is sent on it:
+  // kResetting and kHanging keep everything from the worker, kServing is an
+  // open link.
+  void SetLink(std::function<WorkerMode(const std::string& client)> link) {
     link_ = std::move(link);
   }
   // Answers begin so long after their request.
@@ -277,7 +277,7 @@
   std::function<void()> ended_;
   std::unique_ptr<Timer> end_;
   std::function<WorkerMode()> draw_;
-  std::function<WorkerMode(std::uint16_t)> link_;
+  std::function<WorkerMode(const std::string&)> link_;
   HttpHeaders said_;
   std::function<void(const BackendArrival&)> tell_;
   Duration work_{};
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -83,7 +83,7 @@
 
 bool FakeWorker::IsLostOnLink(const std::shared_ptr<HttpExchange>& exchange) {
   if (!link_) return false;
-  const WorkerMode mode = link_(exchange->remote_port());
+  const WorkerMode mode = link_(exchange->remote_address());
   if (mode == WorkerMode::kServing) return false;
   if (mode == WorkerMode::kResetting) {
     exchange->Abort();
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -16,6 +16,7 @@
 #include "internal/soak_daemons.h"
 #include "internal/soak_writers.h"
 #include "internal/temporary_folder.h"
+#include "scaleshed/runtime/address.h"
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/testing/configuration_ledger.h"
 #include "scaleshed/testing/fleet_stand_ins.h"
@@ -188,7 +189,9 @@
       const WorkerMode mode = DrawMode();
       return said_[n].rest.empty() ? mode : WorkerMode::kFull;
     });
-    it.SetLink([this](std::uint16_t port) { return LinkOf(port); });
+    it.SetLink([this, n](const std::string& client) {
+      return LinkBetween(client, servers_[n]->address());
+    });
     it.EndUnder(std::string(SoakCallers::kDeadlyBody), kEndsAfter,
                 [this, n, service] { OnEnd(n, service); });
     it.OnArrival([this, n, service](const BackendArrival& arrival) {
@@ -405,18 +408,19 @@
     }
   }
 
-  // How the link of the daemon that holds the connection with that port treats
-  // what the daemon sends to servers.
-  WorkerMode LinkOf(std::uint16_t port) const {
+  // How the link of the daemon that holds the connection treats what the daemon
+  // sends to the server.
+  WorkerMode LinkBetween(const std::string& client, const std::string& server) {
+    const auto local = SocketAddress(client);
+    const auto remote = SocketAddress(server);
+    if (links_.empty() || !local || !remote) return WorkerMode::kServing;
     std::vector<pid_t> cut_off;
     for (const auto& [daemon, mode] : links_) {
       cut_off.push_back(daemons_.pid(daemon));
     }
-    if (cut_off.empty()) return WorkerMode::kServing;
-    const auto owner = OwnerOfConnection(port, cut_off);
-    if (!owner) return WorkerMode::kServing;
+    const auto owner = OwnerOfConnection(*local, *remote, cut_off);
     for (const auto& [daemon, mode] : links_) {
-      if (daemons_.pid(daemon) == *owner) return mode;
+      if (owner && daemons_.pid(daemon) == *owner) return mode;
     }
     return WorkerMode::kServing;
   }
--- a/wire/include/scaleshed/wire/relay_codec.h
+++ b/wire/include/scaleshed/wire/relay_codec.h
@@ -33,7 +33,7 @@
 // target.
 std::optional<RelayEnvelope> DecodeRelay(const std::string& bytes);
 
-// What the daemon that took a relayed request says of it.
+// What the relay, the daemon that took over a request, says of it.
 struct RelayOutcome {
   // Why that daemon itself responds; nothing: the response is a backend
   // server's.
