Tests of what no test found when taken out: moving, suspicions, probes

Found by none: moving an attempt without a connection, holding suspicions back, withdrawing them; each has a case now that fails when it is taken out.

--- a/serving/test/relays_test.cc
+++ b/serving/test/relays_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <variant>
+#include <vector>
 
 #include "serving_harness.h"
 
@@ -158,6 +160,80 @@
   CHECK(refused->status == kNotRun);
 }
 
+// Gives the results of all probes in the last effects.
+void FinishProbes(Daemon& daemon, ProbeResult result) {
+  std::vector<BackendId> probed;
+  for (const Effect& it : daemon.effects()) {
+    if (const auto* probe = std::get_if<ProbeLiveness>(&it))
+      probed.push_back(probe->backend);
+  }
+  for (const BackendId it : probed)
+    daemon.Feed(LivenessProbed{.backend = it, .result = result});
+}
+
+TEST_CASE("An attempt whose connection doesn't stand moves to a relay") {
+  Daemon daemon;
+  HearFromRelay(daemon, 1);
+  daemon.SendRequest("once");
+  const auto* sent = daemon.FirstEffect<StartAttempt>();
+  REQUIRE(sent != nullptr);
+  const AttemptId attempt = sent->attempt;
+  daemon.AdvanceTime(milliseconds(150));
+  daemon.Feed(AttemptConnecting{.attempt = attempt});
+  // One server that is silent shows nothing of the path.
+  CHECK(daemon.FirstEffect<StartRelay>() == nullptr);
+  FinishProbes(daemon, ProbeResult::kInconclusive);
+  daemon.Feed(AttemptConnecting{.attempt = attempt});
+  const auto* cancelled = daemon.FirstEffect<CancelAttempt>();
+  REQUIRE(cancelled != nullptr);
+  CHECK(cancelled->attempt == attempt);
+  CHECK(daemon.FirstEffect<StartRelay>() != nullptr);
+}
+
+TEST_CASE("Probes that are answered leave the path open") {
+  Daemon daemon;
+  HearFromRelay(daemon, 1);
+  daemon.SendRequest("once");
+  const auto* sent = daemon.FirstEffect<StartAttempt>();
+  REQUIRE(sent != nullptr);
+  const AttemptId attempt = sent->attempt;
+  daemon.AdvanceTime(milliseconds(150));
+  daemon.Feed(AttemptConnecting{.attempt = attempt});
+  FinishProbes(daemon, ProbeResult::kAlive);
+  daemon.Feed(AttemptConnecting{.attempt = attempt});
+  CHECK(daemon.FirstEffect<CancelAttempt>() == nullptr);
+  CHECK(daemon.state().doubtful_services.empty());
+}
+
+// Guards against servers being avoided, here and at other daemons, because this
+// daemon doesn't reach them.
+TEST_CASE("Suspicions by misses of several servers are withdrawn") {
+  Daemon daemon;
+  HearFromRelay(daemon, 1);
+  std::vector<Suspicion> published;
+  daemon.Observe([&](const Effects& effects) {
+    for (const Effect& it : effects) {
+      if (const auto* publish = std::get_if<PublishSnapshot>(&it))
+        published = publish->snapshot.suspicions;
+    }
+  });
+  daemon.SendRequest("once");
+  const auto fail = [&] {
+    const auto* sent = daemon.FirstEffect<StartAttempt>();
+    REQUIRE(sent != nullptr);
+    daemon.Feed(AttemptFailed{.attempt = sent->attempt,
+                              .error = AttemptError::kNotSent});
+  };
+  fail();
+  CHECK(published.size() == 1);
+  fail();
+  CHECK(published.empty());
+  fail();
+  REQUIRE(daemon.FirstEffect<StartRelay>() != nullptr);
+  for (const auto& [id, backend] : daemon.state().backends)
+    CHECK(backend.avoided_until() <= daemon.now());
+}
+
 TEST_CASE("An attempt that has connected late is timed like any other") {
   Daemon daemon;
   daemon.SendRequest("stream");
