A connection that is slow makes a path be probed once, not again and again

Cause: each report of a connection that doesn't stand yet, every 150 ms, probed two servers again, though the first answers had shown that the path is open; found by reading. Change: only a miss that no later answer outweighs asks for probes, and a path that was probed within 250 ms isn't probed again. The case of answered probes fails without it.

--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -243,7 +243,8 @@
   request->connecting = true;
   RecordMissed(state, request->backend, request->sent_at);
   if (!IsPathDoubtful(state, request->service)) {
-    ProbePathNow(state, request->service);
+    if (HasMissed(state, request->service, request->backend))
+      ProbePathNow(state, request->service);
     return;
   }
   // No byte has left, so that another daemon may send the request.
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -352,6 +352,10 @@
 bool HasReachedServiceSince(const State& state, const std::string& service,
                             Time since);
 bool DoOthersReach(const State& state, const std::string& service, Time since);
+// Whether a call to the server has got no answer, and no later one to any other
+// server of the service has.
+bool HasMissed(const State& state, const std::string& service,
+               BackendId backend);
 // Whether calls to several servers have failed without a later answer, so that
 // this daemon's failures aren't to be held against the servers by others.
 bool IsPathInQuestion(const State& state, const std::string& service);
--- a/serving/src/paths.cc
+++ b/serving/src/paths.cc
@@ -13,6 +13,8 @@
 // a later call may show that the path is open.
 constexpr Duration kProbeDelay = milliseconds(100);
 constexpr Duration kProbeInterval = milliseconds(500);
+// A path that was probed so short a time ago isn't probed again.
+constexpr Duration kMinProbeInterval = milliseconds(250);
 // A path is lost once it was doubtful for this long while other daemons reached
 // the service. Until then requests are relayed, and clients stay.
 constexpr Duration kDoubtBeforeLoss = milliseconds(300);
@@ -235,6 +237,11 @@
   return CountReachingPeers(state, service, since) > 0;
 }
 
+bool HasMissed(const State& state, const std::string& service, BackendId id) {
+  const auto it = state.paths.find(service);
+  return it != state.paths.end() && it->second.evidence.misses().contains(id);
+}
+
 bool IsPathInQuestion(const State& state, const std::string& service) {
   constexpr std::size_t kMissedServers = 2;
   const auto it = state.paths.find(service);
@@ -270,7 +277,7 @@
   TrackedPath& path = state.paths[service];
   const bool just_probed =
       path.probe_due != Time::max() &&
-      path.probe_due > state.now + kProbeInterval - kProbeDelay;
+      path.probe_due > state.now + kProbeInterval - kMinProbeInterval;
   if (just_probed) return;
   path.probe_due = state.now;
   path.probe_asked_for = true;
--- a/serving/test/relays_test.cc
+++ b/serving/test/relays_test.cc
@@ -203,6 +203,10 @@
   daemon.Feed(AttemptConnecting{.attempt = attempt});
   CHECK(daemon.FirstEffect<CancelAttempt>() == nullptr);
   CHECK(daemon.state().doubtful_services.empty());
+  // Once is enough, however long the connection takes.
+  daemon.AdvanceTime(milliseconds(600));
+  daemon.Feed(AttemptConnecting{.attempt = attempt});
+  CHECK(daemon.FirstEffect<ProbeLiveness>() == nullptr);
 }
 
 // Guards against servers being avoided, here and at other daemons, because this
