--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -438,6 +438,9 @@
   std::map<std::string, Backend> backends;  // by instance id
   Quarantine quarantine;
   bool has_unpublished_crashes = false;  // since the last snapshot
+  // This daemon has lost its paths to all services that have several servers,
+  // while other daemons reach them.
+  bool withdrawn = false;
   std::map<BackendId, LivenessCheck> liveness_checks;
   // Backend incarnations that are known to have ended, and since when.
   std::map<BackendId, Time> ended_incarnations;
@@ -449,9 +452,6 @@
   // called, and the services whose path it doubts.
   std::map<std::string, TrackedPath> paths;
   std::set<std::string> doubtful_services;
-  // This daemon has lost its paths to all services that have several servers,
-  // while other daemons reach them.
-  bool withdrawn = false;
   // Daemons that a relayed request didn't reach, and until when each is passed
   // over.
   std::map<std::string, Time> relays_avoided_until;
