Logs name the prompt parts that requests may share

What callers saw: engine after engine crashed under prompts that were all different. The lines lost and sent name the whole content of a request only, so that nothing told prompts with something in common from engines that crash by themselves, or from a content that is cleared again and again.

Nothing is decided by it yet.

--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -16,9 +16,20 @@
 
 namespace scaleshed::serving {
 
+// A part of a prompt that other requests may share.
+struct PromptPart {
+  std::string id;  // as the client names it
+  // Hash of the id, and of the account once the request is admitted: accounts
+  // choose ids independently of each other.
+  std::uint64_t fingerprint = 0;
+};
+
 // The part of a client's request that the reducer decides by. The driver parses
 // it from the request and keeps the request's bytes.
 struct RequestMetadata {
+  static constexpr std::size_t kMaxSharedParts = 64;
+
+
   std::string id;  // chosen by the client, new for each of its sends
   std::string host;
   std::string path;  // without the query
@@ -31,6 +42,9 @@
   // which stays the same when a client retries the request under a new id.
   // Zero: not specified.
   std::uint64_t fingerprint = 0;
+  // The parts of the prompt but for the last one, which no other request has;
+  // each id once, at most kMaxSharedParts.
+  std::vector<PromptPart> shared_parts;
   // Peer address of the daemon that relays the request; empty: a client sent it
   // to this daemon.
   std::string relayed_by;
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -171,6 +171,9 @@
     request.metadata.fingerprint =
         HashBytes(request.account, request.metadata.fingerprint);
   }
+  for (PromptPart& it : request.metadata.shared_parts) {
+    it.fingerprint = HashBytes(request.account, it.fingerprint);
+  }
   request.arrived = arrived;
   request.due = arrived + route->objective;
   Duration timeout = event.metadata.deadline;
@@ -266,6 +269,7 @@
   Log(state, request.response_started ? "broken" : "refused",
       {{"request", request.metadata.id},
        {"content", FingerprintText(request.metadata.fingerprint)},
+       {"parts", PartsText(request.metadata)},
        {"why", std::string(NameIn(kRefusalNames, reason))},
        {"status", std::to_string(status)},
        {"route", request.route.name},
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -592,6 +592,8 @@
          bool routine = false);
 // Returns the duration in milliseconds, for a log field.
 std::string Millis(Duration duration);
+// Returns the ids of the request's shared prompt parts, for a log field.
+std::string PartsText(const RequestMetadata& metadata);
 // Whether this daemon has just started and may lack data of other daemons.
 bool IsWarmingUp(const State& state);
 // Returns a random duration from zero to `most`, for times that should differ
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -164,6 +164,17 @@
       std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+std::string PartsText(const RequestMetadata& metadata) {
+  constexpr std::size_t kMaxLoggedParts = 16;
+  std::string text;
+  std::size_t n = 0;
+  for (const PromptPart& it : metadata.shared_parts) {
+    if (++n > kMaxLoggedParts) return text + ",...";
+    text += (text.empty() ? "" : ",") + it.id;
+  }
+  return text;
+}
+
 bool IsWarmingUp(const State& state) {
   return state.now - state.started_at < kWarmUpTime;
 }
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -93,6 +93,7 @@
   Log(state, "sent",
       {{"request", request.metadata.id},
        {"content", FingerprintText(request.metadata.fingerprint)},
+       {"parts", PartsText(request.metadata)},
        {"attempt", std::to_string(request.attempt)},
        {"backend", backend->server.id},
        {"address", backend->server.address},
