Tests of prompts that share a part which crashes engines, which fail

A scripted fleet: 8 daemons, 18 engines, 40 prompts a second of one account that share their first and middle parts. No two prompts are alike.

--- /dev/null
+++ b/serving/test/crashing_parts_test.cc
@@ -0,0 +1,226 @@
+// Guards against prompts that differ but share a part which crashes each engine
+// that begins to answer one of them: counted by whole request, each crash was
+// the first one of its prompt, so that engine after engine crashed.
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <random>
+
+#include "simulated_fleet.h"
+
+namespace scaleshed::serving::test {
+namespace {
+
+using Parts = std::vector<std::string>;
+
+// By then all daemons know of the crashes.
+constexpr Duration kPropagationTime = seconds(3);
+constexpr std::size_t kMaxLateSends = 3;
+
+// Sound prompts that were sent in one phase of a load, and those of them that
+// were served.
+struct Served {
+  std::size_t sent = 0;
+  std::size_t served = 0;
+  double share() const {
+    return sent == 0 ? 1 : static_cast<double>(served) / sent;
+  }
+};
+
+struct PartLoadOptions {
+  SimulatedFleetOptions fleet{.daemons = 8, .data_centres = 3, .engines = 18};
+  // The parts of a prompt that crashes engines, from those of a sound one.
+  std::function<Parts(Parts)> add_bad_part;
+  std::vector<std::string> bad_parts{"bad"};
+  double bad_share = 0.06;
+  double prompts_per_second = 40;
+  std::string route = "stream";
+  std::function<void(SimulatedFleet&, Time start)> at_each_step =
+      [](SimulatedFleet&, Time) {};
+};
+
+struct PartLoadResult {
+  std::size_t crashes = 0;
+  std::size_t late_sends = 0;  // later than kPropagationTime after the fifth
+  Served before;               // before the first bad prompt
+  Served meanwhile;
+  Served after;  // from twice kPropagationTime after the fifth crash on
+};
+
+// A client's request that may be sent again after a failure.
+struct ClientRequest {
+  Parts parts;
+  std::uint64_t content = 0;
+  bool bad = false;
+  Time sent_at{};
+  int tries = 1;
+  RequestKey key = 0;
+};
+
+// Sends sound prompts of one account, which share their first and middle parts,
+// and from a moment on also ones with the bad part, whose clients try three
+// times at any daemon.
+class PartLoad {
+ public:
+  explicit PartLoad(PartLoadOptions options)
+      : options_(std::move(options)), fleet_(options_.fleet) {
+    for (const std::string& it : options_.bad_parts)
+      fleet_.MakePartCrashing(it);
+  }
+
+  PartLoadResult Run() {
+    const Time start = fleet_.now();
+    constexpr Duration kStep = milliseconds(5);
+    constexpr Duration kBadFrom = seconds(4);
+    constexpr Duration kEnd = seconds(22);
+    const Duration interval = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(1 / options_.prompts_per_second));
+    Time due = start;
+    while (fleet_.now() < start + kEnd) {
+      for (; due <= fleet_.now(); due += interval) {
+        Send(fleet_.now() >= start + kBadFrom && Drawn() < options_.bad_share);
+      }
+      options_.at_each_step(fleet_, start + kBadFrom);
+      fleet_.AdvanceTime(kStep);
+      RetryFailed();
+    }
+    fleet_.AdvanceTime(seconds(12));
+    return Result(start + kBadFrom);
+  }
+  SimulatedFleet& fleet() { return fleet_; }
+
+ private:
+  double Drawn() {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+  }
+  int AnyDaemon() {
+    return static_cast<int>(random_() %
+                            static_cast<std::uint64_t>(options_.fleet.daemons));
+  }
+
+  void Send(bool bad) {
+    constexpr std::uint64_t kMiddleParts = 6;
+    Parts parts{"common"};
+    const std::uint64_t middle = random_() % kMiddleParts;
+    parts.push_back("middle" + std::to_string(middle));
+    if (random_() % 2 == 0)
+      parts.push_back("middle" + std::to_string((middle + 1) % kMiddleParts));
+    ClientRequest request{.parts = bad ? options_.add_bad_part(parts) : parts,
+                          .content = 1000 + random_(),
+                          .bad = bad,
+                          .sent_at = fleet_.now()};
+    request.key = fleet_.SendPromptWithParts(AnyDaemon(), request.content,
+                                             request.parts, options_.route);
+    requests_.push_back(std::move(request));
+  }
+
+  void RetryFailed() {
+    constexpr int kMaxTries = 3;
+    constexpr int kBadRequest = 400;
+    for (ClientRequest& it : requests_) {
+      if (!it.bad || it.tries >= kMaxTries) continue;
+      const int status = fleet_.refusal_status(it.key);
+      const bool failed = status != 0 || fleet_.aborted().contains(it.key);
+      if (!failed || status == kBadRequest) continue;
+      ++it.tries;
+      it.key = fleet_.SendPromptWithParts(AnyDaemon(), it.content, it.parts,
+                                          options_.route);
+    }
+  }
+
+  PartLoadResult Result(Time bad_from) const {
+    PartLoadResult result{.crashes = fleet_.crash_times().size()};
+    constexpr std::size_t kFifth = 5;
+    Time known = bad_from;
+    if (!fleet_.crash_times().empty()) {
+      known = fleet_.crash_times()[std::min(kFifth, result.crashes) - 1];
+    }
+    const Time last_allowed = known + kPropagationTime;
+    if (result.crashes >= kFifth) {
+      result.late_sends = static_cast<std::size_t>(
+          std::count_if(fleet_.crashing_send_times().begin(),
+                        fleet_.crashing_send_times().end(),
+                        [&](Time it) { return it > last_allowed; }));
+    }
+    for (const ClientRequest& it : requests_) {
+      if (it.bad) continue;
+      Served& phase = it.sent_at < bad_from ? result.before
+                      : it.sent_at < known + 2 * kPropagationTime
+                          ? result.meanwhile
+                          : result.after;
+      ++phase.sent;
+      if (fleet_.answered().contains(it.key)) ++phase.served;
+    }
+    return result;
+  }
+
+  PartLoadOptions options_;
+  SimulatedFleet fleet_;
+  std::vector<ClientRequest> requests_;
+  std::mt19937_64 random_{7};
+};
+
+std::string Describe(const PartLoadResult& it) {
+  const auto text = [](const Served& phase) {
+    return std::to_string(phase.served) + " of " + std::to_string(phase.sent);
+  };
+  return "crashes " + std::to_string(it.crashes) + ", late sends " +
+         std::to_string(it.late_sends) + ", sound prompts served before " +
+         text(it.before) + ", meanwhile " + text(it.meanwhile) + ", after " +
+         text(it.after);
+}
+
+void CheckFewCrashes(PartLoadOptions options) {
+  options.fleet.hold_slack_share = true;
+  PartLoad load(std::move(options));
+  const PartLoadResult result = load.Run();
+  INFO(Describe(result));
+  CHECK(result.crashes <= 5);
+  CHECK(result.late_sends <= kMaxLateSends);
+  CHECK(result.meanwhile.share() >= 0.9 * result.before.share());
+  CHECK(result.after.share() >= 0.97 * result.before.share());
+}
+
+// Returns a function that adds the bad part at a position.
+std::function<Parts(Parts)> BadPartAt(std::size_t position) {
+  return [position](Parts parts) {
+    const auto n = std::min(position, parts.size());
+    parts.insert(parts.begin() + static_cast<std::ptrdiff_t>(n), "bad");
+    return parts;
+  };
+}
+
+TEST_CASE("Prompts with a crashing part behind the common one crash few",
+          "[!mayfail]") {
+  CheckFewCrashes({.add_bad_part = BadPartAt(1)});
+}
+
+TEST_CASE("Prompts with a crashing part among shared ones crash few engines",
+          "[!mayfail]") {
+  CheckFewCrashes({.add_bad_part = BadPartAt(2)});
+}
+
+TEST_CASE("Prompts that begin with a crashing part crash few engines",
+          "[!mayfail]") {
+  CheckFewCrashes({.add_bad_part = BadPartAt(0)});
+}
+
+TEST_CASE("One prompt in five with a crashing part crashes few engines",
+          "[!mayfail]") {
+  CheckFewCrashes({.add_bad_part = BadPartAt(1), .bad_share = 0.2});
+}
+
+TEST_CASE("Prompts with a crashing part crash few engines of a medium fleet",
+          "[!mayfail]") {
+  CheckFewCrashes({.fleet = {.daemons = 40, .data_centres = 4, .engines = 32},
+                   .add_bad_part = BadPartAt(2),
+                   .prompts_per_second = 60});
+}
+
+TEST_CASE("A crashing part in streams that can't be resumed crashes few",
+          "[!mayfail]") {
+  CheckFewCrashes({.add_bad_part = BadPartAt(1), .route = "once-stream"});
+}
+
+}  // namespace
+}  // namespace scaleshed::serving::test
--- a/serving/test/simulated_fleet.h
+++ b/serving/test/simulated_fleet.h
@@ -147,6 +147,24 @@
   // one crashes kDeathAfter later, and its next incarnation starts at the same
   // address kDownFor after that.
   void MakeCrashing(std::uint64_t content) { deadly_.insert(content); }
+  // Makes prompts with a part poison requests: an engine crashes shortly after
+  // it sent the first event of a response to one. Undone by `crashing` false.
+  void MakePartCrashing(const std::string& part, bool crashing = true) {
+    crashing ? (void)deadly_parts_.insert(part)
+             : (void)deadly_parts_.erase(part);
+  }
+  // Crashes an engine that runs, whatever it runs.
+  void CrashEngine(const std::string& engine) {
+    if (!IsDown(engine)) EndEngine(engines_.at(engine));
+  }
+  // Returns the ids of the engines that run.
+  std::vector<std::string> RunningEngines() const {
+    std::vector<std::string> ids;
+    for (const auto& [id, it] : engines_) {
+      if (it.back == Time::max()) ids.push_back(id);
+    }
+    return ids;
+  }
   // Return, in order of time, when engines crashed and when poison requests
   // were sent.
   const std::vector<Time>& crash_times() const { return ends_; }
@@ -163,6 +181,21 @@
                            .answer_tokens = 500,
                            .fingerprint = content});
   }
+  // Sends a prompt with shared parts to a daemon.
+  RequestKey SendPromptWithParts(int daemon, std::uint64_t content,
+                                 const std::vector<std::string>& parts,
+                                 const std::string& route = "stream",
+                                 std::int64_t prompt = 3000) {
+    RequestMetadata facts{.path = "/" + route + "/x",
+                          .deadline = seconds(10),
+                          .prompt_tokens = prompt,
+                          .answer_tokens = 500,
+                          .fingerprint = content};
+    for (const std::string& it : parts) {
+      facts.shared_parts.push_back({.id = it, .fingerprint = HashBytes(it)});
+    }
+    return Arrive(daemon, std::move(facts));
+  }
   // Sends a request for the plain service to a daemon.
   RequestKey SendPlainRequest(int daemon, Duration deadline = seconds(4)) {
     return Arrive(daemon, {.path = "/safe/x", .deadline = deadline});
@@ -199,6 +232,13 @@
     Duration after{};
   };
   const std::vector<Refused>& refused() const { return refused_; }
+  // Returns the status of a request's last refusal; zero if there is none.
+  int refusal_status(RequestKey key) const {
+    const auto it = refusal_statuses_.find(key);
+    return it == refusal_statuses_.end() ? 0 : it->second;
+  }
+  // Returns the requests whose responses had begun and were broken off.
+  const std::set<RequestKey>& aborted() const { return aborted_; }
   // Returns the requests that got a complete response.
   const std::set<RequestKey>& answered() const { return answered_; }
   // Returns the number of log lines of an event so far.
@@ -215,6 +255,7 @@
 
  private:
   static constexpr Duration kDeathAfter = milliseconds(150);
+  static constexpr Duration kPartCrashAfter = milliseconds(160);
   static constexpr Duration kDownFor = seconds(2);
   static constexpr Duration kConnectTimeout = milliseconds(1500);
   static constexpr Duration kProbeTimeout = milliseconds(300);
@@ -359,7 +400,6 @@
   // Crashes engines that run a poison request and restarts those that crashed,
   // at their times.
   void PlayEngines() {
-    if (deadly_.empty()) return;
     std::vector<std::string> back;
     for (auto& [id, it] : engines_) {
       if (it.dies <= now_) EndEngine(it);
@@ -404,8 +444,9 @@
     ++sends_[start.instance];
     helpers_[start.key].push_back(start.helpers.size());
     waits_[start.key] = now_ - arrived_.at(start.key);
-    const bool deadly = deadly_.contains(contents_.at(start.key));
-    if (deadly) deadly_sends_.push_back(now_);
+    const bool deadly = deadly_.contains(facts_.at(start.key).fingerprint);
+    const bool deadly_part = HasDeadlyPart(start.key);
+    if (deadly || deadly_part) deadly_sends_.push_back(now_);
     if (hanging_.contains(start.instance)) return;
     if (LinkOf(daemon) != ServerLink::kOpen) {
       FailAtLink(daemon, start.attempt);
@@ -428,6 +469,8 @@
       engine.dies = std::min(engine.dies, now_ + kDeathAfter);
       return;
     }
+    if (deadly_part)
+      engine.dies = std::min(engine.dies, now_ + kPartCrashAfter);
     const ResponseHeadReceived begun{.attempt = start.attempt,
                                      .signals = {.rate_limit = engine.limit,
                                                  .leaving = engine.leaving,
@@ -457,6 +500,13 @@
     After(milliseconds(400), daemon, answered);
   }
 
+  bool HasDeadlyPart(RequestKey key) const {
+    const auto& parts = facts_.at(key).shared_parts;
+    return std::any_of(parts.begin(), parts.end(), [&](const PromptPart& it) {
+      return deadly_parts_.contains(it.id);
+    });
+  }
+
   ServerLink LinkOf(int daemon) const {
     return nodes_.at(static_cast<std::size_t>(daemon)).server_link;
   }
@@ -537,12 +587,12 @@
     ++relays_;
     const int to = IndexOf(relay.to);
     const RequestKey key = ++last_key_;
-    RequestMetadata facts = state(from).requests.at(relay.key).metadata;
+    RequestMetadata facts = facts_.at(relay.key);
     facts.deadline = relay.time_left;
     facts.last_event_id = relay.resume_after;
     facts.relayed_by = PeerOf(from);
     arrived_[key] = now_;
-    contents_[key] = contents_.at(relay.key);
+    facts_[key] = facts;
     relayed_[key] = {.daemon = from, .id = relay.attempt};
     const Node& node = nodes_.at(static_cast<std::size_t>(to));
     if (node.isolated) {
@@ -626,6 +676,8 @@
       answered_.insert(it->key);
     } else if (const auto* it = std::get_if<DeliverAnswer>(&effect)) {
       answered_.insert(it->key);
+    } else if (const auto* it = std::get_if<AbortResponse>(&effect)) {
+      aborted_.insert(it->key);
     } else if (const auto* it = std::get_if<SaveCrashes>(&effect)) {
       Save(from, *it);
     } else if (const auto* it = std::get_if<ProbeLiveness>(&effect)) {
@@ -639,6 +691,7 @@
       ++lines_[it->event];
     } else if (const auto* it = std::get_if<Refuse>(&effect)) {
       ++refusals_[it->key];
+      refusal_statuses_[it->key] = it->status;
       refused_.push_back({.refusal = *it, .after = now_ - arrived_[it->key]});
     }
   }
@@ -662,7 +715,7 @@
     facts.host = "h";
     facts.keys = {"k"};
     arrived_[key] = now_;
-    contents_[key] = facts.fingerprint;
+    facts_[key] = facts;
     Feed(daemon, RequestArrived{.key = key, .metadata = std::move(facts)});
     return key;
   }
@@ -718,7 +771,8 @@
   std::set<std::uint64_t> deadly_;
   std::vector<Time> ends_;
   std::vector<Time> deadly_sends_;
-  std::map<RequestKey, std::uint64_t> contents_;
+  std::set<std::string> deadly_parts_;
+  std::map<RequestKey, RequestMetadata> facts_;  // as the client sent them
   std::set<RequestKey> answered_;
   // The attempts at their origin of relayed requests, by the request's key at
   // the daemon that serves it.
@@ -733,6 +787,8 @@
   std::map<std::string, int> sends_;
   std::map<RequestKey, std::vector<std::size_t>> helpers_;
   std::map<RequestKey, int> refusals_;
+  std::map<RequestKey, int> refusal_statuses_;
+  std::set<RequestKey> aborted_;
   std::mt19937_64 draws_{11};
   std::vector<Refused> refused_;
   std::set<std::string> hanging_;
