A stream without length, chunks and events counts as broken off

What callers would see: a server whose process ends closes its connections in good order, so that an answer that has only its head and is framed by the close looked like a whole, empty stream: 200 with nothing in it.

Cause: such a body counts as whole at the close, and nothing asked for events. Change: a stream that ended with its connection and had no event, and doesn't go on after an earlier one, is taken up elsewhere where it may be, else 502.

Evidence: with the change taken out two cases of unframed_answers_test fail (200 instead of 502, and an empty stream that wasn't taken up). The other ten cases, about close, reset, an end inside an event, 204, HEAD and relays, held before as well.

--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -70,7 +70,8 @@
   call.on_late_connect = [this, id] {
     feed_(serving::AttemptConnected{.attempt = id});
   };
-  StartCall(id, request, effect.stream, /*relayed=*/false, std::move(call));
+  StartCall(id, request, effect.stream, !effect.resume_after.empty(),
+            /*relayed=*/false, std::move(call));
 }
 
 void BackendCalls::Relay(const serving::StartRelay& effect,
@@ -93,14 +94,17 @@
                 .on_head = {},
                 .on_chunk = {},
                 .on_done = {}};
-  StartCall(effect.attempt, request, effect.stream, /*relayed=*/true,
-            std::move(call));
+  StartCall(effect.attempt, request, effect.stream,
+            !effect.resume_after.empty(), /*relayed=*/true, std::move(call));
 }
 
 void BackendCalls::StartCall(AttemptId id, const HttpRequest& request,
-                             bool stream, bool relayed, HttpCall call) {
+                             bool stream, bool resumed, bool relayed,
+                             HttpCall call) {
   Attempt& attempt = attempts_[id];
-  attempt.request_id = platform::ReadRequest(request).id;
+  const serving::RequestMetadata metadata = platform::ReadRequest(request);
+  attempt.request_id = metadata.id;
+  attempt.resumed = resumed || !metadata.last_event_id.empty();
   attempt.stream = stream;
   attempt.relayed = relayed;
   call.on_head = [this, id](const HttpResponse& head) { OnHead(id, head); };
@@ -192,6 +196,7 @@
   while (attempts_.contains(attempt)) {
     auto event = attempts_.at(attempt).splitter.Next();
     if (!event) return;
+    attempts_.at(attempt).has_event = true;
     feed_(serving::StreamEvent{.attempt = attempt,
                                .id = std::move(event->id),
                                .bytes = std::move(event->bytes)});
@@ -222,14 +227,20 @@
   // A relay passes on what ran, and refuses what didn't.
   if (it->second.relayed && head.kind != serving::AnswerKind::kSuccess)
     head.kind = serving::AnswerKind::kFailure;
-  const bool cut_event = it->second.stream &&
-                         head.kind == serving::AnswerKind::kSuccess &&
-                         !it->second.splitter.rest().empty();
-  if (cut_event) {
+  const bool is_stream_answer =
+      it->second.stream && head.kind == serving::AnswerKind::kSuccess;
+  if (is_stream_answer && !it->second.splitter.rest().empty()) {
     TellFailed(attempt, serving::AttemptError::kInterrupted,
                "unfinished_event");
     return;
   }
+  // A process that ends closes its connections in good order. Only a stream
+  // that goes on after its last event is complete without any.
+  const bool is_empty = !it->second.has_event && !it->second.resumed;
+  if (is_stream_answer && is_empty && response->ended_by_close) {
+    TellFailed(attempt, serving::AttemptError::kInterrupted, "no_event");
+    return;
+  }
   it->second.answer = std::move(*response);
   const int status = it->second.answer.status;
   feed_(serving::AttemptAnswered{.attempt = attempt,
--- a/daemon/src/internal/backend_calls.h
+++ b/daemon/src/internal/backend_calls.h
@@ -46,6 +46,8 @@
     HttpClient::CallId call = 0;
     std::string request_id;
     bool stream = false;
+    bool resumed = false;  // goes on after an event of an earlier stream
+    bool has_event = false;
     bool relayed = false;
     // The relay's own refusal.
     std::optional<RelayOutcome> refused;
@@ -55,7 +57,7 @@
 
   // Starts the call of an attempt and keeps what its callbacks need.
   void StartCall(AttemptId attempt, const HttpRequest& request, bool stream,
-                 bool relayed, HttpCall call);
+                 bool resumed, bool relayed, HttpCall call);
   void OnHead(AttemptId attempt, const HttpResponse& head);
   // Reads and removes what the relay says of itself in the head of a response.
   // Returns false if the head can't be a backend server's response.
--- a/runtime/include/scaleshed/runtime/http_client.h
+++ b/runtime/include/scaleshed/runtime/http_client.h
@@ -40,6 +40,8 @@
   std::string reason;
   HttpHeaders headers;
   std::string body;  // empty where chunks were asked for
+  // The body had no length and ended with its connection.
+  bool ended_by_close = false;
 };
 
 using HttpResult = Result<HttpResponse, HttpError>;
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -235,6 +235,7 @@
     if (ec) {
       Finish(HttpError::kCut);
     } else {
+      head_.ended_by_close = true;
       FinishWhole();
     }
   }
