--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -386,15 +386,15 @@
   Time last_event_at{};
   // First event of the current attempt; zero: none has come.
   Time first_event_at{};
-  // The current attempt's response has got past its beginning, which clears the
-  // prompt's parts.
-  bool cleared_parts = false;
   // Prompt parts that were crash-suspected when the current attempt was sent.
   std::set<std::uint64_t> suspected_at_send;
   // Last liveness signal of the request's backend server; at first the send.
   Time backend_alive_at{};
   bool answered = false;    // some part of a response has come
   bool connecting = false;  // no byte was sent, as no connection stands yet
+  // The current attempt's response has got past its beginning, which clears the
+  // prompt's parts.
+  bool cleared_parts = false;
   Time probe_due{};         // earliest next liveness probe of that server
   int possible_runs = 0;    // sends that may have run, with the current one
   // Counts the first event of each stream and each end of an attempt that may
