--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -123,6 +123,12 @@
          " servers have ended under its content, or one may have";
 }
 
+std::string ExplainHeldForPart(const TraceLine& line) {
+  return "held for its part " + Field(line, "part") + " (" +
+         Field(line, "content") + "), under which " + Field(line, "ends") +
+         " servers have ended";
+}
+
 std::string ExplainAnswered(const TraceLine& line) {
   return "answered whole after " + Field(line, "after_ms") + " ms, runs " +
          Field(line, "runs") + ", first token " + Field(line, "first_ms") +
@@ -149,6 +155,7 @@
     {"server_limit", ExplainServerLimit},
     {"server_rest", ExplainServerRest},
     {"in_doubt", ExplainInDoubt},
+    {"held_for_part", ExplainHeldForPart},
     {"answered", ExplainAnswered},
     {"declined", ExplainNotRun},
     {"not_sent", ExplainNotRun},
--- a/cli/test/trace_test.cc
+++ b/cli/test/trace_test.cc
@@ -80,6 +80,9 @@
         "70 ms more\n");
   CHECK(explain("server_limit", {{"what", "ended"}, {"backend", "w"}}) ==
         "1  a  w names no limit any more\n");
+  CHECK(explain("held_for_part",
+                {{"part", "bad"}, {"content", "f1"}, {"ends", "3"}}) ==
+        "1  a  held for its part bad (f1), under which 3 servers have ended\n");
   CHECK(explain("unheard_of", {}) == "1  a  unheard_of\n");
 }
 
