A quarantined prompt part is tried by one prompt at growing intervals

What callers would see: after an outage of many engines the parts of all prompts there have three crashes; if the one prompt that tries a part then meets one more crash of another cause, all prompts of the account with that part are refused until an operator looks, as nothing that holds it is sent.

Change: 60 s after its last crash one prompt may try a quarantined part, alone as under suspicion; each further crash doubles the time. An answer clears it.

Evidence: a scripted fleet: 60 s after the last crash one prompt is sent, and one engine crashes; mended, the part is cleared by the next trial, and all prompts with it are served. Without the change it is refused for good.

--- a/serving/include/scaleshed/serving/quarantine.h
+++ b/serving/include/scaleshed/serving/quarantine.h
@@ -69,6 +69,9 @@
   // of many prompts is at several servers that crash together for another
   // reason, so that one of its crashes has to be under suspicion.
   bool IsQuarantined(std::uint64_t fingerprint) const;
+  // Whether one request may show whether a quarantined fingerprint still
+  // crashes servers. The interval doubles with each further crash.
+  bool IsTrialDue(std::uint64_t fingerprint, Time now) const;
   // Incarnations whose crashes count and are under suspicion (see Crash).
   std::vector<BackendId> UnderSuspicion(std::uint64_t fingerprint) const;
   // Fingerprints that a crash of the incarnation counts against.
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -395,8 +395,8 @@
   // The current attempt's response has got past its beginning, which clears the
   // prompt's parts.
   bool cleared_parts = false;
-  Time probe_due{};         // earliest next liveness probe of that server
-  int possible_runs = 0;    // sends that may have run, with the current one
+  Time probe_due{};       // earliest next liveness probe of that server
+  int possible_runs = 0;  // sends that may have run, with the current one
   // Counts the first event of each stream and each end of an attempt that may
   // have reached a backend server; zero if no send has reached one.
   int delivered_sends = 0;
--- a/serving/src/crashing_parts.cc
+++ b/serving/src/crashing_parts.cc
@@ -217,13 +217,17 @@
 }
 
 // Parts that always come together share their crashes. A request that lacks one
-// of them tells which is at fault, so that it is sent, in isolation.
+// of them tells which is at fault, so that it is sent, in isolation. So is one
+// request after long, which shows whether the part still crashes servers.
 const PromptPart* FindQuarantinedPart(const State& state,
                                       const RequestMetadata& metadata) {
   const Quarantine& quarantine = state.part_quarantine;
   if (quarantine.empty()) return nullptr;
   for (const PromptPart& part : metadata.shared_parts) {
-    if (!quarantine.IsQuarantined(part.fingerprint)) continue;
+    if (!quarantine.IsQuarantined(part.fingerprint) ||
+        quarantine.IsTrialDue(part.fingerprint, state.now)) {
+      continue;
+    }
     const auto incarnations = quarantine.UnderSuspicion(part.fingerprint);
     const bool is_cause = std::any_of(
         incarnations.begin(), incarnations.end(), [&](BackendId it) {
--- a/serving/src/quarantine.cc
+++ b/serving/src/quarantine.cc
@@ -19,6 +19,10 @@
 // Longer than the publishing of a crash and a late write to the store take
 // together: erased earlier, a cleared crash could be counted again.
 constexpr Duration kClearedRetention = seconds(30);
+// From the last crash of a quarantined fingerprint until its first trial. A
+// fingerprint that is held by mistake is refused for this long.
+constexpr Duration kTrialInterval = seconds(60);
+constexpr std::size_t kMaxTrialDoublings = 10;
 // The interval of looking for expired records, which goes over all of them.
 constexpr Duration kDropExpiredInterval = seconds(1);
 
@@ -103,6 +107,16 @@
   return it != records_.end() && IsQuarantined(it->second);
 }
 
+bool Quarantine::IsTrialDue(std::uint64_t fingerprint, Time now) const {
+  const auto it = records_.find(fingerprint);
+  if (it == records_.end()) return false;
+  const std::size_t crashes = CountedIncarnations(it->second).size();
+  if (crashes < kQuarantineCrashCount) return false;
+  const std::size_t doublings =
+      std::min(crashes - kQuarantineCrashCount, kMaxTrialDoublings);
+  return now >= it->second.learned_at + kTrialInterval * (1U << doublings);
+}
+
 std::vector<BackendId> Quarantine::UnderSuspicion(
     std::uint64_t fingerprint) const {
   const auto it = records_.find(fingerprint);
--- a/serving/test/crashing_parts_test.cc
+++ b/serving/test/crashing_parts_test.cc
@@ -414,5 +414,36 @@
   CHECK(fleet.crash_times().size() == crashes);
 }
 
+// Guards against a part that is held by mistake, or was mended, being refused
+// for good.
+TEST_CASE("A quarantined part is tried by one prompt after a while") {
+  SimulatedFleet fleet({.daemons = 4,
+                        .data_centres = 2,
+                        .engines = 6,
+                        .hold_slack_share = true});
+  fleet.MakePartCrashing("bad");
+  std::mt19937_64 random(3);
+  const auto send_for = [&](Duration length) {
+    std::vector<RequestKey> sent;
+    for (const Time until = fleet.now() + length; fleet.now() < until;) {
+      sent.push_back(fleet.SendPromptWithParts(static_cast<int>(random() % 4),
+                                               random(), {"common", "bad"}));
+      fleet.AdvanceTime(milliseconds(200));
+    }
+    return sent;
+  };
+  send_for(seconds(60));
+  CHECK(fleet.crash_times().size() <= 4);
+  const std::size_t crashes = fleet.crash_times().size();
+  send_for(seconds(20));
+  CHECK(fleet.crash_times().size() == crashes + 1);
+  fleet.MakePartCrashing("bad", false);
+  send_for(seconds(125));
+  const auto sent = send_for(seconds(2));
+  fleet.AdvanceTime(seconds(2));
+  for (const RequestKey it : sent) CHECK(fleet.answered().contains(it));
+  CHECK(fleet.crash_times().size() == crashes + 1);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
--- a/serving/test/quarantine_test.cc
+++ b/serving/test/quarantine_test.cc
@@ -280,5 +280,27 @@
   CHECK(other.UnderSuspicion(kFingerprint) == std::vector<BackendId>{2});
 }
 
+TEST_CASE("A quarantined part is tried again at growing intervals") {
+  Quarantine quarantine({.kind = SuspectKind::kPart});
+  Time now = kNow;
+  const auto crash = [&](BackendId incarnation) {
+    quarantine.AddCrash({.fingerprint = kFingerprint,
+                         .incarnation = incarnation,
+                         .under_suspicion = true},
+                        now);
+  };
+  for (BackendId i = 1; i <= 3; ++i) crash(i);
+  CHECK_FALSE(quarantine.IsTrialDue(kFingerprint, now + seconds(59)));
+  CHECK(quarantine.IsTrialDue(kFingerprint, now + seconds(60)));
+  now += seconds(60);
+  crash(4);
+  CHECK_FALSE(quarantine.IsTrialDue(kFingerprint, now + seconds(119)));
+  CHECK(quarantine.IsTrialDue(kFingerprint, now + seconds(120)));
+  for (BackendId i = 5; i <= 40; ++i) crash(i);
+  CHECK_FALSE(quarantine.IsTrialDue(kFingerprint, now + seconds(60 * 1023)));
+  CHECK(quarantine.IsTrialDue(kFingerprint, now + seconds(60 * 1024)));
+  CHECK_FALSE(quarantine.IsTrialDue(kFingerprint + 1, Time::max()));
+}
+
 }  // namespace
 }  // namespace scaleshed::serving
