Test of servers that are slow for all daemons, which fails

All servers of the scripted fleet take connections at once and respond after 0.9 s, to probes as well.

--- a/serving/test/partition_test.cc
+++ b/serving/test/partition_test.cc
@@ -240,5 +240,29 @@
   CHECK(fleet.relays() == 0);
 }
 
+// Guards against slow servers being taken for lost paths: daemons withdraw one
+// by one, and the last ones refuse the requests of all clients.
+TEST_CASE("Servers that are slow for all make no daemon withdraw",
+          "[!mayfail]") {
+  SimulatedFleet fleet(FleetOptions());
+  SendFor(fleet, seconds(2));
+  fleet.SetServerDelay(milliseconds(900));
+  std::size_t withdrawn = 0;
+  std::vector<RequestKey> sent;
+  for (int i = 0; i < 8; ++i) {
+    for (const auto& it : SendFor(fleet, seconds(1)))
+      sent.insert(sent.end(), it.begin(), it.end());
+    for (int daemon = 0; daemon < kDaemons; ++daemon)
+      withdrawn += TakesClients(fleet.state(daemon)) ? 0 : 1;
+  }
+  fleet.AdvanceTime(seconds(4));
+  std::size_t answered = 0;
+  for (const RequestKey it : sent) answered += fleet.answered().count(it);
+  INFO("answered " << answered << " of " << sent.size());
+  CHECK(withdrawn == 0);
+  CHECK(static_cast<double>(answered) >=
+        kServedShare * static_cast<double>(sent.size()));
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
--- a/serving/test/simulated_fleet.h
+++ b/serving/test/simulated_fleet.h
@@ -108,6 +108,10 @@
     nodes_.at(static_cast<std::size_t>(i)).server_link = link;
   }
 
+  // Makes all servers take connections at once and respond after `delay`, to
+  // probes as well; zero: as usual.
+  void SetServerDelay(Duration delay) { server_delay_ = delay; }
+
   // Resets a daemon's connections to all backend servers.
   void ResetServerConnections(int i) {
     for (auto& [id, engine] : engines_) {
@@ -258,6 +262,9 @@
   static constexpr Duration kDownFor = seconds(2);
   static constexpr Duration kConnectTimeout = milliseconds(1500);
   static constexpr Duration kProbeTimeout = milliseconds(300);
+  static constexpr Duration kReportTimeout = milliseconds(600);
+  static constexpr Duration kPlainWork = milliseconds(60);
+  static constexpr Duration kFirstEvent = milliseconds(100);
   static constexpr Duration kConnectingInterval = milliseconds(150);
 
   struct Attempt {
@@ -486,18 +493,21 @@
     const AttemptAnswered answered{
         .attempt = start.attempt, .kind = AnswerKind::kSuccess, .status = 200};
     if (!start.stream) {
-      After(milliseconds(60), daemon, begun, start.instance);
-      After(milliseconds(60), daemon, answered);
+      const Duration work = std::max(kPlainWork, server_delay_);
+      After(work, daemon, begun, start.instance);
+      After(work, daemon, answered);
       return;
     }
-    After(milliseconds(100), daemon, begun, start.instance);
-    After(milliseconds(100), daemon,
+    const Duration first_event = std::max(kFirstEvent, server_delay_);
+    After(first_event, daemon, begun, start.instance);
+    After(first_event, daemon,
           StreamEvent{.attempt = start.attempt, .id = "1", .bytes = "x"});
     if (IsReset(start.key)) {
-      After(milliseconds(150), daemon, AttemptFailed{.attempt = start.attempt});
+      After(first_event + milliseconds(50), daemon,
+            AttemptFailed{.attempt = start.attempt});
       return;
     }
-    After(milliseconds(400), daemon, answered);
+    After(first_event + milliseconds(300), daemon, answered);
   }
 
   bool HasDeadlyPart(RequestKey key) const {
@@ -547,7 +557,11 @@
       listens = listens || (engine.address == probe.address && !IsDown(id));
     }
     auto result = listens ? ProbeResult::kAlive : ProbeResult::kRefused;
-    Duration delay = milliseconds(2);
+    Duration delay = std::max<Duration>(milliseconds(2), server_delay_);
+    if (delay > kReportTimeout) {
+      delay = kReportTimeout;
+      result = ProbeResult::kInconclusive;
+    }
     switch (LinkOf(daemon)) {
       case ServerLink::kOpen:
         break;
@@ -792,6 +806,7 @@
   std::mt19937_64 draws_{11};
   std::vector<Refused> refused_;
   std::set<std::string> hanging_;
+  Duration server_delay_{};
   testing::ServerLedger ledger_;
   std::map<std::string, std::size_t> lines_;
   std::size_t messages_ = 0;
