A crash check alone suspects a prompt part only if the server refuses

What callers would see: servers that reset many requests, or daemons that lose their path, make crash checks all the time. A part that all prompts of an account share was suspected for each, so that these prompts ran one at a time in the whole fleet.

Change: a part is suspected by its crashes, and during a check only once the server has refused a connection and the daemon's path isn't in question. A clearance whose server is being checked is looked at again afterwards.

--- a/serving/src/crashing_parts.cc
+++ b/serving/src/crashing_parts.cc
@@ -20,8 +20,17 @@
 // that starts to crash servers isn't suspected for this long.
 constexpr Duration kClearanceDuration = milliseconds(1500);
 
-bool IsOpenCheck(const State& state, const LivenessCheck& check) {
-  return state.now < check.since + kCrashCheckTimeout;
+// Whether the server refuses connections, so that it has probably crashed.
+// Most responses that are interrupted come from servers that still run.
+bool IsLikelyCrash(const State& state, BackendId incarnation,
+                   const LivenessCheck& check) {
+  const bool open = state.now < check.since + kCrashCheckTimeout;
+  if (!open || check.consecutive_refusals == 0) return false;
+  const auto backend =
+      std::find_if(state.backends.begin(), state.backends.end(),
+                   [&](const auto& it) { return it.second.id == incarnation; });
+  return backend == state.backends.end() ||
+         !IsPathInQuestion(state, backend->second.server.service);
 }
 
 // The parts that other daemons check.
@@ -112,12 +121,15 @@
 void UpdatePartClearances(State& state) {
   auto& pending = state.pending_clearances;
   while (!pending.empty() && pending.front().due <= state.now) {
-    const PendingClearance it = std::move(pending.front());
+    PendingClearance it = std::move(pending.front());
     pending.pop_front();
-    const bool may_have_crashed =
-        state.ended_incarnations.contains(it.backend) ||
-        state.liveness_checks.contains(it.backend);
-    if (may_have_crashed) continue;
+    if (state.ended_incarnations.contains(it.backend)) continue;
+    if (state.liveness_checks.contains(it.backend)) {
+      it.due = state.now + kBeginning;
+      if (it.due < it.began + kClearanceDuration)
+        pending.push_back(std::move(it));
+      continue;
+    }
     for (const PromptPart& part : it.parts)
       ClearPart(state, part, it.began, it.request);
   }
@@ -186,20 +198,9 @@
 
 bool AwaitsPartCheck(const State& state, const std::set<std::uint64_t>& parts) {
   if (parts.empty()) return false;
-  const auto is_just_interrupted = [&](std::uint64_t part) {
-    return std::any_of(state.liveness_checks.begin(),
-                       state.liveness_checks.end(), [&](const auto& it) {
-                         const LivenessCheck& check = it.second;
-                         return check.parts.contains(part) &&
-                                state.now <
-                                    check.since + kFirstProbeResultTimeout;
-                       });
-  };
   const auto checked = CheckedParts(state);
   return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t it) {
-    const bool may_crash_again =
-        checked.contains(it) && state.part_quarantine.CrashCount(it) > 0;
-    return may_crash_again || is_just_interrupted(it);
+    return checked.contains(it) && state.part_quarantine.CrashCount(it) > 0;
   });
 }
 
@@ -241,7 +242,7 @@
 std::vector<std::uint64_t> PartsUnderCheck(const State& state) {
   std::set<std::uint64_t> parts;
   for (const auto& [incarnation, check] : state.liveness_checks) {
-    if (!IsOpenCheck(state, check)) continue;
+    if (!IsLikelyCrash(state, incarnation, check)) continue;
     for (const auto& [fingerprint, part] : check.parts) {
       if (!IsClearedPart(state, fingerprint)) parts.insert(fingerprint);
     }
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -363,8 +363,7 @@
 std::set<std::uint64_t> SuspectedParts(const State& state,
                                        const RequestMetadata& metadata);
 // Whether a crash check is under way that may add a crash to one of these
-// suspected parts, or whether a request with one was just interrupted at a
-// server that may still run.
+// suspected parts.
 bool AwaitsPartCheck(const State& state, const std::set<std::uint64_t>& parts);
 // Whether any daemon has a request with one of these parts at a server, whose
 // response hasn't got past its beginning.
--- a/serving/src/life_checks.cc
+++ b/serving/src/life_checks.cc
@@ -101,6 +101,15 @@
                      check.last_alive_at > check.since + kMaxInFlightDelay;
   const bool refused = event.result == ProbeResult::kRefused;
   check.consecutive_refusals = refused ? check.consecutive_refusals + 1 : 0;
+  // Prompts that share a part with those which ran there are suspected from
+  // now.
+  const bool first_refusal = check.consecutive_refusals == 1;
+  state.suspected_parts_changed =
+      state.suspected_parts_changed || first_refusal;
+  state.has_unpublished_changes =
+      state.has_unpublished_changes || first_refusal;
+  state.has_unpublished_crashes =
+      state.has_unpublished_crashes || first_refusal;
   const bool ended = refused &&
                      RefusalsShowEnd(state, event.backend, check.since) &&
                      check.consecutive_refusals >= kRefusalsUntilEnded;
