--- a/serving/test/crashing_parts_test.cc
+++ b/serving/test/crashing_parts_test.cc
@@ -29,7 +29,8 @@
 };
 
 struct PartLoadOptions {
-  SimulatedFleetOptions fleet{.daemons = 8, .data_centres = 3, .engines = 18};
+  SimulatedFleetOptions fleet{
+      .daemons = 8, .data_centres = 3, .engines = 18, .hold_slack_share = true};
   // The parts of a prompt that crashes engines, from those of a sound one.
   std::function<Parts(Parts)> add_bad_part;
   std::vector<std::string> bad_parts{"bad"};
@@ -180,7 +181,6 @@
 }
 
 void CheckFewCrashes(PartLoadOptions options) {
-  options.fleet.hold_slack_share = true;
   PartLoad load(std::move(options));
   const PartLoadResult result = load.Run();
   INFO(Describe(result));
@@ -216,7 +216,10 @@
 }
 
 TEST_CASE("Prompts with a crashing part crash few engines of a medium fleet") {
-  CheckFewCrashes({.fleet = {.daemons = 40, .data_centres = 4, .engines = 32},
+  CheckFewCrashes({.fleet = {.daemons = 40,
+                             .data_centres = 4,
+                             .engines = 32,
+                             .hold_slack_share = true},
                    .add_bad_part = BadPartAt(2),
                    .prompts_per_second = 60});
 }
@@ -233,7 +236,6 @@
                               },
                           .bad_parts = {"bad", "worse"},
                           .bad_share = 0.12};
-  options.fleet.hold_slack_share = true;
   PartLoad load(std::move(options));
   const PartLoadResult result = load.Run();
   INFO(Describe(result));
@@ -259,7 +261,6 @@
         const auto engines = fleet.RunningEngines();
         fleet.CrashEngine(engines[random() % engines.size()]);
       }};
-  options.fleet.hold_slack_share = true;
   PartLoad load(std::move(options));
   const PartLoadResult result = load.Run();
   INFO(Describe(result));
@@ -277,7 +278,6 @@
         restarted = true;
         for (int i = 0; i < 8; ++i) fleet.RestartDaemon(i);
       }};
-  options.fleet.hold_slack_share = true;
   PartLoad load(std::move(options));
   const PartLoadResult result = load.Run();
   INFO(Describe(result));
@@ -299,7 +299,6 @@
         restarted = true;
         for (int i = 0; i < 8; ++i) fleet.RestartDaemon(i);
       }};
-  options.fleet.hold_slack_share = true;
   PartLoad load(std::move(options));
   const PartLoadResult result = load.Run();
   INFO(Describe(result));
@@ -317,7 +316,6 @@
         due = fleet.now() + milliseconds(1500);
         fleet.RestartDaemon(next++ % 8);
       }};
-  options.fleet.hold_slack_share = true;
   PartLoad load(std::move(options));
   const PartLoadResult result = load.Run();
   INFO(Describe(result));
@@ -337,7 +335,6 @@
                               cut ? ServerLink::kRefused : ServerLink::kOpen);
         }
       }};
-  options.fleet.hold_slack_share = true;
   PartLoad load(std::move(options));
   const PartLoadResult result = load.Run();
   INFO(Describe(result));
