Interfaces of evacuation, cold servers and allowed regions; their names are decoded

The platform layer and the settings read it now, and the state has one record of a data centre's evacuation and one of a server's warm-up. FindSendBlock() says why a server may not get a request; all steps that send or place ask it in place of TakesWork(). Nothing sets these records yet, so that nothing changes for requests without allowed regions.

--- a/config/include/scaleshed/config/field_reader.h
+++ b/config/include/scaleshed/config/field_reader.h
@@ -3,6 +3,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -56,6 +57,9 @@
     return fallback;
   }
 
+  // The texts of a nested mapping by their names; empty where it is missing.
+  std::map<std::string, std::string> TextsByName(const std::string& field);
+
   // The node of a nested mapping or sequence; undefined where it is missing.
   YAML::Node Child(const std::string& field);
 
--- a/config/include/scaleshed/config/settings.h
+++ b/config/include/scaleshed/config/settings.h
@@ -1,6 +1,7 @@
 #ifndef SCALESHED_CONFIG_SETTINGS_H_
 #define SCALESHED_CONFIG_SETTINGS_H_
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,9 +24,18 @@
   Duration key_freshness = seconds(5);
   bool keys_fail_closed = true;
   // What the platform's store has taken is in force within this: a new
-  // configuration, a backend server's word that it leaves. The shorter of the
-  // two bounds that operators give.
+  // configuration, a backend server's word that it leaves, the evacuation of a
+  // data centre. The shortest of the bounds that operators give.
   Duration news_within = seconds(2);
+  // Whether operators give a bound for evacuations.
+  bool bounds_evacuations = false;
+  // The daemon's own region, and the region of each data centre.
+  std::string region;
+  std::map<std::string, std::string> regions;
+  // A cold backend server gets, from all daemons together and within any one
+  // second, at most its service's rate times the first plus the second.
+  double warm_up_overage = 1;
+  double warm_up_slack = 0;
   // Of all daemons together, for each service and window.
   double repeat_ratio = 0.2;
   double repeat_slack = 0;
--- a/config/src/field_reader.cc
+++ b/config/src/field_reader.cc
@@ -207,6 +207,25 @@
   return names;
 }
 
+std::map<std::string, std::string> FieldReader::TextsByName(
+    const std::string& field) {
+  std::map<std::string, std::string> texts;
+  if (!Has(field)) return texts;
+  const YAML::Node value = node_[field];
+  if (!value.IsMap()) {
+    Fault(field, "must be a mapping of texts");
+    return texts;
+  }
+  for (const auto& it : value) {
+    if (it.first.IsScalar() && it.second.IsScalar()) {
+      texts[it.first.Scalar()] = it.second.Scalar();
+    } else {
+      Fault(field, "must be a mapping of texts");
+    }
+  }
+  return texts;
+}
+
 Duration FieldReader::Millis(const std::string& field,
                              Range<std::int64_t> range, Duration fallback) {
   const auto whole = std::chrono::duration_cast<milliseconds>(fallback).count();
--- a/config/src/settings.cc
+++ b/config/src/settings.cc
@@ -20,6 +20,7 @@
 constexpr std::int64_t kOneHourMillis = 3'600'000;
 constexpr double kMostSeconds = 3600;
 constexpr double kMostRepeats = 1e6;
+constexpr double kMostOverage = 1000;
 // Of the smallest machines that daemons are sized for: shares of a core and
 // Mbit/s. Only how machines compare matters.
 constexpr double kUsualProcessor = 0.12;
@@ -50,6 +51,17 @@
   const Duration leaving = reader.Millis(
       "leaving_within_ms", {200, kOneHourMillis}, fleet.news_within);
   fleet.news_within = std::min(configuration, leaving);
+  fleet.bounds_evacuations = reader.Child("evacuated_within_ms").IsDefined();
+  fleet.news_within =
+      std::min(fleet.news_within,
+               reader.Millis("evacuated_within_ms", {200, kOneHourMillis},
+                             fleet.news_within));
+  fleet.region = reader.Text("region", false);
+  fleet.regions = reader.TextsByName("regions");
+  fleet.warm_up_overage = reader.Number("warm_up_overage", {0, kMostOverage},
+                                        fleet.warm_up_overage);
+  fleet.warm_up_slack =
+      reader.Number("warm_up_slack", {0, kMostRepeats}, fleet.warm_up_slack);
   fleet.repeat_ratio =
       reader.Number("repeat_ratio", {0, 10}, fleet.repeat_ratio);
   fleet.repeat_slack =
--- a/config/test/config_test.cc
+++ b/config/test/config_test.cc
@@ -76,5 +76,37 @@
   CHECK(errors.find("s.yaml:4: port: unknown field") != std::string::npos);
 }
 
+// A deployment without evacuations or cold servers leaves these bounds empty.
+TEST_CASE("Bounds that a deployment doesn't have are not called for") {
+  const std::string start =
+      "instance: a\ndata_centre: z1\nlisten: 127.0.0.1:1\n"
+      "peer_listen: 127.0.0.1:2\nplatform: 127.0.0.1:3\nfleet:\n"
+      "  ready_listen: 127.0.0.1:4\n  look_up_listen: 127.0.0.1:5\n"
+      "  configuration_within_ms: 3000\n  leaving_within_ms: 3000\n";
+  const auto fleet_of = [&](const std::string& rest) {
+    const auto parsed = ParseSettings("s.yaml", start + rest);
+    REQUIRE(ValueOf(parsed) != nullptr);
+    return *ValueOf(parsed)->fleet;
+  };
+  const FleetSettings none = fleet_of(
+      "  evacuated_within_ms: \n  warm_up_overage: \n  warm_up_slack: \n"
+      "  region: \"\"\n  regions: \n");
+  CHECK_FALSE(none.bounds_evacuations);
+  CHECK(none.news_within == seconds(3));
+  CHECK(none.warm_up_overage == 1);
+  CHECK(none.warm_up_slack == 0);
+  CHECK(none.regions.empty());
+  const FleetSettings all = fleet_of(
+      "  evacuated_within_ms: 2500\n  warm_up_overage: 1.5\n"
+      "  warm_up_slack: 5\n  region: \"north\"\n"
+      "  regions: {\"z1\":\"north\",\"z2\":\"south\"}\n");
+  CHECK(all.bounds_evacuations);
+  CHECK(all.news_within == milliseconds(2500));
+  CHECK(all.warm_up_overage == 1.5);
+  CHECK(all.warm_up_slack == 5);
+  CHECK(all.region == "north");
+  CHECK(all.regions.at("z2") == "south");
+}
+
 }  // namespace
 }  // namespace scaleshed
--- a/serving/include/scaleshed/serving/configuration.h
+++ b/serving/include/scaleshed/serving/configuration.h
@@ -58,6 +58,16 @@
   double hop_ms = 0;
 };
 
+// How a backend server of a service has to be treated after a start during
+// traffic, while it is cold.
+struct WarmUpLimits {
+  // How long a server stays cold if nothing more precise is known.
+  Duration duration{};
+  // Requests a second that a cold server bears from all daemons together; zero:
+  // not limited.
+  double per_second = 0;
+};
+
 // A service of the configuration: a kind of backend server that routes send
 // requests to.
 struct Service {
@@ -65,6 +75,7 @@
   // To one backend server, from all callers together.
   std::int64_t max_connections = 0;
   std::optional<EngineTiming> engine;  // model services only
+  WarmUpLimits warm_up;
 };
 
 // A service to which a route sends requests, with the weight that sets its part
@@ -91,6 +102,9 @@
   // count.
   int max_sends = 1;
   bool is_public = false;
+  // The regions whose backend servers may run the requests, and to whose
+  // daemons their bodies may go; empty: all.
+  std::vector<std::string> allowed_regions;
 };
 
 // A client account with the keys that authenticate its requests.
@@ -98,6 +112,8 @@
   std::string name;
   std::vector<std::string> keys;
   std::optional<int> priority;  // unset: not given
+  // As Route::allowed_regions. If both are given, both apply.
+  std::vector<std::string> allowed_regions;
 };
 
 // Limits of size and time for the requests that a daemon reads from clients.
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -104,8 +104,11 @@
   kQuarantined,
   kUnreachable,  // no daemon is known to reach the servers of the service
   kRelayLimit,   // this daemon serves no more requests for other daemons
+  kEvacuated,    // all servers of the service are in evacuated data centres
+  kNoHome,       // no server of the service is in a region that is allowed
+  kWarmingUp,    // the servers are cold and already get what they bear
 };
-inline constexpr NameTable<Refusal, 17> kRefusalNames{{
+inline constexpr NameTable<Refusal, 20> kRefusalNames{{
     {Refusal::kNoConfiguration, "no_configuration"},
     {Refusal::kConfigurationStale, "configuration_not_fresh"},
     {Refusal::kBackendListStale, "list_not_fresh"},
@@ -123,6 +126,9 @@
     {Refusal::kQuarantined, "quarantined"},
     {Refusal::kUnreachable, "unreachable"},
     {Refusal::kRelayLimit, "relay_limit"},
+    {Refusal::kEvacuated, "evacuated"},
+    {Refusal::kNoHome, "no_home"},
+    {Refusal::kWarmingUp, "warming_up"},
 }};
 
 // Responds to a request with an error of the daemon's own.
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -19,6 +19,7 @@
 #include "scaleshed/serving/placement.h"
 #include "scaleshed/serving/quarantine.h"
 #include "scaleshed/serving/repeat_budget.h"
+#include "scaleshed/serving/send_block.h"
 #include "scaleshed/serving/service_paths.h"
 #include "scaleshed/serving/slack_share.h"
 #include "scaleshed/serving/start_meter.h"
@@ -32,6 +33,8 @@
   std::string instance;      // this daemon's address for clients
   std::string peer_address;  // this daemon's address for other daemons
   std::string data_centre;
+  std::string region;                          // empty: unknown
+  std::map<std::string, std::string> regions;  // by data centre
   std::uint64_t incarnation = 1;  // rises with each start of the process
   std::uint64_t seed = 1;
   double capacity = 1;  // of its machine, relative to other daemons' machines
@@ -41,6 +44,12 @@
   // Limit on the time from a change in the store, such as a new configuration
   // or a backend server that is leaving, until this daemon applies it.
   Duration propagation_limit = seconds(2);
+  // Whether the operators bound how long an evacuation may take to be applied.
+  bool bounds_evacuations = false;
+  // A cold backend server gets, from all daemons together and within any one
+  // second, at most WarmUpLimits::per_second times the first plus the second.
+  double warm_up_overage = 1;
+  double warm_up_slack = 0;
   // Time from the request to stop until the process exits.
   Duration shutdown_grace = seconds(8);
   RetryBudgetOptions retry_budget;
@@ -121,6 +130,39 @@
   Time observed_at{};
 };
 
+// The evacuation of a data centre as the operators requested or withdrew it:
+// while it is in force, the data centre's backend servers get nothing new.
+struct KnownEvacuation {
+  bool in_force = false;
+  // Of the store, at which the operators last requested or withdrew it.
+  StoreRevision revision;
+  Time observed_at{};        // when this daemon learned of that
+  Time withdrawn_at{};       // when this daemon learned of the last withdrawal
+  bool unpublished = false;  // goes into the next snapshot
+};
+
+// Where it is known from that a backend server is cold.
+enum class WarmUpSource {
+  kEntry,      // the server's entry in the store
+  kHealth,     // the answer to a health check
+  kReopened,   // its data centre's evacuation was withdrawn
+  kRestarted,  // it started again, and nothing else is known yet
+};
+inline constexpr NameTable<WarmUpSource, 4> kWarmUpSourceNames{{
+    {WarmUpSource::kEntry, "entry"},
+    {WarmUpSource::kHealth, "health"},
+    {WarmUpSource::kReopened, "reopened"},
+    {WarmUpSource::kRestarted, "restarted"},
+}};
+
+// A backend incarnation that is cold: until `until` it bears only the rate of
+// its service's WarmUpLimits.
+struct WarmUp {
+  Time until{};
+  WarmUpSource source = WarmUpSource::kEntry;
+  Time learned_at{};
+};
+
 // What this daemon knows of the current store epoch, which counts how often the
 // store was restored from a backup. The first epoch that a daemon observes
 // after its start doesn't count as a restore. An epoch is reconciled once the
@@ -359,6 +401,7 @@
   Route route;
   std::string service;
   std::string account;
+  AllowedRegions allowed_regions;  // by the route and the account
   Time arrived{};
   Time due{};       // objective time for the first token
   Time deadline{};  // the client's or the route's, whichever is earlier
@@ -461,7 +504,9 @@
   Time confirmed_at{};
   StoreFollowing store;
 
-  std::map<std::string, Backend> backends;  // by instance id
+  std::map<std::string, Backend> backends;             // by instance id
+  std::map<std::string, KnownEvacuation> evacuations;  // by data centre
+  std::map<BackendId, WarmUp> warm_ups;
   Quarantine quarantine;
   Quarantine part_quarantine{{.kind = SuspectKind::kPart,
                               .max_crashes_per_message = 192,
--- a/serving/include/scaleshed/serving/store_relay.h
+++ b/serving/include/scaleshed/serving/store_relay.h
@@ -26,6 +26,9 @@
   StoreRevision revision;  // of the store entry
   // Start time of this incarnation in Unix ms; zero: unknown.
   std::uint64_t start_unix_ms = 0;
+  // How much longer the server is cold, counted from when the entry was
+  // received; it may have been read some time before.
+  Duration warm_up_left{};
   // Why the entry names no usable backend server; empty: the entry is usable.
   // Any process may have written a faulty entry, so that its other fields are
   // ignored.
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -167,6 +167,7 @@
       .key = event.key, .metadata = event.metadata, .route = *route};
   request.service = PickService(state, *route);
   if (account != nullptr) request.account = account->name;
+  request.allowed_regions = AllowedRegionsOf(*route, account);
   if (request.metadata.fingerprint != 0) {
     request.metadata.fingerprint =
         HashBytes(request.account, request.metadata.fingerprint);
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -205,11 +205,6 @@
   return nullptr;
 }
 
-bool TakesWork(const Backend& backend) {
-  return backend.server.entry_error.empty() && !backend.server.leaving &&
-         !backend.tombstone_until;
-}
-
 void OnListed(State& state, const BackendServer& server) {
   if (HasTombstoneSince(state, server.id, server.revision)) return;
   const bool is_restored =
@@ -415,10 +410,12 @@
 }
 
 std::vector<const Backend*> OpenBackends(const State& state,
-                                         const std::string& service) {
+                                         const std::string& service,
+                                         const SendTerms& terms) {
   std::vector<const Backend*> open;
   for (const auto& [name, backend] : state.backends) {
-    if (backend.server.service == service && TakesWork(backend)) {
+    if (backend.server.service == service &&
+        !FindSendBlock(state, backend, terms)) {
       open.push_back(&backend);
     }
   }
--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -186,6 +186,7 @@
           .fingerprint = request.metadata.fingerprint,
           .suspected_parts = SuspectedParts(state, request.metadata),
           .data_centre = state.options.data_centre,
+          .allowed_regions = request.allowed_regions,
           .awaits_rate_limit = request.waits_for == Shortage::kRateLimit,
           .backing_off = ServersBackingOff(state)};
 }
@@ -203,7 +204,9 @@
 
 PlacementDecision DecidePlacement(State& state, const PlacementDemand& demand) {
   const EngineTiming* timing = TimingOf(state, demand.service);
-  const auto all = OpenBackends(state, demand.service);
+  const auto all = OpenBackends(
+      state, demand.service,
+      {.allowed_regions = &demand.allowed_regions, .has_warm_up_grant = true});
   if (all.empty()) return NoCapacityNow{Shortage::kBackends};
   const auto available = WithoutBackingOff(demand, all);
   if (available.empty()) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -74,7 +74,8 @@
   bool crash_suspected = false;  // by the daemon that sends it
   // Fingerprints of the prompt parts that are crash-suspected.
   std::set<std::uint64_t> suspected_parts;
-  std::string data_centre;         // of the daemon that sends it
+  std::string data_centre;  // of the daemon that sends it
+  AllowedRegions allowed_regions;
   bool awaits_rate_limit = false;  // has waited for a server's rate limit
   // Servers that the sending daemon backs off from.
   std::set<BackendId> backing_off;
@@ -246,9 +247,6 @@
 // apply to the server's next incarnation.
 BackendId IdOf(const BackendServer& server);
 Backend* FindBackend(State& state, BackendId id);
-// Whether the server's entry is valid, not leaving, and not kept out as a
-// restored tombstone.
-bool TakesWork(const Backend& backend);
 void OnListed(State& state, const BackendServer& server);
 void OnUnlisted(State& state, const BackendUnlisted& event);
 void OnAllListed(State& state, const BackendsListed& event);
@@ -281,9 +279,44 @@
 // during the probation.
 void EndProbations(State& state,
                    const std::vector<const ActiveRequest*>& requests);
-// Returns the servers of a service that take new requests.
+// Returns the servers of a service that may get a new request under these
+// terms, in ascending order of their ids. Without terms, cold ones are among
+// them.
 std::vector<const Backend*> OpenBackends(const State& state,
-                                         const std::string& service);
+                                         const std::string& service,
+                                         const SendTerms& terms = {
+                                             .has_warm_up_grant = true});
+
+// send_blocks.cc: whether a backend server may get a request.
+
+// Returns the region of a data centre; empty if it is unknown.
+std::string RegionOf(const State& state, const std::string& data_centre);
+// Whether an evacuation of the data centre is in force.
+bool IsEvacuated(const State& state, const std::string& data_centre);
+// Whether the server is known to be cold and its service limits the rate of
+// cold servers.
+bool IsCold(const State& state, const Backend& backend);
+// Whether a request may run in the region. An unknown (empty) region is allowed
+// only if all are.
+bool IsRegionAllowed(const AllowedRegions& allowed, const std::string& region);
+// Returns why the server may not get a request now, or nothing if it may. To be
+// asked at the moment of each send, also of helpers, reservations and probes.
+std::optional<SendBlock> FindSendBlock(const State& state,
+                                       const Backend& backend,
+                                       const SendTerms& terms);
+// Returns the refusal of a request for which no server of its service is open.
+Refusal RefusalWithoutServer(const State& state, const std::string& service,
+                             const AllowedRegions& allowed_regions);
+// Returns the regions that both the route and the account allow; `account` may
+// be null.
+AllowedRegions AllowedRegionsOf(const Route& route,
+                                const ClientAccount* account);
+
+// warm_ups.cc: backend servers that are cold.
+
+// Records that the server is cold for `left` from now, as `source` says.
+void RecordWarmUp(State& state, const Backend& backend, Duration left,
+                  WarmUpSource source);
 
 // endings.cc: crashes of backend servers and quarantine of the requests that
 // may cause them.
--- a/serving/src/paths.cc
+++ b/serving/src/paths.cc
@@ -85,7 +85,9 @@
 std::set<std::string> ListedServices(const State& state) {
   std::set<std::string> services;
   for (const auto& [name, backend] : state.backends) {
-    if (TakesWork(backend)) services.insert(backend.server.service);
+    const bool is_open =
+        !FindSendBlock(state, backend, {.has_warm_up_grant = true});
+    if (is_open) services.insert(backend.server.service);
   }
   return services;
 }
--- a/serving/src/relays.cc
+++ b/serving/src/relays.cc
@@ -112,7 +112,11 @@
   }
   const std::size_t missed =
       state.paths.at(request.service).evidence.misses().size();
-  const std::size_t servers = OpenBackends(state, request.service).size();
+  const std::size_t servers =
+      OpenBackends(state, request.service,
+                   {.allowed_regions = &request.allowed_regions,
+                    .has_warm_up_grant = true})
+          .size();
   const bool is_hopeless = missed >= std::min(servers, kMissedServersToRefuse);
   if (!is_relayed && !is_hopeless) return false;
   RefuseRequest(
--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -68,7 +68,9 @@
 void FetchDueReports(State& state) {
   if (!IsServing(state)) return;
   for (auto& [name, backend] : state.backends) {
-    if (backend.report_due > state.now || !TakesWork(backend)) continue;
+    const bool is_blocked =
+        FindSendBlock(state, backend, {.has_warm_up_grant = true}).has_value();
+    if (backend.report_due > state.now || is_blocked) continue;
     backend.report_due = state.now + kReportInterval;
     const bool is_engine = TimingOf(state, backend.server.service) != nullptr;
     if (!is_engine || !FetchesReportsOf(state, backend)) continue;
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -47,7 +47,11 @@
     helpers.push_back(FindBackend(state, it));
   }
   const auto takes_work = [&](const Backend* it) {
-    return it != nullptr && TakesWork(*it) && !IsBackingOff(state, it->id);
+    return it != nullptr &&
+           !FindSendBlock(state, *it,
+                          {.allowed_regions = &request.allowed_regions,
+                           .sends_now = true,
+                           .has_warm_up_grant = true});
   };
   const bool helpers_ready =
       std::all_of(helpers.begin(), helpers.end(), takes_work);
@@ -259,11 +263,15 @@
   if (RelayOrRefuse(state, request)) return;
   // The configuration may have changed while the request waited or failed. Only
   // the backend servers of the service chosen at arrival may run it.
-  const auto open = OpenBackends(state, request.service);
+  const auto open = OpenBackends(
+      state, request.service,
+      {.allowed_regions = &request.allowed_regions, .has_warm_up_grant = true});
   if (open.empty() || request.declined_sends > kMaxDeclinedSends) {
     const Duration retry_after = milliseconds(200);
     RefuseRequest(state, request,
-                  open.empty() ? Refusal::kNoBackend : Refusal::kNotRun,
+                  open.empty() ? RefusalWithoutServer(state, request.service,
+                                                      request.allowed_regions)
+                               : Refusal::kNotRun,
                   retry_after);
     return;
   }
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -237,6 +237,7 @@
   server.set_leaving(change.server->leaving);
   server.set_born(change.server->start_unix_ms);
   server.set_fault(change.server->entry_error);
+  server.set_warm_up_left_us(change.server->warm_up_left.count());
 }
 
 serving::BackendChange ReadChange(const wire::BackendChange& from) {
@@ -254,6 +255,8 @@
                    .leaving = from.server().leaving(),
                    .revision = change.revision,
                    .start_unix_ms = from.server().born(),
+                   .warm_up_left = Duration(std::max<std::int64_t>(
+                       from.server().warm_up_left_us(), 0)),
                    .entry_error = from.server().fault()};
   return change;
 }
