--- a/cli/src/internal/commands.h
+++ b/cli/src/internal/commands.h
@@ -25,6 +25,7 @@
 ExitCode RunLookup(const Arguments& arguments);
 ExitCode RunLoad(const Arguments& arguments);
 ExitCode RunQuarantine(const Arguments& arguments);
+ExitCode RunEvacuations(const Arguments& arguments);
 ExitCode RunTrace(const Arguments& arguments);
 
 // Whether --format=json was given. Any format but text and json is refused
--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -83,7 +83,17 @@
                      Field(line, "why") + ") after " + Field(line, "after_ms") +
                      " ms, ";
   const bool ran = Field(line, "may_have_run") == "true";
-  return text + (ran ? "it may have run" : "it has not run");
+  text += ran ? "it may have run" : "it has not run";
+  if (Field(line, "why") != "evacuated") return text;
+  return text + ": all servers that it may use are in evacuated data centres";
+}
+
+std::string ExplainMoved(const TraceLine& line) {
+  const bool connecting = Field(line, "step") == "connecting";
+  return std::string(connecting ? "not sent, as no connection stood yet: "
+                                : "placed elsewhere: ") +
+         "the data centre of " + Field(line, "backend") +
+         " or of one that reads for it is evacuated";
 }
 
 std::string ExplainGivesUp(const TraceLine& line) {
@@ -149,6 +159,7 @@
     {"lost", ExplainLost},
     {"repeat", ExplainRepeat},
     {"refused", ExplainRefused},
+    {"moved", ExplainMoved},
     {"gives_up", ExplainGivesUp},
     {"limited", ExplainLimited},
     {"all_rest", ExplainAllRest},
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -112,6 +112,13 @@
   RenderGauge(out, "backends_proof_age_seconds",
               SecondsOf(state.now - state.store.backends_confirmed_at));
   RenderBackends(out, state);
+  const serving::EvacuationCounts evacuated = serving::CountEvacuations(state);
+  RenderGauge(out, "data_centres_evacuated",
+              static_cast<double>(evacuated.data_centres));
+  RenderGauge(out, "backends_evacuated",
+              static_cast<double>(evacuated.backends));
+  RenderGauge(out, "requests_in_evacuated",
+              static_cast<double>(evacuated.requests));
   RenderGauge(out, "takes_clients", serving::TakesClients(state) ? 1 : 0);
   const auto lost =
       std::count_if(state.paths.begin(), state.paths.end(),
--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -77,6 +77,10 @@
   // All backend servers there are, by a list that was asked for then.
   void TellBackends(const platform::StoredItems& items, Time asked);
   void TellEndings(const platform::StoredItems& items);
+  void TellEvacuations(const platform::StoredItems& items);
+  void TellIfUnreadable(const platform::StoredEvacuationItem& item);
+  // Evacuations before the servers that they concern.
+  void TakeAll(const platform::StoredItems& items, Time asked);
   void TellPeers();
   void TellCount(Time asked);
   // Notes what became of a call. False where it failed.
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <set>
 #include <utility>
 
 #include "scaleshed/runtime/log.h"
@@ -52,6 +53,42 @@
       });
 }
 
+bool IsEvacuation(const platform::StoredItem& item) {
+  return std::holds_alternative<platform::StoredEvacuationItem>(item);
+}
+
+// The data centre of a backend server; empty: it is none, or names none.
+std::string DataCentreOf(const platform::StoredItem& item) {
+  const auto* found = std::get_if<platform::StoredBackend>(&item);
+  return found == nullptr ? "" : found->backend.data_centre;
+}
+
+// Whether the answer to a question about these keys is whole. A key that is
+// absent, as many evacuations are, is missing from the answer, and none of a
+// data centre that the question didn't name is in it.
+bool IsWholeAnswer(const serving::PollStore& question, std::size_t asked,
+                   const std::vector<platform::StoredItem>& items) {
+  std::set<std::string> evacuated;
+  std::set<std::string> named;
+  for (const auto& it : items) {
+    const auto* found = std::get_if<platform::StoredEvacuationItem>(&it);
+    if (found != nullptr) evacuated.insert(found->evacuation.data_centre);
+  }
+  for (const auto& [data_centre, revision] : question.evacuations) {
+    named.insert(data_centre);
+    const bool was_there = revision.number != 0;
+    if (was_there && !evacuated.contains(data_centre)) return false;
+  }
+  const bool names_all =
+      named.empty() ||
+      std::all_of(items.begin(), items.end(), [&](const auto& it) {
+        const std::string data_centre = DataCentreOf(it);
+        return data_centre.empty() || named.contains(data_centre);
+      });
+  const std::size_t others = asked - question.evacuations.size();
+  return names_all && items.size() - evacuated.size() >= others;
+}
+
 // What another daemon tells at kConfigurationPath.
 platform::StoredItem ReadToldConfiguration(HttpResponse answer) {
   const auto number = [&](const char* header) {
@@ -176,9 +213,11 @@
   for (const auto& it : items->items) {
     const bool told_below =
         std::holds_alternative<platform::StoredBackend>(it) ||
-        std::holds_alternative<platform::StoredEndingsItem>(it);
+        std::holds_alternative<platform::StoredEndingsItem>(it) ||
+        IsEvacuation(it);
     if (!told_below) Take(it, asked);
   }
+  TellEvacuations(*items);
   // First what must not be sent, then to whom.
   TellEndings(*items);
   TellBackends(*items, asked);
@@ -214,6 +253,32 @@
   feed_(std::move(all));
 }
 
+void StoreFollower::TellEvacuations(const platform::StoredItems& items) {
+  serving::AllEvacuationsListed all{.evacuations = {}, .revision = items.at};
+  for (const auto& it : items.items) {
+    const auto* found = std::get_if<platform::StoredEvacuationItem>(&it);
+    if (found == nullptr) continue;
+    TellIfUnreadable(*found);
+    all.evacuations.push_back(found->evacuation);
+  }
+  feed_(std::move(all));
+}
+
+void StoreFollower::TellIfUnreadable(
+    const platform::StoredEvacuationItem& item) {
+  if (item.fault.empty()) return;
+  feed_(serving::EvacuationKeyUnreadable{.key = item.key, .error = item.fault});
+}
+
+void StoreFollower::TakeAll(const platform::StoredItems& items, Time asked) {
+  for (const auto& it : items.items) {
+    if (IsEvacuation(it)) Take(it, asked);
+  }
+  for (const auto& it : items.items) {
+    if (!IsEvacuation(it)) Take(it, asked);
+  }
+}
+
 void StoreFollower::TellEndings(const platform::StoredItems& items) {
   serving::AllCrashesListed all{.crashes = {}, .revision = items.at};
   for (const auto& it : items.items) {
@@ -275,7 +340,16 @@
                  [&](const platform::StoredSettledEra& it) {
                    feed_(serving::ReconciledEpochObserved{it.era});
                  },
+                 [&](const platform::StoredEvacuationItem& it) {
+                   TellIfUnreadable(it);
+                   feed_(serving::EvacuationStored{it.evacuation});
+                 },
                  [&](const platform::Unreadable& it) {
+                   if (it.requests_evacuation) {
+                     feed_(serving::EvacuationKeyUnreadable{.key = it.key,
+                                                            .error = it.fault});
+                     return;
+                   }
                    LogWarn("store_entry_unreadable",
                            {{"key", it.key}, {"fault", it.fault}});
                  }},
@@ -327,7 +401,7 @@
                                 Time asked) {
   if (changes.at > at_) {
     at_ = changes.at;
-    for (const auto& it : changes.items) Take(it, Time{});
+    TakeAll(changes, Time{});
     feed_(serving::BackendChangesComplete{.revision = at_});
     if (!changes.items.empty()) TellPeers();
   }
@@ -336,7 +410,9 @@
 
 void StoreFollower::Ask(const serving::PollStore& question) {
   if (std::exchange(asking_, true)) return;
-  const bool by_changes = question.backends.size() >= kMostConditions;
+  const std::size_t conditions =
+      1 + question.backends.size() + question.evacuations.size();
+  const bool by_changes = conditions > kMostConditions;
   if (by_changes && KnowsPlace()) {
     CatchUp(question);
     return;
@@ -348,6 +424,9 @@
     for (const auto& [id, revision] : question.backends) {
       known.push_back({platform::BackendKey(id), revision});
     }
+    for (const auto& [data_centre, revision] : question.evacuations) {
+      known.push_back({platform::EvacuationKey(data_centre), revision});
+    }
   }
   store_.Confirm(known, [this, known, question, asked](auto result) {
     OnAsked(std::move(result), known, question, asked);
@@ -390,7 +469,8 @@
   // Before the first list nothing is known: that none of it has changed proves
   // no list, and requests were refused for want of servers.
   const bool all_asked =
-      KnowsPlace() && known.size() == question.backends.size() + 1;
+      KnowsPlace() && known.size() == 1 + question.backends.size() +
+                                          question.evacuations.size();
   if (!all_asked) List();
   if (std::holds_alternative<platform::Unchanged>(*confirmation)) {
     TellConfirmed(question, asked);
@@ -400,10 +480,13 @@
     }
     return;
   }
-  const auto& items = std::get<platform::StoredItems>(*confirmation).items;
-  for (const auto& it : items) Take(it, asked);
-  // An entry that is not there at all is missing from the answer.
-  if (items.size() < known.size()) {
+  const auto& answer = std::get<platform::StoredItems>(*confirmation);
+  TakeAll(answer, asked);
+  // What is not there at all is missing from the answer.
+  const bool is_whole =
+      all_asked ? IsWholeAnswer(question, known.size(), answer.items)
+                : answer.items.size() >= known.size();
+  if (!is_whole) {
     List();
   } else if (all_asked) {
     feed_(
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -182,6 +182,9 @@
   StoreRevision configuration;
   // Id and entry revision of each known backend server.
   std::vector<std::pair<std::string, StoreRevision>> backends;
+  // The data centres whose evacuation is to be confirmed, with the revision of
+  // the request; a revision of zero: there is none.
+  std::vector<std::pair<std::string, StoreRevision>> evacuations;
 };
 // Reads the configuration, which is known to exist in a version at least as new
 // as `wanted`.
@@ -264,8 +267,9 @@
   kRelayed,
   kRelayedForOthers,
   kRelaysFailed,
+  kEvacuationKeysUnreadable,
 };
-inline constexpr NameTable<Counter, 22> kCounterNames{{
+inline constexpr NameTable<Counter, 23> kCounterNames{{
     {Counter::kRequests, "requests"},
     {Counter::kDelivered, "delivered"},
     {Counter::kRefused, "refused"},
@@ -288,6 +292,7 @@
     {Counter::kRelayed, "relayed"},
     {Counter::kRelayedForOthers, "relayed_for_others"},
     {Counter::kRelaysFailed, "relays_failed"},
+    {Counter::kEvacuationKeysUnreadable, "evacuation_keys_unreadable"},
 }};
 
 // Adds one to a counter.
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -276,6 +276,22 @@
 // wrote is delivered as CrashesStored or AllCrashesListed.
 struct SaveCrashesFinished {};
 
+// The operators have requested the evacuation of a data centre in the store, or
+// withdrawn it.
+struct EvacuationStored {
+  StoredEvacuation evacuation;
+};
+// All evacuations that the store holds; any other one is withdrawn.
+struct AllEvacuationsListed {
+  std::vector<StoredEvacuation> evacuations;
+  StoreRevision revision;  // revision of the store that was listed
+};
+// A key by which the operators request an evacuation can't be read.
+struct EvacuationKeyUnreadable {
+  std::string key;
+  std::string error;
+};
+
 // The address at which another daemon receives snapshots, as registered at the
 // platform.
 struct ListedPeer {
@@ -332,7 +348,8 @@
     BackendsConfirmed, BackendChangesComplete, StoreEpochObserved,
     ReconciledEpochObserved, StoreQueried, StoreResponded, StoreUnreachable,
     StoreRelayReceived, BackendListed, BackendUnlisted, BackendsListed,
-    CrashesStored, AllCrashesListed, SaveCrashesFinished, PeersListed,
+    CrashesStored, AllCrashesListed, SaveCrashesFinished, EvacuationStored,
+    AllEvacuationsListed, EvacuationKeyUnreadable, PeersListed,
     OwnEntryConfirmed, OwnEntryRemoved, OwnEntryLost, DaemonsCounted,
     SnapshotReceived, PlacementRequestReceived, PlacementResponseReceived, Tick,
     StopRequested>;
--- a/serving/include/scaleshed/serving/reducer.h
+++ b/serving/include/scaleshed/serving/reducer.h
@@ -32,6 +32,14 @@
 // operators haven't rewritten it since the restore.
 bool AwaitsConfigurationRewrite(const State& state);
 
+// What the evacuations in force affect, as this daemon knows them.
+struct EvacuationCounts {
+  std::size_t data_centres = 0;
+  std::size_t backends = 0;
+  std::size_t requests = 0;  // of this daemon, that still run there
+};
+EvacuationCounts CountEvacuations(const State& state);
+
 // The daemons' addresses that a client may use, and how long it may cache them.
 // An addresses query of a client is answered with it.
 struct ClientAddresses {
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -136,9 +136,16 @@
   bool in_force = false;
   // Of the store, at which the operators last requested or withdrew it.
   StoreRevision revision;
-  Time observed_at{};        // when this daemon learned of that
-  Time withdrawn_at{};       // when this daemon learned of the last withdrawal
+  Time observed_at{};  // when this daemon learned of that
+  // When the first daemon known to this one learned of the last withdrawal.
+  Time withdrawn_at{};
+  // Set while the evacuation stays in force although a store that was restored
+  // from a backup lacks the request: the revision at which it lacked it. It
+  // counts as withdrawn once the restore is settled.
+  std::optional<StoreRevision> missing_at;
   bool unpublished = false;  // goes into the next snapshot
+  bool unrelayed = false;    // goes into the next relay, at once
+  bool draining = false;     // requests of this daemon still run there
 };
 
 // Where it is known from that a backend server is cold.
--- a/serving/include/scaleshed/serving/store_relay.h
+++ b/serving/include/scaleshed/serving/store_relay.h
@@ -8,6 +8,7 @@
 
 #include "scaleshed/core/types.h"
 #include "scaleshed/serving/configuration.h"
+#include "scaleshed/serving/evacuation.h"
 #include "scaleshed/serving/quarantine.h"
 
 namespace scaleshed::serving {
@@ -45,6 +46,9 @@
   std::uint64_t crashes = 0;  // Quarantine::digest, for whole requests
   // The same for prompt parts; nothing: the sender's version doesn't know them.
   std::optional<std::uint64_t> part_crashes;
+  // A hash over the evacuations in force; nothing: the sender's version doesn't
+  // know them.
+  std::optional<std::uint64_t> evacuations;
   bool operator==(const StoreDigest&) const = default;
 };
 
@@ -69,6 +73,8 @@
   StoreDigest digest;        // of the state that the poller knows
   std::vector<BackendChange> changes;
   std::vector<StoredCrashes> crashes;
+  // Evacuations in force or recently withdrawn.
+  std::vector<StoredEvacuation> evacuations;
   // The store's revision up to which the poller knows every change.
   StoreRevision complete_up_to;
   // How long ago the poller sent the store query whose response was that the
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "scaleshed/core/types.h"
+#include "scaleshed/serving/evacuation.h"
 #include "scaleshed/serving/store_revision.h"
 
 namespace scaleshed::serving {
@@ -154,6 +155,9 @@
   // doubts would only add to the size of each heartbeat. An incremental
   // snapshot has them only if this daemon began or ceased to doubt one.
   std::vector<PublishedPath> paths;
+  // Evacuations in force or recently withdrawn; in an incremental snapshot only
+  // those that changed.
+  std::vector<StoredEvacuation> evacuations;
 };
 
 }  // namespace scaleshed::serving
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -245,6 +245,7 @@
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr || request->phase != Phase::kRunning) return;
   request->connecting = true;
+  if (CancelIfEvacuated(state, *request)) return;
   RecordMissed(state, request->backend, request->sent_at);
   if (!IsPathDoubtful(state, request->service)) {
     if (HasMissed(state, request->service, request->backend))
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -218,6 +218,7 @@
         state,
         {.id = server.id, .revision = server.revision, .server = server});
   }
+  const bool is_new = backend.server.id.empty();
   backend.gone_at.reset();
   backend.server.revision = server.revision;
   if (!changed) return;
@@ -225,6 +226,7 @@
   backend.entry_hash = hash;
   // The entry was rewritten after the restore, so that the server is in use.
   backend.tombstone_until.reset();
+  if (is_new) WarmUpIfReopened(state, backend);
   if (is_restored) KeepOutRestored(state, backend);
 }
 
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -312,6 +312,54 @@
 AllowedRegions AllowedRegionsOf(const Route& route,
                                 const ClientAccount* account);
 
+// evacuations.cc: evacuations of data centres, which operators request in the
+// store.
+
+// Apply what the store holds.
+void OnEvacuationStored(State& state, const StoredEvacuation& stored);
+void OnAllEvacuationsListed(State& state, const AllEvacuationsListed& event);
+void OnEvacuationKeyUnreadable(State& state,
+                               const EvacuationKeyUnreadable& event);
+// Applies what the daemon `peer` has relayed or published.
+void ApplyPeerEvacuations(State& state,
+                          const std::vector<StoredEvacuation>& evacuations,
+                          const std::string& peer);
+// Ends evacuations that a restored store lacks, logs those that are drained and
+// drops old withdrawals.
+void UpdateEvacuations(State& state);
+// Returns the evacuations in force or recently withdrawn.
+std::vector<StoredEvacuation> KnownEvacuations(const State& state);
+// Returns them for a snapshot, or with `only_unpublished` the unpublished
+// changes.
+std::vector<StoredEvacuation> EvacuationsToPublish(State& state,
+                                                   bool only_unpublished);
+// See StoreDigest::evacuations.
+std::uint64_t EvacuationDigest(const State& state);
+// Whether a relay with this digest confirms the evacuations known here.
+bool IsEvacuationDigestEqual(const State& state, const StoreDigest& digest);
+// See PollStore::evacuations.
+std::vector<std::pair<std::string, StoreRevision>> EvacuationsToConfirm(
+    const State& state);
+// Whether an evacuation is in force whose request isn't known to be in the
+// store's current epoch.
+bool IsAnyEvacuationUnlocated(const State& state);
+// Returns a request's placement if it uses a server of an evacuated data
+// centre, which the placer may not have known. The servers are excluded, and
+// the request is placed again after `delay`.
+bool ReturnIfEvacuated(State& state, Request& request, Duration delay);
+// Cancels an attempt whose connection isn't established yet if it goes to an
+// evacuated data centre. It counts as not sent.
+bool CancelIfEvacuated(State& state, Request& request);
+// Refuses a request if all servers that it may use are evacuated.
+bool RefuseIfAllEvacuated(State& state, Request& request);
+// Whether this daemon may probe the server: it isn't evacuated, or a request of
+// this daemon other than `ended` still runs there.
+bool MayProbe(const State& state, const Backend& backend,
+              const Request* ended = nullptr);
+// Records a server that is newly listed as cold if its data centre was just
+// reopened.
+void WarmUpIfReopened(State& state, const Backend& backend);
+
 // warm_ups.cc: backend servers that are cold.
 
 // Records that the server is cold for `left` from now, as `source` says.
--- a/serving/src/life_checks.cc
+++ b/serving/src/life_checks.cc
@@ -63,6 +63,15 @@
        {"after_ms", Millis(state.now - check.since)}});
 }
 
+// Ends a check without a crash.
+void EndCheck(State& state, BackendId incarnation) {
+  state.liveness_checks.erase(incarnation);
+  // Other daemons hold back requests until this check ends, so its end has to
+  // be published.
+  state.has_unpublished_changes = true;
+  state.suspected_parts_changed = true;
+}
+
 }  // namespace
 
 void CheckLiveness(State& state, const Request& request,
@@ -76,7 +85,7 @@
     return;
   }
   const Backend* backend = FindBackend(state, incarnation);
-  if (backend == nullptr) return;
+  if (backend == nullptr || !MayProbe(state, *backend, &request)) return;
   const auto [it, is_new] = state.liveness_checks.try_emplace(
       incarnation,
       LivenessCheck{.address = backend->server.address, .since = state.now});
@@ -124,11 +133,7 @@
   if (ended && !alive) {
     EndIncarnation(state, event.backend);
   } else {
-    state.liveness_checks.erase(it);
-    // Other daemons hold back requests until this check ends, so its end has to
-    // be published.
-    state.has_unpublished_changes = true;
-    state.suspected_parts_changed = true;
+    EndCheck(state, event.backend);
   }
   // Requests with the checked fingerprints wait for the result of the check.
   StartWaitingRequests(state);
@@ -151,9 +156,18 @@
 }
 
 void RepeatLivenessProbes(State& state) {
+  std::vector<BackendId> forbidden;
   for (auto& [incarnation, check] : state.liveness_checks) {
-    if (check.probe_due <= state.now) SendProbe(state, incarnation, check);
+    if (check.probe_due > state.now) continue;
+    const Backend* backend = FindBackend(state, incarnation);
+    if (backend == nullptr || MayProbe(state, *backend)) {
+      SendProbe(state, incarnation, check);
+    } else {
+      LogLivenessCheck(state, incarnation, check, "evacuated");
+      forbidden.push_back(incarnation);
+    }
   }
+  for (const BackendId it : forbidden) EndCheck(state, it);
   std::erase_if(state.ended_incarnations, [&](const auto& it) {
     return it.second < state.now - kEndedIncarnationRetention;
   });
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -66,6 +66,7 @@
   DropLapsedBackends(state);
   LogLagChange(state);
   ApplyFirstConfirmation(state);
+  UpdateEvacuations(state);
   RepeatLivenessProbes(state);
   ExpireAttempts(state);
   StartWaitingRequests(state);
@@ -127,6 +128,15 @@
           [&](const CrashesStored& it) { OnCrashesStored(state, it.crashes); },
           [&](const AllCrashesListed& it) { OnAllCrashesListed(state, it); },
           [&](const SaveCrashesFinished&) { OnSaveCrashesFinished(state); },
+          [&](const EvacuationStored& it) {
+            OnEvacuationStored(state, it.evacuation);
+          },
+          [&](const AllEvacuationsListed& it) {
+            OnAllEvacuationsListed(state, it);
+          },
+          [&](const EvacuationKeyUnreadable& it) {
+            OnEvacuationKeyUnreadable(state, it);
+          },
           [&](const PeersListed& it) { OnPeersListed(state, it); },
           [&](const OwnEntryConfirmed& it) {
             if (state.stop_at) return;
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -59,6 +59,8 @@
   snapshot.limits =
       RateLimitsToPublish(state, /*only_unpublished=*/incremental);
   snapshot.leaving = LeavingToPublish(state, /*only_unpublished=*/incremental);
+  snapshot.evacuations =
+      EvacuationsToPublish(state, /*only_unpublished=*/incremental);
   if (!incremental ||
       state.published_doubtful_services != state.doubtful_services) {
     snapshot.paths = PathsToPublish(state);
@@ -171,10 +173,11 @@
 void OnSnapshot(State& state, const SnapshotReceived& event) {
   const LoadSnapshot& snapshot = event.snapshot;
   if (snapshot.peer_address == state.options.peer_address) return;
-  // Crashes and restores are applied even from a snapshot that is late or can't
-  // be merged.
+  // Crashes, restores and evacuations are applied even from a snapshot that is
+  // late or can't be merged.
   ApplyCrashes(state, snapshot.crashes);
   ApplyPeerRestore(state, snapshot);
+  ApplyPeerEvacuations(state, snapshot.evacuations, snapshot.peer_address);
   const auto known = state.members.find(snapshot.peer_address);
   const bool same_incarnation =
       known != state.members.end() &&
@@ -250,7 +253,7 @@
                     state.doubtful_services) != state.doubtful_services;
   const bool to_heartbeat_recipients =
       std::exchange(state.published_header, header) != header ||
-      crashes_changed || paths_changed;
+      crashes_changed || paths_changed || !effect.snapshot.evacuations.empty();
   const bool suspicions_changed =
       std::exchange(state.published_suspicions, effect.snapshot.suspicions) !=
       effect.snapshot.suspicions;
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -39,6 +39,7 @@
 constexpr Duration kMinHangTimeout = milliseconds(800);
 
 void SendAttempt(State& state, Request& request) {
+  if (ReturnIfEvacuated(state, request, kLocalPlacementRetryInterval)) return;
   Backend* backend = FindBackend(state, request.backend);
   // Reserving memory took a while. A helper that is leaving by now would refuse
   // its part, and the whole prompt would fail.
@@ -213,6 +214,7 @@
       placement.helper_tokens.begin(), placement.helper_tokens.end(),
       [](std::int64_t it) { return it > 0; });
   if (needs_reservations) {
+    if (ReturnIfEvacuated(state, request, kLocalPlacementRetryInterval)) return;
     ReserveHelperMemory(state, request, placement);
     return;
   }
@@ -253,6 +255,7 @@
     return;
   }
   if (RefuseIfQuarantined(state, request)) return;
+  if (RefuseIfAllEvacuated(state, request)) return;
   if (AwaitsLivenessSignal(state, request.metadata.fingerprint) ||
       AwaitsCrashCheck(state, request.metadata.fingerprint) ||
       AwaitsPartCheck(state, SuspectedParts(state, request.metadata))) {
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -88,7 +88,8 @@
 StoreDigest DigestOf(const State& state) {
   StoreDigest digest{.configuration = StampOf(state),
                      .crashes = state.quarantine.digest(),
-                     .part_crashes = state.part_quarantine.digest()};
+                     .part_crashes = state.part_quarantine.digest(),
+                     .evacuations = EvacuationDigest(state)};
   for (const auto& [id, backend] : state.backends) {
     if (!backend.gone_at) digest.backends ^= backend.entry_hash;
   }
@@ -123,7 +124,9 @@
          std::any_of(store.crashes.begin(), store.crashes.end(),
                      [](const ObservedCrashes& it) { return !it.relayed; }) ||
          std::any_of(store.changes.begin(), store.changes.end(),
-                     [](const ObservedChange& it) { return !it.relayed; });
+                     [](const ObservedChange& it) { return !it.relayed; }) ||
+         std::any_of(state.evacuations.begin(), state.evacuations.end(),
+                     [](const auto& it) { return it.second.unrelayed; });
 }
 
 bool HasUnrelayedConfirmation(const State& state) {
@@ -154,7 +157,11 @@
   }
   store.poll_due = state.now + PollInterval(state);
   RecordStoreQuery(state);
-  PollStore query{.configuration = StoredRevision(state), .backends = {}};
+  // A poll can't tell whether a restored store holds this request.
+  if (IsAnyEvacuationUnlocated(state)) store.list_due = state.now;
+  PollStore query{.configuration = StoredRevision(state),
+                  .backends = {},
+                  .evacuations = EvacuationsToConfirm(state)};
   for (const auto& [id, backend] : state.backends) {
     if (backend.gone_at) continue;
     query.backends.emplace_back(id, backend.server.revision);
@@ -233,6 +240,7 @@
                    .digest = DigestOf(state),
                    .changes = ChangesToRelay(state, confirms),
                    .crashes = CrashesToRelay(state, confirms),
+                   .evacuations = KnownEvacuations(state),
                    .complete_up_to = store.complete_up_to,
                    .backends_age = {},
                    .configuration_age = {},
@@ -264,6 +272,7 @@
   store.relayed_configuration = StampOf(state);
   for (ObservedChange& it : store.changes) it.relayed = true;
   for (ObservedCrashes& it : store.crashes) it.relayed = true;
+  for (auto& [data_centre, it] : state.evacuations) it.unrelayed = false;
   if (!effect.messages.empty()) state.effects.emplace_back(std::move(effect));
 }
 
@@ -317,7 +326,12 @@
   const StoreDigest own = DigestOf(state);
   ApplyRelayedConfirmation(state, relay, sent_at);
   if (!relay.backends_age) return;
-  const bool same_backends = relay.digest.backends == own.backends;
+  const bool same_evacuations = IsEvacuationDigestEqual(state, relay.digest);
+  // A list wouldn't make a daemon whose version doesn't know evacuations
+  // confirm them.
+  if (!same_evacuations && !relay.digest.evacuations) return;
+  const bool same_backends =
+      relay.digest.backends == own.backends && same_evacuations;
   if (same_backends) {
     ConfirmBackends(state, sent_at - *relay.backends_age);
     RecordCompleteUpTo(state, relay.complete_up_to);
@@ -432,6 +446,7 @@
 
 void OnStoreRelay(State& state, const StoreRelay& relay) {
   ObserveEpoch(state, relay.epoch, relay.peer_address);
+  ApplyPeerEvacuations(state, relay.evacuations, relay.peer_address);
   for (const BackendChange& it : relay.changes) {
     if (it.server) {
       OnListed(state, *it.server);
--- /dev/null
+++ b/serving/test/evacuations_test.cc
@@ -0,0 +1,420 @@
+// Tests that the servers of an evacuated data centre get nothing more on any
+// path, and that the newest word of the operators counts, whoever reports it.
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "serving_harness.h"
+
+namespace scaleshed::serving {
+namespace {
+
+using test::Daemon;
+using test::PeerSnapshot;
+
+constexpr std::uint64_t kEpoch = 1;
+
+StoredEvacuation Requested(std::uint64_t number, std::uint64_t epoch = kEpoch) {
+  return {.data_centre = "z1",
+          .in_force = true,
+          .revision = {.epoch = epoch, .number = number}};
+}
+StoredEvacuation Withdrawn(std::uint64_t number, std::uint64_t epoch = kEpoch) {
+  return {.data_centre = "z1", .revision = {.epoch = epoch, .number = number}};
+}
+
+// A daemon with servers in two data centres: those with an even number are in
+// z0, the others in z1. Its servers are cold for 20 s after a reopening.
+class Deployment {
+ public:
+  Deployment() {
+    daemon_.state().options.bounds_evacuations = true;
+    daemon_.Feed(StoreEpochObserved{.epoch = kEpoch});
+    Configuration configuration = test::MakeConfiguration(0);
+    configuration.version = 1;
+    configuration.revision = {.epoch = kEpoch, .number = 5};
+    for (auto& [name, service] : configuration.services)
+      service.warm_up = {.duration = seconds(20), .per_second = 20};
+    daemon_.Feed(ConfigurationReceived{.configuration = configuration,
+                                       .queried_at = daemon_.now()});
+    for (int i = 0; i < 6; ++i) List("llm", i);
+    for (int i = 0; i < 3; ++i) List("app", i);
+    daemon_.Feed(BackendChangesComplete{.revision = {kEpoch, 40}});
+    Confirm();
+  }
+  void List(const std::string& service, int i) {
+    const std::string id = service + std::to_string(i);
+    daemon_.Feed(BackendListed{{.id = id,
+                                .service = service,
+                                .address = id + ":1",
+                                .data_centre = i % 2 == 0 ? "z0" : "z1",
+                                .slots = 16,
+                                .revision = {kEpoch, 30}}});
+  }
+  void Confirm() {
+    daemon_.Feed(BackendsConfirmed{.epoch = daemon_.state().store.epoch.number,
+                                   .queried_at = daemon_.now()});
+  }
+  void Store(const StoredEvacuation& it) { daemon_.Feed(EvacuationStored{it}); }
+  void ListNone(std::uint64_t number, std::uint64_t epoch = kEpoch) {
+    daemon_.Feed(AllEvacuationsListed{.revision = {epoch, number}});
+  }
+  // Reports as another daemon's snapshot does.
+  void Hear(const StoredEvacuation& it) {
+    LoadSnapshot snapshot = PeerSnapshot(++sequence_);
+    snapshot.epoch = daemon_.state().store.epoch.number;
+    snapshot.evacuations = {it};
+    daemon_.Feed(SnapshotReceived{snapshot});
+  }
+  bool IsEvacuated() const {
+    const auto it = daemon_.state().evacuations.find("z1");
+    return it != daemon_.state().evacuations.end() && it->second.in_force;
+  }
+  bool HasReopened() const {
+    for (const auto& [id, it] : daemon_.state().warm_ups) {
+      if (it.source == WarmUpSource::kReopened) return true;
+    }
+    return false;
+  }
+  bool Logged(const std::string& event) const {
+    for (const Effect& it : daemon_.effects()) {
+      const auto* line = std::get_if<LogDecision>(&it);
+      if (line != nullptr && line->event == event) return true;
+    }
+    return false;
+  }
+  Daemon& daemon() { return daemon_; }
+
+ private:
+  Daemon daemon_;
+  std::uint64_t sequence_ = 0;
+};
+
+bool IsInZ1(const std::string& id) { return (id.back() - '0') % 2 != 0; }
+
+// Sends to `daemon` until a request goes to z1; its attempt.
+StartAttempt SendToZ1(Daemon& daemon, const std::string& route) {
+  for (int i = 0; i < 200; ++i) {
+    daemon.SendRequest(route);
+    const auto* sent = daemon.FirstEffect<StartAttempt>();
+    REQUIRE(sent != nullptr);
+    if (IsInZ1(sent->instance)) return *sent;
+  }
+  FAIL("nothing was sent to z1");
+  return {};
+}
+
+TEST_CASE("An evacuated data centre gets no new request, and keeps its own") {
+  Deployment it;
+  const StartAttempt running = SendToZ1(it.daemon(), "once-stream");
+  it.Store(Requested(50));
+  CHECK(it.Logged("evacuation"));
+  CHECK(it.daemon().FirstEffect<CancelAttempt>() == nullptr);
+  CHECK(CountEvacuations(it.daemon().state()).data_centres == 1);
+  CHECK(CountEvacuations(it.daemon().state()).backends == 4);
+  for (int i = 0; i < 60; ++i) {
+    it.daemon().SendRequest(i % 2 == 0 ? "stream" : "safe");
+    const auto* sent = it.daemon().FirstEffect<StartAttempt>();
+    if (sent != nullptr) CHECK_FALSE(IsInZ1(sent->instance));
+  }
+  it.daemon().Feed(StreamEvent{.attempt = running.attempt, .bytes = "x"});
+  CHECK(it.daemon().FirstEffect<ForwardEvent>() != nullptr);
+}
+
+// Guards against servers that stay unused, or are used while cold.
+TEST_CASE("A withdrawn evacuation reopens the data centre, as cold") {
+  Deployment it;
+  it.Store(Requested(50));
+  it.Store(Withdrawn(51));
+  CHECK_FALSE(it.IsEvacuated());
+  CHECK(it.HasReopened());
+  // A late report of the request changes nothing.
+  it.Hear(Requested(50));
+  CHECK_FALSE(it.IsEvacuated());
+}
+
+TEST_CASE("A daemon that heard only of the withdrawal treats servers as cold") {
+  Deployment it;
+  it.Hear(Withdrawn(51));
+  CHECK_FALSE(it.IsEvacuated());
+  CHECK(it.HasReopened());
+  it.Store(Requested(50));
+  CHECK_FALSE(it.IsEvacuated());
+  it.Store(Requested(52));
+  CHECK(it.IsEvacuated());
+}
+
+// Guards against a daemon that the store rejects, or whose pollers are gone.
+TEST_CASE("A snapshot tells of an evacuation, and is passed on at once") {
+  Deployment it;
+  it.Hear(Requested(50));
+  CHECK(it.IsEvacuated());
+  const auto* published = it.daemon().FirstEffect<PublishSnapshot>();
+  REQUIRE(published != nullptr);
+  REQUIRE(published->snapshot.evacuations.size() == 1);
+  CHECK(published->snapshot.evacuations.front().in_force);
+  it.Hear(Withdrawn(60));
+  CHECK_FALSE(it.IsEvacuated());
+}
+
+// Guards against a daemon that was cut off from all others while the evacuation
+// was withdrawn, and reports it when it is back.
+TEST_CASE("A request that the complete list lacks doesn't come into force") {
+  Deployment it;
+  it.Hear(Requested(35));
+  CHECK_FALSE(it.IsEvacuated());
+}
+
+TEST_CASE("An attempt without a connection is cancelled and sent elsewhere") {
+  Deployment it;
+  const StartAttempt sent = SendToZ1(it.daemon(), "once");
+  it.daemon().Feed(AttemptConnecting{.attempt = sent.attempt});
+  it.Store(Requested(50));
+  const auto* cancelled = it.daemon().FirstEffect<CancelAttempt>();
+  REQUIRE(cancelled != nullptr);
+  CHECK(cancelled->attempt == sent.attempt);
+  const auto* again = it.daemon().FirstEffect<StartAttempt>();
+  REQUIRE(again != nullptr);
+  CHECK_FALSE(IsInZ1(again->instance));
+  CHECK(it.daemon().state().requests.at(again->key).possible_runs == 1);
+}
+
+// The driver may say only after the evacuation that no connection stands.
+TEST_CASE("An attempt that is still connecting later is cancelled then") {
+  Deployment it;
+  const StartAttempt sent = SendToZ1(it.daemon(), "once");
+  it.Store(Requested(50));
+  it.daemon().Feed(AttemptConnecting{.attempt = sent.attempt});
+  REQUIRE(it.daemon().FirstEffect<CancelAttempt>() != nullptr);
+  REQUIRE(it.daemon().FirstEffect<StartAttempt>() != nullptr);
+}
+
+TEST_CASE(
+    "A group whose memory is being reserved is released and placed anew") {
+  Deployment it;
+  it.daemon().SendRequest("stream", /*prompt=*/900'000);
+  std::vector<ReserveMemory> orders;
+  for (const Effect& effect : it.daemon().effects()) {
+    if (const auto* order = std::get_if<ReserveMemory>(&effect))
+      orders.push_back(*order);
+  }
+  REQUIRE(orders.size() > 1);
+  it.Store(Requested(50));
+  CHECK(it.Logged("moved"));
+  std::size_t released = 0;
+  for (const Effect& effect : it.daemon().effects()) {
+    if (std::holds_alternative<ReleaseMemory>(effect)) ++released;
+    if (const auto* order = std::get_if<ReserveMemory>(&effect))
+      CHECK_FALSE(IsInZ1(order->address.substr(0, order->address.find(':'))));
+  }
+  CHECK(released == orders.size());
+  // What was granted for the released group starts nothing.
+  for (const ReserveMemory& order : orders) {
+    it.daemon().Feed(
+        MemoryReservationAnswered{.attempt = order.attempt,
+                                  .helper_index = order.helper_index,
+                                  .granted = true});
+    CHECK(it.daemon().FirstEffect<StartAttempt>() == nullptr);
+  }
+}
+
+// Guards against a placer that doesn't know of the evacuation yet.
+TEST_CASE("A placement in an evacuated data centre is returned") {
+  Deployment it;
+  it.Store(Requested(50));
+  auto& state = it.daemon().state();
+  state.dispatch.place_locally = false;
+  state.dispatch.placers = {"2.2.2.2:2"};
+  const RequestKey key = it.daemon().SendRequest("stream");
+  const auto* asked = it.daemon().FirstEffect<RequestPlacement>();
+  REQUIRE(asked != nullptr);
+  const BackendId evacuated = state.backends.at("llm1").id;
+  it.daemon().Feed(PlacementResponseReceived{
+      {.peer_address = "2.2.2.2:2",
+       .incarnation = state.options.incarnation,
+       .id = key,
+       .attempt_number = asked->request.attempt_number,
+       .outcome = PlacementOutcome::kPlaced,
+       .placement = {.backend = state.backends.at("llm0").id,
+                     .helpers = {evacuated},
+                     .helper_tokens = {1000}}}});
+  CHECK(it.daemon().FirstEffect<StartAttempt>() == nullptr);
+  CHECK(it.daemon().FirstEffect<ReserveMemory>() == nullptr);
+  CHECK(state.requests.at(key).excluded.contains(evacuated));
+  CHECK(state.requests.at(key).phase == Phase::kWaiting);
+}
+
+TEST_CASE("With all servers evacuated requests are refused at once") {
+  Deployment it;
+  it.daemon().state().dispatch.place_locally = false;
+  it.daemon().state().dispatch.placers = {"2.2.2.2:2"};
+  const RequestKey waiting = it.daemon().SendRequest("stream");
+  it.Store(Requested(50));
+  CHECK(it.daemon().state().requests.contains(waiting));
+  StoredEvacuation other = Requested(51);
+  other.data_centre = "z0";
+  it.Store(other);
+  const auto* refused = it.daemon().FirstEffect<Refuse>();
+  REQUIRE(refused != nullptr);
+  CHECK(refused->key == waiting);
+  it.daemon().SendRequest("safe");
+  refused = it.daemon().FirstEffect<Refuse>();
+  REQUIRE(refused != nullptr);
+  CHECK(refused->reason == Refusal::kEvacuated);
+  CHECK(refused->status == 503);
+  CHECK(refused->retry_after > Duration::zero());
+}
+
+TEST_CASE("An interrupted stream goes on elsewhere, and nothing is probed") {
+  Deployment it;
+  const StartAttempt sent = SendToZ1(it.daemon(), "stream");
+  it.daemon().Feed(StreamEvent{.attempt = sent.attempt, .id = "1"});
+  it.Store(Requested(50));
+  const BackendId server = it.daemon().state().backends.at(sent.instance).id;
+  std::vector<AttemptId> others;
+  for (const auto& [id, key] : it.daemon().state().attempts) {
+    const bool same = it.daemon().state().requests.at(key).backend == server;
+    if (same && id != sent.attempt) others.push_back(id);
+  }
+  for (const AttemptId id : others) {
+    it.daemon().Feed(AttemptAnswered{
+        .attempt = id, .kind = AnswerKind::kSuccess, .status = 200});
+  }
+  it.daemon().Feed(AttemptFailed{.attempt = sent.attempt});
+  const auto* resumed = it.daemon().FirstEffect<StartAttempt>();
+  REQUIRE(resumed != nullptr);
+  CHECK(resumed->resume_after == "1");
+  CHECK_FALSE(IsInZ1(resumed->instance));
+  CHECK(it.daemon().FirstEffect<ProbeLiveness>() == nullptr);
+  it.daemon().AdvanceTime(milliseconds(300));
+  for (const Effect& effect : it.daemon().effects()) {
+    if (const auto* probe = std::get_if<ProbeLiveness>(&effect))
+      CHECK_FALSE(IsInZ1(probe->address.substr(0, probe->address.find(':'))));
+  }
+}
+
+TEST_CASE("The end of the last request there is logged") {
+  Deployment it;
+  const StartAttempt sent = SendToZ1(it.daemon(), "once");
+  it.Store(Requested(50));
+  std::vector<AttemptId> attempts;
+  for (const auto& [id, key] : it.daemon().state().attempts)
+    attempts.push_back(id);
+  it.daemon().AdvanceTime(milliseconds(50));
+  CHECK_FALSE(it.Logged("evacuation_drained"));
+  for (const AttemptId id : attempts) {
+    it.daemon().Feed(AttemptAnswered{
+        .attempt = id, .kind = AnswerKind::kSuccess, .status = 200});
+  }
+  it.daemon().AdvanceTime(milliseconds(250));
+  CHECK(it.Logged("evacuation_drained"));
+}
+
+// Guards against a backup that brings servers back into use although the
+// operators still want them evacuated.
+TEST_CASE("A restore that lost the request keeps it until it is settled") {
+  Deployment it;
+  it.Store(Requested(50));
+  it.daemon().Feed(StoreEpochObserved{.epoch = kEpoch + 1});
+  it.ListNone(45, kEpoch + 1);
+  CHECK(it.IsEvacuated());
+  // Others that have started since hear of it too.
+  it.daemon().AdvanceTime(seconds(2));
+  CHECK(it.IsEvacuated());
+  SECTION("written again") {
+    it.Store(Requested(46, kEpoch + 1));
+    it.daemon().state().store.epoch.reconciled = true;
+    it.daemon().AdvanceTime(seconds(2));
+    CHECK(it.IsEvacuated());
+  }
+  SECTION("not written again") {
+    it.daemon().state().store.epoch.reconciled = true;
+    it.daemon().AdvanceTime(seconds(2));
+    CHECK_FALSE(it.IsEvacuated());
+    CHECK(it.HasReopened());
+  }
+}
+
+TEST_CASE("A request that a backup brings back counts at once") {
+  Deployment it;
+  it.Store(Requested(50));
+  it.Store(Withdrawn(51));
+  it.daemon().Feed(StoreEpochObserved{.epoch = kEpoch + 1});
+  it.Store(Requested(50, kEpoch + 1));
+  CHECK(it.IsEvacuated());
+  it.Hear(Withdrawn(51));
+  CHECK(it.IsEvacuated());
+}
+
+TEST_CASE(
+    "A daemon that starts after such a restore hears what stays in force") {
+  Deployment it;
+  it.daemon().Feed(StoreEpochObserved{.epoch = kEpoch + 1});
+  it.daemon().Feed(BackendChangesComplete{.revision = {kEpoch + 1, 45}});
+  it.Hear(Requested(50));
+  CHECK(it.IsEvacuated());
+  it.daemon().state().store.epoch.reconciled = true;
+  it.daemon().AdvanceTime(seconds(3));
+  CHECK_FALSE(it.IsEvacuated());
+}
+
+// Guards against a relay that confirms servers to a daemon which lacks an
+// evacuation.
+TEST_CASE("A relay confirms servers only with equal evacuations") {
+  Deployment it;
+  State& state = it.daemon().state();
+  it.daemon().AdvanceTime(milliseconds(1500));
+  StoreRelay relay{
+      .peer_address = "2.2.2.2:2",
+      .epoch = kEpoch,
+      .digest = {.configuration = state.configuration->configuration().stamp()},
+      .backends_age = milliseconds(5),
+      .heard_incarnation = state.options.incarnation,
+      .heard_sequence = state.snapshot_sequence};
+  for (const auto& [id, backend] : state.backends)
+    relay.digest.backends ^= backend.entry_hash;
+  const auto confirms = [&](std::optional<std::uint64_t> digest) {
+    relay.digest.evacuations = digest;
+    state.store.backends_confirmed_at = Time{};
+    it.daemon().Feed(StoreRelayReceived{relay});
+    return state.store.backends_confirmed_at != Time{};
+  };
+  state.store.sent_snapshots = {{state.snapshot_sequence, it.daemon().now()}};
+  CHECK(confirms(0));
+  CHECK_FALSE(confirms(1));
+  CHECK_FALSE(confirms(std::nullopt));
+  CHECK_FALSE(confirms(HashBytes("z1", 50)));
+  relay.evacuations = {Requested(50)};
+  CHECK(confirms(HashBytes("z1", 50)));
+  CHECK(it.IsEvacuated());
+}
+
+TEST_CASE("A poll names the evacuations only where they are bounded") {
+  for (const bool bounded : {true, false}) {
+    Deployment it;
+    it.daemon().state().options.bounds_evacuations = bounded;
+    it.Store(Requested(50));
+    it.daemon().AdvanceTime(seconds(1));
+    const auto* poll = it.daemon().FirstEffect<PollStore>();
+    REQUIRE(poll != nullptr);
+    REQUIRE(poll->evacuations.size() == (bounded ? 2 : 0));
+    if (!bounded) continue;
+    CHECK(poll->evacuations[0].first == "z0");
+    CHECK(poll->evacuations[0].second.number == 0);
+    CHECK(poll->evacuations[1].second.number == 50);
+  }
+}
+
+TEST_CASE("An unreadable key is counted and named") {
+  Deployment it;
+  it.daemon().Feed(EvacuationKeyUnreadable{.key = "k", .error = "e"});
+  CHECK(it.Logged("evacuation_unreadable"));
+  const auto* counted = it.daemon().FirstEffect<IncrementCounter>();
+  REQUIRE(counted != nullptr);
+  CHECK(counted->counter == Counter::kEvacuationKeysUnreadable);
+}
+
+}  // namespace
+}  // namespace scaleshed::serving
--- a/serving/test/relay_fleet.h
+++ b/serving/test/relay_fleet.h
@@ -87,6 +87,13 @@
           store_.WriteLate(step.first % kServers, now_);
         }
         break;
+      case 15:
+        if (step.second % 2 == 0) {
+          store_.Evacuate(step.first, now_);
+        } else {
+          store_.Withdraw(step.first, now_);
+        }
+        break;
       case kCopies:
         store_.MakeCopy();
         break;
@@ -127,6 +134,8 @@
     store_.Remove(1, now_);
     store_.StartAgain(2, now_);
     store_.Forge(3, now_);
+    store_.Evacuate(0, now_);
+    store_.Withdraw(1, now_);
     Pass(kPropagationLimit);
     for (const Node& it : nodes_) {
       if (it.state->configuration->configuration().stamp() != store_.stored()) {
@@ -135,6 +144,13 @@
       const std::string missing = store_.Missing(it.state->backends, now_);
       if (!missing.empty())
         Violate("a recovered daemon does not know: " + missing);
+      for (int i = 0; i < kDataCentres; ++i) {
+        const auto found = it.state->evacuations.find(DataCentreName(i));
+        const bool evacuated =
+            found != it.state->evacuations.end() && found->second.in_force;
+        if (evacuated != store_.evacuations().contains(DataCentreName(i)))
+          Violate("a recovered daemon has an outdated evacuation");
+      }
       CheckUse(*it.state);
     }
   }
@@ -204,7 +220,8 @@
                        .data_centre = "z",
                        .incarnation = ++lives_,
                        .seed = lives_,
-                       .propagation_limit = kPropagationLimit});
+                       .propagation_limit = kPropagationLimit,
+                       .bounds_evacuations = true});
     for (int k = 0; k < kDaemons; ++k) {
       if (k != i) {
         node.state->listed_peers.emplace("10.0.0." + std::to_string(k) + ":1",
@@ -236,6 +253,7 @@
            {.now = now_, .body = StoreEpochObserved{store_.revision().epoch}});
     Reduce(state, {.now = now_, .body = Configuration(asked)});
     Reduce(state, {.now = now_, .body = SettledEra()});
+    Reduce(state, {.now = now_, .body = Evacuations()});
     Reduce(state, {.now = now_, .body = Servers(asked)});
   }
   EventBody SettledEra() const {
@@ -251,6 +269,12 @@
     return ConfigurationReceived{.configuration = WithStamp(store_.stored()),
                                  .queried_at = asked};
   }
+  EventBody Evacuations() const {
+    AllEvacuationsListed all{.revision = store_.revision()};
+    for (const auto& [name, revision] : store_.evacuations())
+      all.evacuations.push_back({name, true, revision, {}});
+    return all;
+  }
   EventBody Servers(Time asked) const {
     BackendsListed all{.revision = store_.revision(), .queried_at = asked};
     for (const auto& [id, server] : store_.servers()) {
@@ -310,8 +334,15 @@
     const bool told =
         node.watching && IsStoreThere(node) && watches_muted_until_ <= now_;
     if (!told || node.watched == store_.revision()) return;
-    node.watched = store_.revision();
+    const StoreRevision after = std::exchange(node.watched, store_.revision());
     Feed(i, StoreEpochObserved{store_.revision().epoch});
+    // A watch can't go on from a revision of a lost history.
+    if (after.epoch == node.watched.epoch) {
+      for (const auto& it : store_.EvacuationChangesSince(after))
+        Feed(i, EvacuationStored{it});
+    } else {
+      Feed(i, Evacuations());
+    }
     Feed(i, Configuration(Time{}));
     Feed(i, SettledEra());
     Feed(i, Servers(Time{}));
@@ -367,6 +398,7 @@
     } else {
       Answer(i, back, Configuration(now_));
     }
+    Answer(i, back, Evacuations());
     Answer(i, back, Servers(now_));
   }
   void AnswerList(std::size_t i) {
@@ -375,6 +407,7 @@
     Answer(i, back, StoreEpochObserved{store_.revision().epoch});
     Answer(i, back, Configuration(now_));
     Answer(i, back, SettledEra());
+    Answer(i, back, Evacuations());
     Answer(i, back, Servers(now_));
   }
   // Another daemon sends the configuration, or else the store does.
@@ -439,6 +472,10 @@
         store_.Missing(state.backends, state.store.backends_confirmed_at);
     if (!missing.empty())
       Violate("outdated, but counts as confirmed: " + missing);
+    const std::string evacuation = store_.MissingEvacuation(
+        state.evacuations, state.store.backends_confirmed_at);
+    if (!evacuation.empty())
+      Violate("unknown, but counts as confirmed: " + evacuation);
     CheckServing(node);
   }
 
@@ -457,6 +494,10 @@
     const std::string missing = store_.Missing(state.backends, due);
     if (!missing.empty())
       Violate("a recovered daemon serves though " + missing);
+    const std::string evacuation =
+        store_.MissingEvacuation(state.evacuations, due);
+    if (!evacuation.empty())
+      Violate("a recovered daemon serves though " + evacuation);
   }
 
   void Violate(const std::string& what) { violations_.push_back(what); }
--- a/serving/test/relay_store.h
+++ b/serving/test/relay_store.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +14,11 @@
 namespace scaleshed::serving::test {
 
 inline constexpr int kServers = 4;
+inline constexpr int kDataCentres = 2;
+
+inline std::string DataCentreName(int i) {
+  return "z" + std::to_string(i % kDataCentres);
+}
 
 // A fake of the platform's store that records the time of each change, so that
 // tests can compare what a daemon knows with what the store had accepted at any
@@ -26,13 +32,18 @@
   }
 
   void Configure(Time now) { Accept(newest() + 1, now); }
-  void MakeCopy() { copy_ = {revision_, stored_, servers_, settled_era_}; }
+  void MakeCopy() {
+    copy_ = {revision_, stored_, servers_, evacuations_, settled_era_};
+  }
   // Loses all changes since the backup and begins a new epoch.
   void Restore() {
     ++revision_.epoch;
     revision_.number = copy_.revision.number;
     stored_ = InThisEra(copy_.stored);
     servers_ = copy_.servers;
+    evacuations_ = copy_.evacuations;
+    for (auto& [name, revision] : evacuations_)
+      revision.epoch = revision_.epoch;
     settled_era_ = copy_.settled_era;
     for (auto& [id, server] : servers_) server.revision.epoch = revision_.epoch;
   }
@@ -47,6 +58,11 @@
                         found->second.entry_error == server.entry_error;
       if (!same) Write(server, now);
     }
+    for (int i = 0; i < kDataCentres; ++i) {
+      const bool wanted = wanted_.contains(DataCentreName(i));
+      if (wanted == evacuations_.contains(DataCentreName(i))) continue;
+      wanted ? Evacuate(i, now) : Withdraw(i, now);
+    }
     // The leases of servers that have ended expire.
     std::vector<std::string> gone;
     for (const auto& [id, server] : servers_) {
@@ -54,6 +70,52 @@
     }
     for (const std::string& it : gone) Erase(it, now);
   }
+  void Evacuate(int i, Time now) {
+    const std::string name = DataCentreName(i);
+    wanted_.insert(name);
+    evacuations_[name] = Next();
+    evacuation_changes_.push_back({name, now, true, revision_});
+  }
+  void Withdraw(int i, Time now) {
+    const std::string name = DataCentreName(i);
+    wanted_.erase(name);
+    if (evacuations_.erase(name) == 0) return;
+    evacuation_changes_.push_back({name, now, false, Next()});
+  }
+  const std::map<std::string, StoreRevision>& evacuations() const {
+    return evacuations_;
+  }
+  // Returns the changes of evacuations since a revision of this epoch, in
+  // order, as a watch reports them.
+  std::vector<StoredEvacuation> EvacuationChangesSince(
+      const StoreRevision& after) const {
+    std::vector<StoredEvacuation> changes;
+    for (const EvacuationChange& it : evacuation_changes_) {
+      if (it.revision.epoch == revision_.epoch && it.revision > after)
+        changes.push_back({it.data_centre, it.in_force, it.revision, {}});
+    }
+    return changes;
+  }
+  // Describes a change of an evacuation before `then` that `known` lacks; empty
+  // if there is none. A change that a restore lost isn't looked for: the
+  // operators write it again.
+  std::string MissingEvacuation(
+      const std::map<std::string, KnownEvacuation>& known, Time then) const {
+    std::map<std::string, const EvacuationChange*> last;
+    for (const EvacuationChange& it : evacuation_changes_) {
+      if (it.at < then) last[it.data_centre] = &it;
+    }
+    for (const auto& [name, change] : last) {
+      if (change->revision.epoch != revision_.epoch) continue;
+      const auto found = known.find(name);
+      const bool is_known =
+          found != known.end() && found->second.revision >= change->revision;
+      const bool evacuated = found != known.end() && found->second.in_force;
+      if (!is_known && evacuated != change->in_force)
+        return name + (change->in_force ? " is evacuated" : " is reopened");
+    }
+    return "";
+  }
   // Records the reconciled epoch for a daemon.
   void NoteSettledEra(std::uint64_t era) {
     Next();
@@ -66,6 +128,7 @@
     Write({.id = id,
            .service = "app",
            .address = id + ":1",
+           .data_centre = DataCentreName(i),
            .slots = 8,
            .leaving = leaving,
            .start_unix_ms = born_[id]},
@@ -141,8 +204,15 @@
     StoreRevision revision;
     ConfigurationStamp stored;
     std::map<std::string, BackendServer> servers;
+    std::map<std::string, StoreRevision> evacuations;
     std::uint64_t settled_era = 0;
   };
+  struct EvacuationChange {
+    std::string data_centre;
+    Time at{};
+    bool in_force = false;
+    StoreRevision revision;
+  };
 
   // The operators' last version, even if the store has lost it.
   std::int64_t newest() const {
@@ -183,6 +253,9 @@
   // Start times of the current incarnations by id.
   std::map<std::string, std::uint64_t> born_;
   std::vector<Change> changes_;
+  std::map<std::string, StoreRevision> evacuations_;  // in force
+  std::set<std::string> wanted_;  // by the operators, even if lost
+  std::vector<EvacuationChange> evacuation_changes_;
 };
 
 }  // namespace scaleshed::serving::test
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -70,6 +70,23 @@
           .revision = {.epoch = from.era(), .number = from.revision()}};
 }
 
+void WriteEvacuation(const serving::StoredEvacuation& from,
+                     wire::Evacuation& to) {
+  to.set_data_centre(from.data_centre);
+  to.set_in_force(from.in_force);
+  to.set_revision(from.revision.number);
+  to.set_era(from.revision.epoch);
+  to.set_age_us(from.age.count());
+}
+
+serving::StoredEvacuation ReadEvacuation(const wire::Evacuation& from) {
+  return {.data_centre = from.data_centre(),
+          .in_force = from.in_force(),
+          .revision = {.epoch = from.era(), .number = from.revision()},
+          // An age below zero would make servers count as cold for longer.
+          .age = Duration(std::max<std::int64_t>(from.age_us(), 0))};
+}
+
 void WriteSnapshot(const serving::LoadSnapshot& snapshot, Time now,
                    wire::LoadSnapshot& to) {
   // The last whole one has told these.
@@ -133,6 +150,8 @@
       path.set_answered_age_us((now - it.answered).count());
     path.set_doubtful(it.doubtful);
   }
+  for (const auto& it : snapshot.evacuations)
+    WriteEvacuation(it, *to.add_evacuations());
 }
 
 serving::PublishedPath ReadPath(const wire::Path& from, Time now) {
@@ -190,10 +209,14 @@
       .leaving = {from.leaving().begin(), from.leaving().end()},
       .crash_checks = {from.asked().begin(), from.asked().end()},
       .part_checks = {from.asked_parts().begin(), from.asked_parts().end()},
-      .paths = {}};
+      .paths = {},
+      .evacuations = {}};
   for (const auto& it : from.paths()) {
     snapshot.paths.push_back(ReadPath(it, now));
   }
+  for (const auto& it : from.evacuations()) {
+    snapshot.evacuations.push_back(ReadEvacuation(it));
+  }
   for (const auto& it : from.works()) {
     snapshot.active_requests.push_back(ReadWork(it, now));
   }
@@ -271,9 +294,11 @@
                                           .number = from.configuration()}},
            .backends = from.backends(),
            .crashes = from.endings_digest(),
-           .part_crashes = {}},
+           .part_crashes = {},
+           .evacuations = {}},
       .changes = {},
       .crashes = {},
+      .evacuations = {},
       .complete_up_to = {.epoch = from.complete_era(),
                          .number = from.complete_at()},
       .backends_age = {},
@@ -291,6 +316,11 @@
   }
   if (from.has_part_endings_digest())
     relay.digest.part_crashes = from.part_endings_digest();
+  for (const auto& it : from.evacuations()) {
+    relay.evacuations.push_back(ReadEvacuation(it));
+  }
+  if (from.has_evacuations_digest())
+    relay.digest.evacuations = from.evacuations_digest();
   // An age below zero would make the proof younger than it is.
   if (from.has_age_us() && from.age_us() >= 0) {
     relay.backends_age = Duration(from.age_us());
@@ -417,6 +447,10 @@
   to.set_endings_digest(relay.digest.crashes);
   if (relay.digest.part_crashes)
     to.set_part_endings_digest(*relay.digest.part_crashes);
+  for (const auto& it : relay.evacuations)
+    WriteEvacuation(it, *to.add_evacuations());
+  if (relay.digest.evacuations)
+    to.set_evacuations_digest(*relay.digest.evacuations);
   for (const auto& it : relay.crashes) {
     wire::StoredEndings& endings = AddEndings(it.kind, to);
     endings.set_content(it.fingerprint);
