--- a/cli/test/trace_test.cc
+++ b/cli/test/trace_test.cc
@@ -54,6 +54,15 @@
                             {"after_ms", "40"},
                             {"may_have_run", "true"}}) ==
         "1  a  answered 502 by us (unknown) after 40 ms, it may have run\n");
+  CHECK(explain("refused", {{"status", "503"},
+                            {"why", "evacuated"},
+                            {"after_ms", "1"},
+                            {"may_have_run", "false"}}) ==
+        "1  a  answered 503 by us (evacuated) after 1 ms, it has not run: all "
+        "servers that it may use are in evacuated data centres\n");
+  CHECK(explain("moved", {{"backend", "w"}, {"step", "placed"}}) ==
+        "1  a  placed elsewhere: the data centre of w or of one that reads for "
+        "it is evacuated\n");
   CHECK(explain("sent", {{"backend", "w"},
                          {"waited_ms", "3"},
                          {"helpers", "5"},
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -306,7 +306,7 @@
       return;
     case PlacementOutcome::kTooLarge:
       request.placer.clear();
-      RefuseRequest(state, request, Refusal::kInvalid, {});
+      RefuseTooLarge(state, request);
       return;
   }
 }
--- a/serving/src/evacuations.cc
+++ b/serving/src/evacuations.cc
@@ -52,6 +52,29 @@
   return servers;
 }
 
+// Returns those of the attempt's servers that are evacuated.
+std::vector<BackendId> EvacuatedServersOf(State& state,
+                                          const Request& request) {
+  std::vector<BackendId> servers = request.active_request.helpers;
+  servers.push_back(request.backend);
+  std::erase_if(servers, [&](BackendId it) {
+    const Backend* backend = FindBackend(state, it);
+    return backend == nullptr ||
+           !IsEvacuated(state, backend->server.data_centre);
+  });
+  return servers;
+}
+
+bool HasOpenBackend(const State& state, const Request& request) {
+  const SendTerms terms{.allowed_regions = &request.allowed_regions,
+                        .has_warm_up_grant = true};
+  return std::any_of(state.backends.begin(), state.backends.end(),
+                     [&](const auto& it) {
+                       return it.second.server.service == request.service &&
+                              !FindSendBlock(state, it.second, terms);
+                     });
+}
+
 // Returns those of the attempt's servers that are in `servers`.
 std::vector<BackendId> UsedAmong(const Request& request,
                                  const std::set<BackendId>& servers) {
@@ -103,12 +126,8 @@
     if (request.phase != Phase::kWaiting) continue;
     const bool awaits_placer =
         !request.placer.empty() && !request.placer_responded;
-    const bool has_server =
-        !OpenBackends(state, request.service,
-                      {.allowed_regions = &request.allowed_regions,
-                       .has_warm_up_grant = true})
-             .empty();
-    if (!awaits_placer || !has_server) request.retry_at = state.now;
+    if (!awaits_placer || !HasOpenBackend(state, request))
+      request.retry_at = state.now;
   }
   for (auto& [key, it] : state.dispatch.remote_placements) {
     if (!it.placement) it.retry_at = state.now;
@@ -346,14 +365,7 @@
 
 bool ReturnIfEvacuated(State& state, Request& request, Duration delay) {
   if (state.evacuations.empty()) return false;
-  std::set<BackendId> servers{request.backend};
-  const auto& helpers = request.active_request.helpers;
-  servers.insert(helpers.begin(), helpers.end());
-  std::erase_if(servers, [&](BackendId it) {
-    const Backend* backend = FindBackend(state, it);
-    return backend == nullptr ||
-           !IsEvacuated(state, backend->server.data_centre);
-  });
+  const auto servers = EvacuatedServersOf(state, request);
   if (servers.empty()) return false;
   request.excluded.insert(servers.begin(), servers.end());
   LogMoved(state, request, "placed");
@@ -363,9 +375,9 @@
 
 bool CancelIfEvacuated(State& state, Request& request) {
   if (state.evacuations.empty()) return false;
-  const auto used = UsedAmong(request, EvacuatedServers(state));
-  if (used.empty()) return false;
-  request.excluded.insert(used.begin(), used.end());
+  const auto servers = EvacuatedServersOf(state, request);
+  if (servers.empty()) return false;
+  request.excluded.insert(servers.begin(), servers.end());
   LogMoved(state, request, "connecting");
   HandleDeclinedAttempt(state, request);
   return true;
@@ -373,9 +385,7 @@
 
 bool RefuseIfAllEvacuated(State& state, Request& request) {
   if (state.evacuations.empty()) return false;
-  const SendTerms terms{.allowed_regions = &request.allowed_regions,
-                        .has_warm_up_grant = true};
-  if (!OpenBackends(state, request.service, terms).empty()) return false;
+  if (HasOpenBackend(state, request)) return false;
   if (RefusalWithoutServer(state, request.service, request.allowed_regions) !=
       Refusal::kEvacuated) {
     return false;
@@ -384,6 +394,16 @@
   return true;
 }
 
+bool IsAnyEvacuated(const State& state, const std::string& service) {
+  return !state.evacuations.empty() &&
+         std::any_of(state.backends.begin(), state.backends.end(),
+                     [&](const auto& it) {
+                       const BackendServer& server = it.second.server;
+                       return server.service == service &&
+                              IsEvacuated(state, server.data_centre);
+                     });
+}
+
 bool MayProbe(const State& state, const Backend& backend,
               const Request* ended) {
   if (!IsEvacuated(state, backend.server.data_centre)) return true;
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -40,6 +40,8 @@
 // Begins an attempt at the backend servers that `placement` names.
 void StartPlacedAttempt(State& state, Request& request,
                         const Placement& placement);
+// Refuses a prompt that doesn't fit into all servers that may run it together.
+void RefuseTooLarge(State& state, Request& request);
 // Gives the request a new attempt, which is not sent yet.
 void BeginAttempt(State& state, Request& request);
 // Uses the request's reserved retry. If the budget no longer allows it, refuses
@@ -352,6 +354,8 @@
 bool CancelIfEvacuated(State& state, Request& request);
 // Refuses a request if all servers that it may use are evacuated.
 bool RefuseIfAllEvacuated(State& state, Request& request);
+// Whether some servers of the service are evacuated.
+bool IsAnyEvacuated(const State& state, const std::string& service);
 // Whether this daemon may probe the server: it isn't evacuated, or a request of
 // this daemon other than `ended` still runs there.
 bool MayProbe(const State& state, const Backend& backend,
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -66,12 +66,12 @@
   DropLapsedBackends(state);
   LogLagChange(state);
   ApplyFirstConfirmation(state);
-  UpdateEvacuations(state);
   RepeatLivenessProbes(state);
   ExpireAttempts(state);
   StartWaitingRequests(state);
   if (state.now >= state.roles_updated_at + kRoleUpdateInterval) {
     state.roles_updated_at = state.now;
+    UpdateEvacuations(state);
     UpdatePaths(state);
     FetchDueReports(state);
     PublishFullSnapshots(state);
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -290,6 +290,15 @@
   PlaceLocally(state, request);
 }
 
+void RefuseTooLarge(State& state, Request& request) {
+  // It may fit once the evacuation is withdrawn.
+  constexpr Duration kRetryAfter = seconds(1);
+  const bool evacuated = IsAnyEvacuated(state, request.service);
+  RefuseRequest(state, request,
+                evacuated ? Refusal::kEvacuated : Refusal::kInvalid,
+                evacuated ? kRetryAfter : Duration::zero());
+}
+
 void PlaceLocally(State& state, Request& request) {
   std::visit(
       Overloaded{
@@ -298,9 +307,7 @@
             QueueRequest(state, request, kLocalPlacementRetryInterval,
                          it.shortage);
           },
-          [&](const TooLarge&) {
-            RefuseRequest(state, request, Refusal::kInvalid, {});
-          },
+          [&](const TooLarge&) { RefuseTooLarge(state, request); },
           [&](const DeadlineUnreachable& it) {
             RefuseRequest(state, request, RefusalFor(it.shortage),
                           it.retry_after);
