--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -71,6 +71,7 @@
   StartWaitingRequests(state);
   if (state.now >= state.roles_updated_at + kRoleUpdateInterval) {
     state.roles_updated_at = state.now;
+    UpdateEvacuations(state);
     UpdatePaths(state);
     FetchDueReports(state);
     PublishFullSnapshots(state);
@@ -127,6 +128,15 @@
           [&](const CrashesStored& it) { OnCrashesStored(state, it.crashes); },
           [&](const AllCrashesListed& it) { OnAllCrashesListed(state, it); },
           [&](const SaveCrashesFinished&) { OnSaveCrashesFinished(state); },
+          [&](const EvacuationStored& it) {
+            OnEvacuationStored(state, it.evacuation);
+          },
+          [&](const AllEvacuationsListed& it) {
+            OnAllEvacuationsListed(state, it);
+          },
+          [&](const EvacuationKeyUnreadable& it) {
+            OnEvacuationKeyUnreadable(state, it);
+          },
           [&](const PeersListed& it) { OnPeersListed(state, it); },
           [&](const OwnEntryConfirmed& it) {
             if (state.stop_at) return;
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -39,6 +39,7 @@
 constexpr Duration kMinHangTimeout = milliseconds(800);
 
 void SendAttempt(State& state, Request& request) {
+  if (ReturnIfEvacuated(state, request, kLocalPlacementRetryInterval)) return;
   Backend* backend = FindBackend(state, request.backend);
   // Reserving memory took a while. A helper that is leaving by now would refuse
   // its part, and the whole prompt would fail.
@@ -213,6 +214,7 @@
       placement.helper_tokens.begin(), placement.helper_tokens.end(),
       [](std::int64_t it) { return it > 0; });
   if (needs_reservations) {
+    if (ReturnIfEvacuated(state, request, kLocalPlacementRetryInterval)) return;
     ReserveHelperMemory(state, request, placement);
     return;
   }
@@ -253,6 +255,7 @@
     return;
   }
   if (RefuseIfQuarantined(state, request)) return;
+  if (RefuseIfAllEvacuated(state, request)) return;
   if (AwaitsLivenessSignal(state, request.metadata.fingerprint) ||
       AwaitsCrashCheck(state, request.metadata.fingerprint) ||
       AwaitsPartCheck(state, SuspectedParts(state, request.metadata))) {
@@ -287,6 +290,15 @@
   PlaceLocally(state, request);
 }
 
+void RefuseTooLarge(State& state, Request& request) {
+  // It may fit once the evacuation is withdrawn.
+  constexpr Duration kRetryAfter = seconds(1);
+  const bool evacuated = IsAnyEvacuated(state, request.service);
+  RefuseRequest(state, request,
+                evacuated ? Refusal::kEvacuated : Refusal::kInvalid,
+                evacuated ? kRetryAfter : Duration::zero());
+}
+
 void PlaceLocally(State& state, Request& request) {
   std::visit(
       Overloaded{
@@ -295,9 +307,7 @@
             QueueRequest(state, request, kLocalPlacementRetryInterval,
                          it.shortage);
           },
-          [&](const TooLarge&) {
-            RefuseRequest(state, request, Refusal::kInvalid, {});
-          },
+          [&](const TooLarge&) { RefuseTooLarge(state, request); },
           [&](const DeadlineUnreachable& it) {
             RefuseRequest(state, request, RefusalFor(it.shortage),
                           it.retry_after);
