Long prompts spread over free memory, short ones use engines without long parts

Cause: a long prompt that one engine could hold waited until one engine had all of its memory free. A short prompt waited behind a long part on the first engines in the order while the last ones had none.

A short prompt that would wait more than 90 ms on the first engines takes one of the last.

The test that no memory is assigned twice used engines that have the memory together; it now uses engines that haven't, and a new case checks what is assigned when they have.

--- a/serving/src/long_placement.cc
+++ b/serving/src/long_placement.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <utility>
 
 #include "internal/durations.h"
 #include "internal/pool.h"
@@ -160,23 +161,35 @@
       std::min({open.size(), parts, kMaxHelpersPerRequest + 1}), 1);
 }
 
+// Where the memory of a prompt is reserved.
+enum class MemoryUse {
+  kOneEngine,  // at the engine that decodes the response
+  kSpread,     // at the helpers too, where the decoding engine has too little
+};
+
 // Chooses the engine that prefills the first part and decodes the response. An
 // engine with requests is preferred to an empty one, so that few engines have
 // streams, whose event gaps grow with each part that is prefilled there. For a
-// prompt that exceeds the memory of any engine, it is the one with the most
-// free memory. Returns nullptr if no engine qualifies.
+// prompt whose memory is spread, it is the one with the most free memory.
+// Returns nullptr if no engine qualifies.
 const EngineView* PickDecoder(const EngineTiming& timing,
                               const std::vector<const EngineView*>& eligible,
-                              const PlacementQuery& query) {
+                              const PlacementQuery& query,
+                              MemoryUse memory_use) {
   const std::int64_t needed = query.prompt_tokens + query.answer_tokens;
   const EngineView* best = nullptr;
-  for (const EngineView* it : eligible) {
-    if (it->running >= RequestsBeforeNextEngine(timing)) continue;
-    if (it->memory_used + needed > UsableMemoryTokens(timing)) continue;
-    if (best == nullptr || it->memory_used > best->memory_used) best = it;
+  if (memory_use == MemoryUse::kOneEngine) {
+    for (const EngineView* it : eligible) {
+      if (it->running >= RequestsBeforeNextEngine(timing)) continue;
+      if (it->memory_used + needed > UsableMemoryTokens(timing)) continue;
+      if (best == nullptr || it->memory_used > best->memory_used) best = it;
+    }
+    return best;
   }
-  if (best != nullptr || needed <= UsableMemoryTokens(timing)) return best;
+  const bool exceeds_engine = needed > UsableMemoryTokens(timing);
   for (const EngineView* it : eligible) {
+    if (!exceeds_engine && it->running >= RequestsBeforeNextEngine(timing))
+      continue;
     if (best == nullptr || it->memory_used < best->memory_used) best = it;
   }
   return best;
@@ -212,7 +225,7 @@
 // engines qualify or none has the memory.
 EngineGroup PickGroup(const EngineTiming& timing, const PlacementQuery& query,
                       const std::vector<const EngineView*>& ready,
-                      std::size_t size) {
+                      std::size_t size, MemoryUse memory_use) {
   const Duration prefill_time = PrefillTime(timing, query.prompt_tokens);
   const Duration part = prefill_time / static_cast<Duration::rep>(size);
   const bool misses_objective = MissesObjective(prefill_time, query);
@@ -223,7 +236,7 @@
                });
   EngineGroup group;
   if (eligible.size() < size) return group;
-  group.decoder = PickDecoder(timing, eligible, query);
+  group.decoder = PickDecoder(timing, eligible, query, memory_use);
   if (group.decoder == nullptr) return group;
   for (const EngineView* it : eligible) {
     if (it != group.decoder && it->prefilling == 0) group.helpers.push_back(it);
@@ -247,11 +260,11 @@
 // none can be formed.
 EngineGroup FindGroup(const EngineTiming& timing, const PlacementQuery& query,
                       const std::vector<const EngineView*>& ready,
-                      std::size_t wanted) {
+                      std::size_t wanted, MemoryUse memory_use) {
   const auto min_size = static_cast<std::size_t>(
       std::ceil(kMinGroupShare * static_cast<double>(wanted)));
   for (std::size_t n = std::min(wanted, ready.size()); n >= min_size; --n) {
-    EngineGroup group = PickGroup(timing, query, ready, n);
+    EngineGroup group = PickGroup(timing, query, ready, n, memory_use);
     if (group.decoder != nullptr) return group;
   }
   const auto parts = static_cast<std::size_t>(
@@ -259,12 +272,20 @@
   const std::size_t max_size =
       std::min({parts, ready.size(), kMaxHelpersPerRequest + 1});
   for (std::size_t n = wanted + 1; n <= max_size; ++n) {
-    EngineGroup group = PickGroup(timing, query, ready, n);
+    EngineGroup group = PickGroup(timing, query, ready, n, memory_use);
     if (group.decoder != nullptr) return group;
   }
   return {};
 }
 
+// Whether the engines of a group together have the memory of a prompt.
+bool HasMemory(const EngineTiming& timing, std::int64_t needed,
+               const EngineGroup& group) {
+  std::vector<std::int64_t> tokens;
+  return DistributeMemory(timing, needed, *group.decoder, group.helpers,
+                          tokens);
+}
+
 // Why no group of engines was found, for the log and for the order of the
 // waiting prompts.
 Shortage ShortageOf(const EngineTiming& timing, const PlacementQuery& query,
@@ -278,6 +299,27 @@
   return has_memory ? Shortage::kEngines : Shortage::kMemory;
 }
 
+// Forms a group for a prompt that one engine could hold, while none has the
+// free memory. The memory at the helpers is reserved until the response ends,
+// so as few of them as possible hold some, and none with short prompts, whose
+// memory the next short prompts need.
+EngineGroup FindSpreadGroup(const EngineTiming& timing,
+                            const PlacementQuery& query,
+                            std::vector<const EngineView*> ready,
+                            std::size_t wanted) {
+  std::erase_if(ready,
+                [](const EngineView* it) { return it->short_running > 0; });
+  EngineGroup group =
+      FindGroup(timing, query, ready, wanted, MemoryUse::kSpread);
+  if (group.decoder == nullptr) return group;
+  std::stable_sort(group.helpers.begin(), group.helpers.end(),
+                   [](const EngineView* a, const EngineView* b) {
+                     return a->memory_used < b->memory_used;
+                   });
+  const std::int64_t needed = query.prompt_tokens + query.answer_tokens;
+  return HasMemory(timing, needed, group) ? group : EngineGroup{};
+}
+
 }  // namespace
 
 PlacementResult PlaceLongPrompt(const EngineTiming& timing,
@@ -296,9 +338,16 @@
   std::erase_if(ready, [](const EngineView* it) {
     return it->prefill_backlog > kMaxBacklogForPart;
   });
-  const EngineGroup group = FindGroup(timing, query, ready, wanted);
-  if (group.decoder == nullptr)
-    return NoCapacityNow{ShortageOf(timing, query, open)};
+  const bool exceeds_engine = needed > UsableMemoryTokens(timing);
+  EngineGroup group =
+      FindGroup(timing, query, ready, wanted,
+                exceeds_engine ? MemoryUse::kSpread : MemoryUse::kOneEngine);
+  if (group.decoder == nullptr) {
+    const Shortage shortage = ShortageOf(timing, query, open);
+    if (shortage != Shortage::kMemory) return NoCapacityNow{shortage};
+    group = FindSpreadGroup(timing, query, std::move(ready), wanted);
+    if (group.decoder == nullptr) return NoCapacityNow{shortage};
+  }
   Placement placement{.backend = group.decoder->id,
                       .helpers = {},
                       .helper_tokens = {},
--- a/serving/src/placement.cc
+++ b/serving/src/placement.cc
@@ -45,6 +45,10 @@
 // streams of an engine keep their event gaps: the sites allow gaps of 200 ms or
 // more, and without prefill an event takes about 45 ms.
 constexpr Duration kMaxShortPromptBacklog = milliseconds(90);
+// A short prompt that would wait longer on the engines that short prompts use
+// first takes one of the last engines in the order: a part of a long prompt may
+// take seconds.
+constexpr Duration kMaxShortPromptWait = milliseconds(90);
 // While more than this share of the engines is idle, a short prompt doesn't
 // queue behind two others. Otherwise the start of a burst fills one engine with
 // four prompts within some ms, and the last of them gets its first token only
@@ -163,7 +167,8 @@
     }
   };
   if (best == nullptr) choose_least_busy(open, timing.slots);
-  if (best == nullptr) choose_least_busy(pool.size(), timing.slots);
+  if (best == nullptr || expected_wait(*best) > kMaxShortPromptWait)
+    choose_least_busy(pool.size(), timing.slots);
   if (best == nullptr) choose_least_busy(pool.size(), 2 * timing.slots);
   if (best == nullptr) return NoCapacityNow{Shortage::kBackends};
   return Placement{.backend = best->id,
--- a/serving/test/placement_test.cc
+++ b/serving/test/placement_test.cc
@@ -157,7 +157,7 @@
 TEST_CASE("An engine's memory is never assigned twice") {
   std::vector<ActiveRequest> active_requests;
   for (BackendId it = 1; it <= 6; ++it)
-    active_requests.push_back(Decoding(it, 300'000));
+    active_requests.push_back(Decoding(it, 400'000));
   const auto result =
       PlacePrompt(kTiming, PoolView(6, active_requests), Prompt(200'000));
   const auto* none = std::get_if<NoCapacityNow>(&result);
@@ -165,6 +165,35 @@
   CHECK(none->shortage == Shortage::kMemory);
 }
 
+// Guards against a prompt that waits for one engine's memory while several have
+// it together, and against more memory being assigned than they have.
+TEST_CASE("A prompt that finds no engine with its memory is spread") {
+  std::vector<ActiveRequest> active_requests;
+  for (BackendId it = 1; it <= 6; ++it)
+    active_requests.push_back(Decoding(it, 300'000));
+  const auto result =
+      PlacePrompt(kTiming, PoolView(6, active_requests), Prompt(200'000));
+  const auto* placement = std::get_if<Placement>(&result);
+  REQUIRE(placement != nullptr);
+  const std::int64_t free_tokens = kTiming.memory_tokens - 301'000;
+  std::int64_t remaining = 201'000;
+  int holders = 0;
+  for (const std::int64_t it : placement->helper_tokens) {
+    CHECK(it <= free_tokens);
+    remaining -= it;
+    if (it > 0) ++holders;
+  }
+  CHECK(remaining <= free_tokens);
+  CHECK(holders == 1);
+  // One engine with the memory is enough.
+  active_requests.pop_back();
+  const auto whole =
+      PlacePrompt(kTiming, PoolView(6, active_requests), Prompt(200'000));
+  REQUIRE(std::holds_alternative<Placement>(whole));
+  CHECK(std::get<Placement>(whole).backend == 6);
+  CHECK(std::get<Placement>(whole).helper_tokens.empty());
+}
+
 TEST_CASE(
     "A prompt larger than one engine gets all its memory at several, or none") {
   const auto result = PlacePrompt(kTiming, PoolView(8, {}), Prompt(1'000'000));
