Tests of slow servers as one daemon sees them

The probes of the first version were answered in the moment that they were sent, or never. They get their result now as the stand-in does: a refusal at once, a silent connection after the time that a probe waits.

--- a/serving/test/slow_servers_test.cc
+++ b/serving/test/slow_servers_test.cc
@@ -2,8 +2,9 @@
 // daemon sees them beside what others publish.
 
 #include <catch2/catch.hpp>
+#include <deque>
 #include <string>
-#include <vector>
+#include <utility>
 
 #include "serving_harness.h"
 
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr Duration kStep = milliseconds(20);
+constexpr Duration kProbeWait = milliseconds(600);
 
 // Publishes another daemon's paths to both services.
 void HearOf(Daemon& daemon, const std::string& peer, bool doubtful,
@@ -26,20 +28,40 @@
   daemon.Feed(SnapshotReceived{snapshot});
 }
 
-// Advances the clock and gives that result to all probes.
-void AdvanceWithProbes(Daemon& daemon, Duration time, ProbeResult result) {
-  const Time until = daemon.now() + time;
-  while (daemon.now() < until) {
-    daemon.AdvanceTime(kStep);
-    std::vector<BackendId> probed;
-    for (const Effect& it : daemon.effects()) {
-      if (const auto* probe = std::get_if<ProbeLiveness>(&it))
-        probed.push_back(probe->backend);
+// Gives the same result to all probes of a daemon, as time passes: refusals at
+// once, connections without a response after the time that a probe waits.
+class Prober {
+ public:
+  Prober(Daemon& daemon, ProbeResult result)
+      : daemon_(daemon),
+        result_(result),
+        delay_(result == ProbeResult::kConnected ? kProbeWait : Duration{}) {
+    daemon.Observe([this](const Effects& effects) {
+      for (const Effect& it : effects) {
+        if (const auto* probe = std::get_if<ProbeLiveness>(&it))
+          probed_.emplace_back(daemon_.now() + delay_, probe->backend);
+      }
+    });
+  }
+
+  void Advance(Duration time) {
+    const Time until = daemon_.now() + time;
+    while (daemon_.now() < until) {
+      daemon_.AdvanceTime(kStep);
+      while (!probed_.empty() && probed_.front().first <= daemon_.now()) {
+        const BackendId id = probed_.front().second;
+        probed_.pop_front();
+        daemon_.Feed(LivenessProbed{.backend = id, .result = result_});
+      }
     }
-    for (const BackendId it : probed)
-      daemon.Feed(LivenessProbed{.backend = it, .result = result});
   }
-}
+
+ private:
+  Daemon& daemon_;
+  ProbeResult result_;
+  Duration delay_;
+  std::deque<std::pair<Time, BackendId>> probed_;
+};
 
 // Sends a request, each send of which fails without a byte sent.
 void SendRefused(Daemon& daemon) {
@@ -54,11 +76,12 @@
 // connections again, as long as their responses to probes are late.
 TEST_CASE("A probe that connects ends a refusal as unreachable") {
   Daemon daemon;
+  Prober prober(daemon, ProbeResult::kConnected);
   SendRefused(daemon);
   const auto* refused = daemon.FirstEffect<Refuse>();
   REQUIRE(refused != nullptr);
   CHECK(refused->reason == Refusal::kUnreachable);
-  AdvanceWithProbes(daemon, milliseconds(600), ProbeResult::kConnected);
+  prober.Advance(2 * kProbeWait);
   daemon.SendRequest("once");
   CHECK(daemon.FirstEffect<StartAttempt>() != nullptr);
 }
@@ -68,6 +91,7 @@
 TEST_CASE("More than half of the daemons withdraw only if partitioned") {
   const bool first = GENERATE(true, false);
   Daemon daemon;
+  Prober prober(daemon, ProbeResult::kRefused);
   const auto hear = [&] {
     HearOf(daemon, "2.2.2.2:2", /*doubtful=*/false, Duration::zero());
     for (const char* it : {"1:2", "3:2"})
@@ -79,12 +103,12 @@
   constexpr int kSteps = 47;
   for (int i = 0; i < kSteps; ++i) {
     hear();
-    AdvanceWithProbes(daemon, kStep, ProbeResult::kRefused);
+    prober.Advance(kStep);
   }
   CHECK(daemon.state().withdrawn == first);
   for (int i = 0; i < 3 * kSteps; ++i) {
     hear();
-    AdvanceWithProbes(daemon, kStep, ProbeResult::kRefused);
+    prober.Advance(kStep);
   }
   CHECK(daemon.state().withdrawn);
 }
@@ -94,15 +118,16 @@
 TEST_CASE("Silence counts against the path while others are answered in time") {
   const bool timely = GENERATE(true, false);
   Daemon daemon;
+  Prober prober(daemon, ProbeResult::kConnected);
   constexpr int kRequests = 9;
-  for (int i = 0; i < kRequests; ++i) daemon.SendRequest("safe");
-  constexpr int kSteps = 30;
+  for (int i = 0; i < kRequests; ++i) daemon.SendRequest("stream");
+  constexpr int kSteps = 80;
   for (int i = 0; i < kSteps; ++i) {
     HearOf(daemon, "2.2.2.2:2", /*doubtful=*/false,
            timely ? milliseconds(50) : milliseconds(900));
-    AdvanceWithProbes(daemon, kStep, ProbeResult::kConnected);
+    prober.Advance(kStep);
   }
-  CHECK(daemon.state().doubtful_services.contains("app") == timely);
+  CHECK(daemon.state().doubtful_services.contains("llm") == timely);
 }
 
 }  // namespace
