Engine reports are fetched in proportion to daemons' capacity; lost data centres

Cause: a daemon of 0.12 of a core fetched as many engine reports as one of 0.5, as the choice went by hash alone. The loss of a whole data centre of daemons had no test.

Change: the choice is weighted by capacity. Daemons of equal capacity rank as before. The simulated fleet can kill daemons, partition a data centre and let only daemons that query the store be confirmed.

--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "internal/steps.h"
 #include "scaleshed/serving/reducer.h"
@@ -19,8 +20,22 @@
 // intervals, so that one lost report changes nothing.
 constexpr Duration kSlowAvoidanceDuration = milliseconds(3100);
 
+// The rank of a daemon among those that may fetch an engine's reports. A daemon
+// ranks highest for a share of the engines that is proportional to its
+// capacity; daemons of equal capacity rank by the hash alone.
+double ReportRank(const std::string& peer_address, double capacity,
+                  BackendId engine) {
+  constexpr int kFractionBits = 53;
+  const std::uint64_t hash =
+      HashBytes(peer_address, engine) >> (64 - kFractionBits);
+  // Lies above 0 and below 1.
+  const double share =
+      std::ldexp(static_cast<double>(hash) + 0.5, -kFractionBits);
+  return capacity / -std::log(share);
+}
+
 // Whether this daemon fetches the reports of an engine. The serving daemons
-// agree on one of them without messages, by the highest hash, and on another
+// agree on one of them without messages, by the highest rank, and on another
 // one when it is gone. In a large fleet the candidates are the daemons of the
 // engine's data centre, which receive each other's snapshots; if none of these
 // is live, they are the placers, which receive the snapshots of all.
@@ -32,8 +47,8 @@
     return false;
   const std::string& service = backend.server.service;
   if (IsPathDoubtful(state, service)) return false;
-  const std::uint64_t own_rank =
-      HashBytes(state.options.peer_address, backend.id);
+  const double own_rank = ReportRank(state.options.peer_address,
+                                     state.options.capacity, backend.id);
   return std::none_of(
       state.members.begin(), state.members.end(), [&](const auto& it) {
         const auto& [address, member] = it;
@@ -43,13 +58,15 @@
           return false;
         const bool is_in_data_centre =
             member.snapshot.data_centre == data_centre;
+        const auto ranks_higher = [&] {
+          return ReportRank(address, member.snapshot.capacity, backend.id) >
+                 own_rank;
+        };
         if (!all_place_locally && !is_local) {
           return is_in_data_centre ||
-                 (IsPlacer(state, address) &&
-                  HashBytes(address, backend.id) > own_rank);
+                 (IsPlacer(state, address) && ranks_higher());
         }
-        return (all_place_locally || is_in_data_centre) &&
-               HashBytes(address, backend.id) > own_rank;
+        return (all_place_locally || is_in_data_centre) && ranks_higher();
       });
 }
 
--- a/serving/test/simulated_fleet.h
+++ b/serving/test/simulated_fleet.h
@@ -31,6 +31,9 @@
   int engines = 24;
   // Number of machines with more capacity in each data centre.
   int strong_per_data_centre = 1;
+  // Whether the store confirms what is newest only to daemons that query it;
+  // otherwise it confirms it to all.
+  bool store_confirms_to_pollers = false;
   // Whether all daemons hold their slack shares from the start.
   bool hold_slack_share = false;
   int plain_servers = 0;  // servers of a plain service
@@ -74,6 +77,33 @@
     ledger_.Excuse(PeerOf(i));
   }
 
+  // Ends a daemon's process for good: its connections are reset, new ones to it
+  // are refused.
+  void KillDaemon(int i) {
+    Node& node = nodes_.at(static_cast<std::size_t>(i));
+    node.dead = true;
+    FreezeDaemon(i);
+    for (auto& [id, engine] : engines_) {
+      std::erase_if(engine.attempts,
+                    [&](const Attempt& it) { return it.daemon == i; });
+    }
+  }
+  // Drops all messages between the daemons of a data centre and all others, and
+  // their calls to the store and to backend servers.
+  void PartitionDataCentre(const std::string& data_centre) {
+    partitioned_ = data_centre;
+    for (int i = 0; i < options_.daemons; ++i) {
+      if (CentreOf(i) != data_centre) continue;
+      SetServerLink(i, ServerLink::kSilent);
+      SetStoreLink(i, false);
+      ledger_.Excuse(PeerOf(i));
+    }
+  }
+  // Lets a daemon's calls to the store fail, or undoes that.
+  void SetStoreLink(int i, bool open) {
+    nodes_.at(static_cast<std::size_t>(i)).store_link = open;
+  }
+
   // Makes an engine accept requests without ever responding, or undoes that.
   void HangEngine(const std::string& engine, bool hangs = true) {
     hangs ? (void)hanging_.insert(engine) : (void)hanging_.erase(engine);
@@ -249,6 +279,13 @@
     const auto it = lines_.find(what);
     return it == lines_.end() ? 0 : it->second;
   }
+  // Return how often a daemon fetched an engine's report, and how often daemons
+  // queried the store.
+  std::size_t reports_fetched(int i) const {
+    const auto it = reports_fetched_.find(i);
+    return it == reports_fetched_.end() ? 0 : it->second;
+  }
+  std::size_t store_queries() const { return store_queries_; }
   // Returns the number of requests that daemons passed to each other.
   std::size_t relays() const { return relays_; }
   std::size_t messages() const { return messages_; }
@@ -288,7 +325,9 @@
   struct Node {
     std::unique_ptr<State> state;
     bool frozen = false;
+    bool dead = false;
     bool isolated = false;
+    bool store_link = true;
     ServerLink server_link = ServerLink::kOpen;
     std::size_t heard = 0;  // messages received
   };
@@ -581,6 +620,7 @@
   }
 
   void ProveAll() {
+    if (options_.store_confirms_to_pollers) return;
     for (int i = 0; i < options_.daemons; ++i) {
       Feed(i, ConfigurationConfirmed{.revision = {.number = 1},
                                      .queried_at = now_});
@@ -588,6 +628,31 @@
     }
   }
 
+  // Answers a daemon's query of the store, in which nothing has changed.
+  void AnswerQuery(int i) {
+    if (!options_.store_confirms_to_pollers) return;
+    ++store_queries_;
+    if (!nodes_.at(static_cast<std::size_t>(i)).store_link) {
+      After(kConnectTimeout, i, StoreUnreachable{});
+      return;
+    }
+    After(
+        milliseconds(4), i,
+        ConfigurationConfirmed{.revision = {.number = 1}, .queried_at = now_});
+    After(milliseconds(4), i, BackendsConfirmed{.queried_at = now_});
+  }
+
+  // Whether messages pass between two daemons.
+  bool HasPath(int from, int to) const {
+    const auto isolated = [&](int i) {
+      return nodes_.at(static_cast<std::size_t>(i)).isolated;
+    };
+    if (isolated(from) || isolated(to)) return false;
+    const std::string a = CentreOf(from);
+    const std::string b = CentreOf(to);
+    return a == b || (a != partitioned_ && b != partitioned_);
+  }
+
   void Feed(int i, EventBody body) {
     Node& node = nodes_.at(static_cast<std::size_t>(i));
     if (node.frozen) return;
@@ -609,7 +674,7 @@
     facts_[key] = facts;
     relayed_[key] = {.daemon = from, .id = relay.attempt};
     const Node& node = nodes_.at(static_cast<std::size_t>(to));
-    if (node.isolated) {
+    if (node.dead || !HasPath(from, to)) {
       After(kProbeTimeout, from,
             AttemptFailed{.attempt = relay.attempt,
                           .error = AttemptError::kNotSent});
@@ -680,6 +745,10 @@
       for (const auto& [to, relay] : it->messages) {
         SendTo(from, IndexOf(to), StoreRelayReceived{relay});
       }
+    } else if (std::holds_alternative<PollStore>(effect)) {
+      AnswerQuery(from);
+    } else if (std::holds_alternative<FetchEngineReport>(effect)) {
+      ++reports_fetched_[from];
     } else if (const auto* it = std::get_if<StartAttempt>(&effect)) {
       StartAt(from, *it);
     } else if (const auto* it = std::get_if<StartRelay>(&effect)) {
@@ -735,10 +804,7 @@
   }
 
   void SendTo(int from, int to, EventBody body) {
-    const auto isolated = [&](int i) {
-      return nodes_.at(static_cast<std::size_t>(i)).isolated;
-    };
-    if (isolated(from) || isolated(to)) return;
+    if (!HasPath(from, to)) return;
     if (Drawn(options_.message_loss_share)) return;
     ++messages_;
     ++nodes_.at(static_cast<std::size_t>(to)).heard;
@@ -810,6 +876,9 @@
   testing::ServerLedger ledger_;
   std::map<std::string, std::size_t> lines_;
   std::size_t messages_ = 0;
+  std::string partitioned_;  // data centre; empty: none
+  std::map<int, std::size_t> reports_fetched_;
+  std::size_t store_queries_ = 0;
 };
 
 }  // namespace scaleshed::serving::test
