Cold servers: the warm-up granter meters what they get

A cold server bears a limited rate from all daemons together, but nothing read how long a server is cold, and every send passed as if it had a grant. Rules of waiting for a token are shared with the rate limits that servers advertise.

--- a/serving/include/scaleshed/serving/configuration.h
+++ b/serving/include/scaleshed/serving/configuration.h
@@ -75,6 +75,7 @@
   // To one backend server, from all callers together.
   std::int64_t max_connections = 0;
   std::optional<EngineTiming> engine;  // model services only
+  std::string health_path;             // of health checks; empty: none
   WarmUpLimits warm_up;
 };
 
--- a/serving/include/scaleshed/serving/dispatch.h
+++ b/serving/include/scaleshed/serving/dispatch.h
@@ -43,6 +43,9 @@
   // Fingerprints of the prompt's parts that are crash-suspected, by what the
   // requesting daemon knows.
   std::vector<std::uint64_t> suspected_parts;
+  // Rises with each placement request that the daemon sends. The response
+  // echoes it, which bounds the age of a warm-up grant.
+  std::uint64_t sequence = 0;
 };
 
 // What a placer did with a PlacementRequest.
@@ -72,8 +75,12 @@
   // Backend servers of the placement whose rate limits the placer has counted
   // the request against, or knows to be withdrawn.
   std::vector<BackendId> rate_limits_counted;
-  Shortage shortage{};     // why the prompt is queued or was refused
-  Duration retry_after{};  // if the outcome is kRefused
+  // Cold backend servers of the placement that the placer, as the warm-up
+  // granter, has counted the request against.
+  std::vector<BackendId> warm_up_grants;
+  std::uint64_t sequence = 0;  // of the request that led to the decision
+  Shortage shortage{};         // why the prompt is queued or was refused
+  Duration retry_after{};      // if the outcome is kRefused
 };
 
 }  // namespace scaleshed::serving
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -201,6 +201,19 @@
 struct WriteReconciledEpoch {
   std::uint64_t epoch = 0;
 };
+// Take, renew and release the lease of the warm-up granter, which one daemon
+// holds at a time. WarmUpLeaseHeld, WarmUpLeaseRefused or WarmUpLeaseLost
+// follows the first two.
+struct AcquireWarmUpLease {};
+struct RenewWarmUpLease {};
+struct ReleaseWarmUpLease {};
+// Asks a backend server by a health check whether it is cold. HealthChecked
+// follows only if the server responds.
+struct CheckHealth {
+  BackendId backend = 0;
+  std::string address;
+  std::string path;
+};
 // Starts or ends this daemon's watch of the store's changes.
 struct WatchStore {
   bool enabled = false;
@@ -264,8 +277,11 @@
   kRelayed,
   kRelayedForOthers,
   kRelaysFailed,
+  kWarmUpGrants,
+  kWarmUpGrantsVoid,
+  kWarmUpsUnreadable,
 };
-inline constexpr NameTable<Counter, 22> kCounterNames{{
+inline constexpr NameTable<Counter, 25> kCounterNames{{
     {Counter::kRequests, "requests"},
     {Counter::kDelivered, "delivered"},
     {Counter::kRefused, "refused"},
@@ -288,6 +304,9 @@
     {Counter::kRelayed, "relayed"},
     {Counter::kRelayedForOthers, "relayed_for_others"},
     {Counter::kRelaysFailed, "relays_failed"},
+    {Counter::kWarmUpGrants, "warm_up_grants"},
+    {Counter::kWarmUpGrantsVoid, "warm_up_grants_void"},
+    {Counter::kWarmUpsUnreadable, "warm_ups_unreadable"},
 }};
 
 // Adds one to a counter.
@@ -318,9 +337,10 @@
                  ReserveMemory, ReleaseMemory, FetchEngineReport, ProbeLiveness,
                  PublishSnapshot, PollStore, ReadConfiguration, ListStore,
                  RewriteOwnEntry, WriteReconciledEpoch, WatchStore, SaveCrashes,
-                 RelayStoreState, RequestPlacement, RespondToPlacement,
-                 LogDecision, IncrementCounter, ObserveLatency, ApplyLimits,
-                 Exit>;
+                 AcquireWarmUpLease, RenewWarmUpLease, ReleaseWarmUpLease,
+                 CheckHealth, RelayStoreState, RequestPlacement,
+                 RespondToPlacement, LogDecision, IncrementCounter,
+                 ObserveLatency, ApplyLimits, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace scaleshed::serving
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -170,6 +170,15 @@
   std::uint64_t start_unix_ms = 0;
 };
 
+// A backend server has responded to a health check.
+struct HealthChecked {
+  BackendId backend = 0;
+  // How much longer the server is cold; zero: it is warm. No value: the
+  // response can't be read, as `fault` says.
+  std::optional<Duration> warm_up_left;
+  std::string fault;
+};
+
 // What a liveness probe has found.
 enum class ProbeResult {
   kAlive,         // a process at the address responds
@@ -299,6 +308,22 @@
 // A restore may have lost this daemon's entry, which is being rewritten.
 struct OwnEntryLost {};
 
+// This daemon holds the lease of the warm-up granter at least until
+// `valid_until`. `newly_taken`: it didn't hold it before.
+struct WarmUpLeaseHeld {
+  Time valid_until{};
+  bool newly_taken = false;
+};
+// The call for the lease failed, for example as another daemon holds it. A
+// lease that this daemon holds may still be valid.
+struct WarmUpLeaseRefused {
+  std::string reason;
+};
+// This daemon doesn't hold the lease any more.
+struct WarmUpLeaseLost {
+  std::string reason;
+};
+
 // The number of daemons that had an entry in the store at `queried_at`.
 struct DaemonsCounted {
   std::size_t daemons = 0;
@@ -328,12 +353,13 @@
     RequestArrived, ClientDisconnected, StreamEvent, AttemptAnswered,
     AttemptConnecting, AttemptConnected, AttemptFailed, RelayRefused,
     ResponseHeadReceived, MemoryReservationAnswered, EngineReportReceived,
-    LivenessProbed, ConfigurationReceived, ConfigurationConfirmed,
-    BackendsConfirmed, BackendChangesComplete, StoreEpochObserved,
-    ReconciledEpochObserved, StoreQueried, StoreResponded, StoreUnreachable,
-    StoreRelayReceived, BackendListed, BackendUnlisted, BackendsListed,
-    CrashesStored, AllCrashesListed, SaveCrashesFinished, PeersListed,
-    OwnEntryConfirmed, OwnEntryRemoved, OwnEntryLost, DaemonsCounted,
+    HealthChecked, LivenessProbed, ConfigurationReceived,
+    ConfigurationConfirmed, BackendsConfirmed, BackendChangesComplete,
+    StoreEpochObserved, ReconciledEpochObserved, StoreQueried, StoreResponded,
+    StoreUnreachable, StoreRelayReceived, BackendListed, BackendUnlisted,
+    BackendsListed, CrashesStored, AllCrashesListed, SaveCrashesFinished,
+    PeersListed, OwnEntryConfirmed, OwnEntryRemoved, OwnEntryLost,
+    WarmUpLeaseHeld, WarmUpLeaseRefused, WarmUpLeaseLost, DaemonsCounted,
     SnapshotReceived, PlacementRequestReceived, PlacementResponseReceived, Tick,
     StopRequested>;
 
--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -87,8 +87,9 @@
   kCrashCheck,  // a crash check of its fingerprint is under way
   kRateLimit,   // the rate limits of all eligible servers are used up
   kBackoff,     // the sender backs off from all eligible servers
+  kWarmUp,      // all eligible servers are cold and get what they bear
 };
-inline constexpr NameTable<Shortage, 9> kShortageNames{{
+inline constexpr NameTable<Shortage, 10> kShortageNames{{
     {Shortage::kQueueOrder, "turn"},
     {Shortage::kEngines, "engines"},
     {Shortage::kMemory, "memory"},
@@ -98,6 +99,7 @@
     {Shortage::kCrashCheck, "verdict"},
     {Shortage::kRateLimit, "limit"},
     {Shortage::kBackoff, "rest"},
+    {Shortage::kWarmUp, "warm_up"},
 }};
 
 // The prompt can't be placed now; capacity is expected later.
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -23,6 +23,7 @@
 #include "scaleshed/serving/service_paths.h"
 #include "scaleshed/serving/slack_share.h"
 #include "scaleshed/serving/start_meter.h"
+#include "scaleshed/serving/warm_up_meter.h"
 #include "scaleshed/serving/work.h"
 
 namespace scaleshed::serving {
@@ -160,7 +161,29 @@
 struct WarmUp {
   Time until{};
   WarmUpSource source = WarmUpSource::kEntry;
-  Time learned_at{};
+  Time learned_at{};  // when this daemon last learned of it
+  // The server was warm in the same incarnation, so that some daemons may still
+  // send to it without a grant: no grants are given before this time.
+  Time grants_from{};
+  Time checked_at{};  // the last health check that this daemon made
+  // A health check showed that the server is warm, while other daemons may
+  // presume until this time that it is cold.
+  Time presumed_until{};
+};
+
+// This daemon's part in granting requests to cold backend servers. One daemon
+// at a time, the warm-up granter, holds a lease in the store for it.
+struct WarmUpGranting {
+  // Held by this daemon's own clock, counted from before the call that took or
+  // renewed it; unset: not held.
+  std::optional<Time> lease_until;
+  Time granting_from{};        // of the current lease
+  std::uint64_t epoch = 0;     // of the store that granted the lease
+  Time call_due{};             // earliest next call for the lease
+  Time cold_known_at{};        // when a cold server was last known
+  bool published = false;      // as the other daemons know it
+  std::string logged_refusal;  // reason of the last refusal
+  std::map<BackendId, WarmUpMeter> meters;
 };
 
 // What this daemon knows of the current store epoch, which counts how often the
@@ -311,6 +334,7 @@
   std::optional<Placement> placement;
   // See PlacementResponse::rate_limits_counted.
   std::vector<BackendId> rate_limits_counted;
+  std::vector<BackendId> warm_up_grants;
   ActiveRequest active_request;
   Time placed_at{};
 };
@@ -324,6 +348,7 @@
   bool is_hub = false;
   bool places = false;
   bool withdrawn = false;
+  bool grants_warm_ups = false;
   ConfigurationStamp configuration;
   std::uint64_t epoch = 0;
   bool reconciled = true;
@@ -343,6 +368,7 @@
   // This daemon got a request as a fallback placer and places for others until
   // this time.
   Time fallback_until{};
+  std::uint64_t last_sequence = 0;  // PlacementRequest::sequence
   // When the earliest pending placement request times out.
   std::optional<Time> response_due;
   // Placers that didn't respond, and until when each is skipped.
@@ -410,6 +436,13 @@
   std::optional<Shortage> waits_for;  // as last logged
   std::string placer;  // peer address of the last placer used; empty: none
   bool placer_responded = false;
+  // The last placement request and when it was sent.
+  std::uint64_t placement_sequence = 0;
+  Time placement_requested_at{};
+  // The cold servers of the current attempt that the warm-up granter counted it
+  // against, and until when it may be sent to them.
+  std::vector<BackendId> warm_up_grants;
+  Time warm_up_grants_until{};
   std::uint64_t attempt_number = 0;  // placements tried so far
   Duration prefill_time{};
 
@@ -507,6 +540,7 @@
   std::map<std::string, Backend> backends;             // by instance id
   std::map<std::string, KnownEvacuation> evacuations;  // by data centre
   std::map<BackendId, WarmUp> warm_ups;
+  WarmUpGranting warm_up_granting;
   Quarantine quarantine;
   Quarantine part_quarantine{{.kind = SuspectKind::kPart,
                               .max_crashes_per_message = 192,
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -125,6 +125,9 @@
   // The daemon has lost its paths to the backend servers, so that clients
   // should use other daemons.
   bool withdrawn = false;
+  // The daemon is the warm-up granter: it decides which requests go to cold
+  // backend servers.
+  bool grants_warm_ups = false;
   double capacity = 1;  // of the machine; the strongest take on duties first
   ConfigurationStamp configuration;  // the one in use
   std::uint64_t epoch = 0;           // store epoch, as last seen
--- a/serving/src/backends.cc
+++ b/serving/src/backends.cc
@@ -97,6 +97,8 @@
   for (const std::uint64_t number : {slots, leaving, it.start_unix_ms}) {
     hash = HashBytes(std::to_string(number), hash);
   }
+  if (it.warm_up_left > Duration::zero())
+    hash = HashBytes(std::to_string(it.warm_up_left.count()), hash);
   return hash;
 }
 
@@ -134,6 +136,7 @@
   state.has_unpublished_changes = true;
   LogBackend(state, entry, "started_again",
              "previous start_unix_ms: " + std::to_string(previous_start_ms));
+  ApplyEntryWarmUp(state, backend, /*is_new=*/true);
   FailAttemptsAt(state, previous_id);
 }
 
@@ -166,6 +169,7 @@
   }
   backend.server = entry;
   backend.id = IdOf(entry);
+  ApplyEntryWarmUp(state, backend, is_new);
   // An incarnation never withdraws that it is leaving; this also outlasts an
   // entry whose lease expired.
   backend.server.leaving =
@@ -327,6 +331,8 @@
       responses > 0 ? failed_responses / responses : 0;
   const double own_failure_share =
       backend->recent_failed_responses / backend->recent_responses;
+  // A cold server may fail until it is warm.
+  if (IsCold(state, *backend)) return;
   if (backend->recent_responses >= kMinResponsesToJudge &&
       own_failure_share > others_failure_share + kExcessFailureShare) {
     SuspectBackend(state, *backend, kFailureShareSuspicionDuration,
--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -187,7 +187,7 @@
           .suspected_parts = SuspectedParts(state, request.metadata),
           .data_centre = state.options.data_centre,
           .allowed_regions = request.allowed_regions,
-          .awaits_rate_limit = request.waits_for == Shortage::kRateLimit,
+          .waits_for = request.waits_for,
           .backing_off = ServersBackingOff(state)};
 }
 
@@ -197,22 +197,19 @@
       return Refusal::kRateLimited;
     case Shortage::kBackoff:
       return Refusal::kBackendsBackingOff;
+    case Shortage::kWarmUp:
+      return Refusal::kWarmingUp;
     default:
       return Refusal::kOverload;
   }
 }
 
-PlacementDecision DecidePlacement(State& state, const PlacementDemand& demand) {
-  const EngineTiming* timing = TimingOf(state, demand.service);
-  const auto all = OpenBackends(
-      state, demand.service,
-      {.allowed_regions = &demand.allowed_regions, .has_warm_up_grant = true});
-  if (all.empty()) return NoCapacityNow{Shortage::kBackends};
-  const auto available = WithoutBackingOff(demand, all);
-  if (available.empty()) {
-    return DeadlineUnreachable{.retry_after = kBackoffRetryAfter,
-                               .shortage = Shortage::kBackoff};
-  }
+namespace {
+
+// Decides where a request goes that any of `available` may get.
+PlacementDecision DecideAmong(State& state, const PlacementDemand& demand,
+                              const EngineTiming* timing,
+                              const std::vector<const Backend*>& available) {
   const auto open = BackendsWithinRateLimit(state, demand, available);
   if (open.empty()) return WaitForRateLimit(state, demand, available);
   if (const auto by_fingerprint =
@@ -231,4 +228,43 @@
                     PlacePrompt(state, demand, *timing, open));
 }
 
+// Decides where a request goes while some servers are or were cold.
+PlacementDecision DecideByWarmUp(State& state, const PlacementDemand& demand,
+                                 const EngineTiming* timing,
+                                 const std::vector<const Backend*>& available) {
+  const WarmUpChoice choice = ChooseByWarmUp(state, demand, available);
+  // Long prompts avoid cold engines while warm ones can serve them.
+  const bool is_long = demand.prefill_time > kShortPromptPrefillLimit;
+  if (is_long && !choice.warm.empty() && !choice.granted.empty()) {
+    const auto decision = DecideAmong(state, demand, timing, choice.warm);
+    if (std::holds_alternative<Placement>(decision)) return decision;
+  }
+  std::vector<const Backend*> open = choice.warm;
+  open.insert(open.end(), choice.granted.begin(), choice.granted.end());
+  if (open.empty()) return WaitForWarmUp(state, demand, available);
+  const auto decision = DecideAmong(state, demand, timing, open);
+  // The prompt may fit together with the cold engines.
+  const bool lacks_engines = std::holds_alternative<TooLarge>(decision) &&
+                             open.size() < available.size();
+  return lacks_engines ? WaitForWarmUp(state, demand, available) : decision;
+}
+
+}  // namespace
+
+PlacementDecision DecidePlacement(State& state, const PlacementDemand& demand) {
+  const EngineTiming* timing = TimingOf(state, demand.service);
+  const auto all = OpenBackends(
+      state, demand.service,
+      {.allowed_regions = &demand.allowed_regions, .has_warm_up_grant = true});
+  if (all.empty()) return NoCapacityNow{Shortage::kBackends};
+  const auto available = WithoutBackingOff(demand, all);
+  if (available.empty()) {
+    return DeadlineUnreachable{.retry_after = kBackoffRetryAfter,
+                               .shortage = Shortage::kBackoff};
+  }
+  return state.warm_ups.empty()
+             ? DecideAmong(state, demand, timing, available)
+             : DecideByWarmUp(state, demand, timing, available);
+}
+
 }  // namespace scaleshed::serving::internal
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -69,6 +69,13 @@
   state.has_unpublished_changes = true;
 }
 
+// In a fleet that places locally, only the warm-up granter is requested to
+// place, and only what needs a cold server.
+std::string NextPlacerFor(const State& state) {
+  return state.dispatch.place_locally ? FindWarmUpGranter(state)
+                                      : NextPlacer(state);
+}
+
 PlacementRequest PlacementRequestFor(const State& state,
                                      const Request& request) {
   const auto backing_off = ServersBackingOff(state);
@@ -90,7 +97,8 @@
       .backing_off = {backing_off.begin(), backing_off.end()},
       .fingerprint = request.metadata.fingerprint,
       .crash_suspected = IsCrashSuspected(state, request.metadata.fingerprint),
-      .suspected_parts = {suspected_parts.begin(), suspected_parts.end()}};
+      .suspected_parts = {suspected_parts.begin(), suspected_parts.end()},
+      .sequence = request.placement_sequence};
 }
 
 std::set<std::uint64_t> UnclearedParts(
@@ -116,7 +124,7 @@
           .crash_suspected = it.crash_suspected,
           .suspected_parts = UnclearedParts(state, it.suspected_parts),
           .data_centre = DataCentreOf(state, it.peer_address),
-          .awaits_rate_limit = remote.waits_for == Shortage::kRateLimit,
+          .waits_for = remote.waits_for,
           .backing_off = {it.backing_off.begin(), it.backing_off.end()}};
 }
 
@@ -131,6 +139,8 @@
       .outcome = outcome,
       .placement = remote.placement.value_or(Placement{}),
       .rate_limits_counted = remote.rate_limits_counted,
+      .warm_up_grants = remote.warm_up_grants,
+      .sequence = request.sequence,
       .shortage = remote.waits_for.value_or(Shortage::kQueueOrder),
       .retry_after = retry_after};
   state.effects.emplace_back(RespondToPlacement{
@@ -147,6 +157,7 @@
   const PlacementRequest& request = remote.request;
   remote.placement = placement;
   remote.rate_limits_counted = KnownRateLimitsAt(state, placement);
+  remote.warm_up_grants = TakeWarmUpGrants(state, placement);
   RecordStart(state, placement);
   remote.placed_at = state.now;
   remote.active_request = {.id = request.id,
@@ -215,6 +226,45 @@
                Shortage::kRateLimit);
 }
 
+// Called when a placement names cold servers without a grant, as the placer
+// doesn't know of their warm-up, or with a grant that is void: requests the
+// placement as a new attempt.
+void RequestAgainForWarmUp(State& state, Request& request,
+                           const std::vector<BackendId>& ungranted) {
+  state.effects.emplace_back(IncrementCounter{Counter::kWarmUpGrantsVoid});
+  Log(state, "warm_up_void",
+      {{"request", request.metadata.id},
+       {"placer", request.placer},
+       {"ungranted", std::to_string(ungranted.size())}});
+  request.excluded.insert(ungranted.begin(), ungranted.end());
+  ++request.attempt_number;
+  QueueRequest(state, request, kRemotePlacementRetryInterval,
+               Shortage::kWarmUp);
+}
+
+// Starts a request where a placer has placed it, unless this daemon knows more
+// than the placer of the servers.
+void ApplyRemotePlacement(State& state, Request& request,
+                          const PlacementResponse& response) {
+  if (const auto backends = UncountedRateLimitsAt(state, response);
+      !backends.empty()) {
+    RequestAgainAfterRateLimits(state, request, backends);
+    return;
+  }
+  const auto ungranted = UngrantedServersAt(state, response);
+  // A grant for an earlier placement request may be too old.
+  const bool is_void = !response.warm_up_grants.empty() &&
+                       response.sequence != request.placement_sequence;
+  if (!ungranted.empty() || is_void) {
+    RequestAgainForWarmUp(state, request, ungranted);
+    return;
+  }
+  request.warm_up_grants = response.warm_up_grants;
+  request.warm_up_grants_until =
+      request.placement_requested_at + kWarmUpGrantLifetime;
+  StartPlacedAttempt(state, request, response.placement);
+}
+
 void DropExpiredPlacements(State& state) {
   std::erase_if(state.dispatch.remote_placements, [&](const auto& it) {
     const RemotePlacement& remote = it.second;
@@ -236,7 +286,7 @@
         {{"request", request.metadata.id}, {"placer", request.placer}});
   }
   request.phase = Phase::kWaiting;
-  request.placer = NextPlacer(state);
+  request.placer = NextPlacerFor(state);
   request.placer_responded = false;
   if (request.placer == state.options.peer_address) {
     request.placer.clear();
@@ -256,11 +306,14 @@
     PlaceLocally(state, request);
     return;
   }
+  const bool is_placer =
+      dispatch.place_locally || IsPlacer(state, request.placer);
   request.retry_at =
-      state.now + (IsPlacer(state, request.placer) ? kPlacerTimeout
-                                                   : kFallbackPlacerTimeout);
+      state.now + (is_placer ? kPlacerTimeout : kFallbackPlacerTimeout);
   dispatch.response_due = std::min(
       dispatch.response_due.value_or(request.retry_at), request.retry_at);
+  request.placement_sequence = ++dispatch.last_sequence;
+  request.placement_requested_at = state.now;
   state.effects.emplace_back(IncrementCounter{Counter::kPlacementsRequested});
   state.effects.emplace_back(RequestPlacement{
       .to = request.placer, .request = PlacementRequestFor(state, request)});
@@ -289,12 +342,7 @@
   request.placer_responded = true;
   switch (response.outcome) {
     case PlacementOutcome::kPlaced:
-      if (const auto backends = UncountedRateLimitsAt(state, response);
-          !backends.empty()) {
-        RequestAgainAfterRateLimits(state, request, backends);
-        return;
-      }
-      StartPlacedAttempt(state, request, response.placement);
+      ApplyRemotePlacement(state, request, response);
       return;
     case PlacementOutcome::kQueued:
       QueueRequest(state, request, kPlacementRepeatInterval, response.shortage);
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -76,7 +76,7 @@
   std::set<std::uint64_t> suspected_parts;
   std::string data_centre;  // of the daemon that sends it
   AllowedRegions allowed_regions;
-  bool awaits_rate_limit = false;  // has waited for a server's rate limit
+  std::optional<Shortage> waits_for;  // has waited for this
   // Servers that the sending daemon backs off from.
   std::set<BackendId> backing_off;
 };
@@ -317,6 +317,60 @@
 // Records that the server is cold for `left` from now, as `source` says.
 void RecordWarmUp(State& state, const Backend& backend, Duration left,
                   WarmUpSource source);
+// Applies what the server's entry says. `is_new`: the incarnation was unknown
+// before, so that no daemon can have sent to it as to a warm server.
+void ApplyEntryWarmUp(State& state, const Backend& backend, bool is_new);
+// Treats the server as cold, as a later incarnation runs at its address whose
+// entry isn't known yet.
+void RecordRestart(State& state, const Backend& backend);
+// Drops the records of servers that are gone or warm.
+void DropWarmUps(State& state);
+// Whether a server of the service is cold, or of any service.
+bool AnyCold(const State& state, const std::string& service);
+bool AnyCold(const State& state);
+// The servers that may get a request now, by what is known of their warm-ups:
+// the warm ones, and the cold ones for which this daemon has a grant, those
+// with most tokens first.
+struct WarmUpChoice {
+  std::vector<const Backend*> warm;
+  std::vector<const Backend*> granted;
+};
+WarmUpChoice ChooseByWarmUp(State& state, const PlacementDemand& demand,
+                            const std::vector<const Backend*>& open);
+// Decides about a request that none of `open` may get now because they are
+// cold.
+PlacementDecision WaitForWarmUp(State& state, const PlacementDemand& demand,
+                                const std::vector<const Backend*>& open);
+// Counts a placement against the meters of its cold servers. Returns these, and
+// those of its servers that are known to be warm while others may not know it.
+std::vector<BackendId> TakeWarmUpGrants(State& state,
+                                        const Placement& placement);
+// Whether the request's current attempt may be sent to the server as far as its
+// warm-up matters.
+bool HasWarmUpGrant(const State& state, const Request& request,
+                    const Backend& backend);
+// Returns the cold servers of a placement that the placer didn't count.
+std::vector<BackendId> UngrantedServersAt(State& state,
+                                          const PlacementResponse& response);
+// Asks servers whose warm-up is only presumed whether they are cold.
+void CheckColdHealth(State& state);
+void OnHealthChecked(State& state, const HealthChecked& event);
+
+// warm_up_lease.cc: which daemon grants requests to cold servers.
+
+// Whether this daemon holds the lease, and whether it may grant by it.
+bool HoldsWarmUpLease(const State& state);
+bool GrantsWarmUps(const State& state);
+// Returns the time until this daemon can grant; if it doesn't hold the lease,
+// the longest time that a change of the granter takes.
+Duration TimeUntilGranting(const State& state);
+// Returns another daemon that grants and isn't suspected; empty: none.
+std::string FindWarmUpGranter(const State& state);
+// Takes, renews or releases the lease as this daemon's duties demand.
+void UpdateWarmUpLease(State& state);
+void OnWarmUpLeaseHeld(State& state, const WarmUpLeaseHeld& event);
+void OnWarmUpLeaseRefused(State& state, const WarmUpLeaseRefused& event);
+void OnWarmUpLeaseLost(State& state, const WarmUpLeaseLost& event);
 
 // endings.cc: crashes of backend servers and quarantine of the requests that
 // may cause them.
@@ -472,6 +526,23 @@
 // Decides about a request that none of `open` may get now.
 PlacementDecision WaitForRateLimit(State& state, const PlacementDemand& demand,
                                    const std::vector<const Backend*>& open);
+// What requests wait for that lack a token of a server's meter: how many tokens
+// come, of `servers` servers together, and when the next one does.
+struct TokenSupply {
+  Shortage shortage = Shortage::kRateLimit;
+  std::size_t servers = 0;
+  double per_second = 0;
+  Duration next_token{};
+};
+// Counts the requests at all daemons that wait for a token of the same service
+// because of `shortage` and go before `demand`.
+std::size_t AheadOf(const State& state, const PlacementDemand& demand,
+                    Shortage shortage);
+// Decides whether a request waits for a token or is refused at once.
+PlacementDecision WaitForToken(State& state, const PlacementDemand& demand,
+                               const TokenSupply& supply);
+// The backend server of a placement and its prefill helpers.
+std::vector<BackendId> BackendsOf(const Placement& placement);
 // Counts a request against the rate limit of a server, whichever daemon sends
 // it.
 void RecordStart(State& state, BackendId backend);
--- a/serving/src/paths.cc
+++ b/serving/src/paths.cc
@@ -177,8 +177,8 @@
   for (const Backend* it : OpenBackends(state, service)) {
     const bool is_probed =
         path.probes.contains(it->id) || state.liveness_checks.contains(it->id);
-    const bool spares =
-        IsRateLimited(state, it->id) || IsBackingOff(state, it->id);
+    const bool spares = IsRateLimited(state, it->id) ||
+                        IsBackingOff(state, it->id) || IsCold(state, *it);
     if (!is_probed && !spares) servers.push_back(it);
   }
   const auto missed_at = [&](const Backend* it) {
--- a/serving/src/reducer.cc
+++ b/serving/src/reducer.cc
@@ -78,6 +78,8 @@
     DropExpiredLeaving(state);
     DropExpiredBackoffs(state);
     UpdateStoreRoles(state);
+    UpdateWarmUpLease(state);
+    CheckColdHealth(state);
   }
   FollowStore(state);
   UpdatePartClearances(state);
@@ -101,6 +103,7 @@
             OnMemoryAnswered(state, it);
           },
           [&](const EngineReportReceived& it) { OnReport(state, it); },
+          [&](const HealthChecked& it) { OnHealthChecked(state, it); },
           [&](const LivenessProbed& it) {
             OnPathProbed(state, it);
             OnLivenessProbed(state, it);
@@ -137,6 +140,11 @@
           [&](const OwnEntryLost&) {
             state.slack_share.OnEntryLost(state.now);
           },
+          [&](const WarmUpLeaseHeld& it) { OnWarmUpLeaseHeld(state, it); },
+          [&](const WarmUpLeaseRefused& it) {
+            OnWarmUpLeaseRefused(state, it);
+          },
+          [&](const WarmUpLeaseLost& it) { OnWarmUpLeaseLost(state, it); },
           [&](const DaemonsCounted& it) { OnDaemonsCounted(state, it); },
           [&](const SnapshotReceived& it) { OnSnapshot(state, it); },
           [&](const PlacementRequestReceived& it) {
@@ -204,7 +212,8 @@
       state.stop_at.has_value() || !state.dispatch.remote_placements.empty() ||
       !state.liveness_checks.empty() || !state.doubtful_services.empty() ||
       state.quarantine.has_unsaved() || state.part_quarantine.has_unsaved() ||
-      !state.pending_clearances.empty();
+      !state.pending_clearances.empty() || !state.warm_ups.empty() ||
+      state.warm_up_granting.lease_until.has_value();
   const Time tick = state.ticked_at + (busy ? internal::kBusyTickInterval
                                             : internal::kIdleTickInterval);
   const Time due = std::min(tick, internal::NextStoreWake(state));
--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -68,8 +68,8 @@
 void FetchDueReports(State& state) {
   if (!IsServing(state)) return;
   for (auto& [name, backend] : state.backends) {
-    const bool is_blocked =
-        FindSendBlock(state, backend, {.has_warm_up_grant = true}).has_value();
+    // A cold engine gets no report calls; it is expected to be slow.
+    const bool is_blocked = FindSendBlock(state, backend, {}).has_value();
     if (backend.report_due > state.now || is_blocked) continue;
     backend.report_due = state.now + kReportInterval;
     const bool is_engine = TimingOf(state, backend.server.service) != nullptr;
@@ -93,9 +93,13 @@
         {{"backend", backend->server.id},
          {"born", std::to_string(event.start_unix_ms)},
          {"known", std::to_string(backend->server.start_unix_ms)}});
+    const bool is_later = event.start_unix_ms > backend->server.start_unix_ms;
+    if (is_later) RecordRestart(state, *backend);
     return;
   }
   RecordEngineAlive(state, event.backend);
+  // A report that was fetched before the engine was known to be cold.
+  if (IsCold(state, *backend)) return;
   const bool was_slow = backend->slow;
   backend->slow = event.slowdown >= kSlowdownThreshold;
   if (backend->slow) {
--- a/serving/src/server_limits.cc
+++ b/serving/src/server_limits.cc
@@ -36,6 +36,8 @@
 // Waiting requests of other daemons count only if their last snapshot is no
 // older than this.
 constexpr Duration kMaxQueueSnapshotAge = milliseconds(300);
+// Longer than any request waits.
+constexpr Duration kNoTokenExpected = seconds(3600);
 
 // The requests a second that all daemons together may send under this limit.
 double RateOf(const KnownLimit& limit) {
@@ -62,22 +64,27 @@
   return limit.rate_limiter.HasToken(state.now);
 }
 
-// Counts the requests at all daemons that wait for a rate limit of the same
-// service and go before `demand`.
-std::size_t AheadOf(const State& state, const PlacementDemand& demand) {
+}  // namespace
+
+std::size_t AheadOf(const State& state, const PlacementDemand& demand,
+                    Shortage shortage) {
   const Time queue_key = QueueKeyOf(state, demand);
   std::size_t ahead = 0;
   const auto add = [&](const std::string& service, Time other_key) {
     if (service == demand.service && other_key < queue_key) ++ahead;
   };
   for (const auto& [key, it] : state.requests) {
-    if (AwaitsRateLimit(it)) add(it.service, QueueKeyOf(state, it));
+    if (it.phase == Phase::kWaiting && it.waits_for == shortage)
+      add(it.service, QueueKeyOf(state, it));
   }
   for (const auto& [key, it] : state.dispatch.remote_placements) {
-    const bool awaits_rate_limit =
-        !it.placement && it.waits_for == Shortage::kRateLimit;
-    if (awaits_rate_limit) add(it.request.service, QueueKeyOf(state, it));
+    const bool waits = !it.placement && it.waits_for == shortage;
+    if (waits) add(it.request.service, QueueKeyOf(state, it));
   }
+  // Requests that wait for a cold server have a placement request at the
+  // warm-up granter, so that snapshots name only those that wait for a rate
+  // limit.
+  if (shortage != Shortage::kRateLimit) return ahead;
   for (const auto& [address, member] : state.members) {
     // The queue of a daemon that has gone silent is ignored: a daemon publishes
     // more often than this while any request waits there.
@@ -89,24 +96,36 @@
   return ahead;
 }
 
-// Estimates the time until a request may start that has `ahead` requests before
-// it.
-Duration ExpectedWait(State& state, std::size_t ahead,
-                      const std::vector<const Backend*>& open) {
-  double rate = 0;
-  Duration time_to_next_token = Duration::max();
-  for (const Backend* it : open) {
-    KnownLimit& limit = state.limits.at(it->id);
-    rate += RateOf(limit) * RateShare(state);
-    time_to_next_token = std::min(time_to_next_token,
-                                  limit.rate_limiter.TimeUntilToken(state.now));
+PlacementDecision WaitForToken(State& state, const PlacementDemand& demand,
+                               const TokenSupply& supply) {
+  const std::size_t ahead = AheadOf(state, demand, supply.shortage);
+  Duration expected = kNoTokenExpected;
+  if (supply.per_second > 0 && supply.next_token < kNoTokenExpected) {
+    const std::chrono::duration<double> queue_delay(static_cast<double>(ahead) /
+                                                    supply.per_second);
+    expected = std::min(
+        kNoTokenExpected,
+        supply.next_token + std::chrono::duration_cast<Duration>(queue_delay));
   }
-  const std::chrono::duration<double> queue_delay(static_cast<double>(ahead) /
-                                                  rate);
-  return time_to_next_token + std::chrono::duration_cast<Duration>(queue_delay);
+  const Duration until_due = demand.due - state.now;
+  const Duration max_wait =
+      demand.waits_for == supply.shortage
+          ? demand.deadline - state.now - demand.prefill_time
+          : std::max(FractionOf(until_due, kMaxWaitShare), kMinAcceptedWait);
+  if (expected <= max_wait) return NoCapacityNow{supply.shortage};
+  const Duration retry_after = RetryAfterOf(state, demand, expected);
+  Log(state, supply.shortage == Shortage::kWarmUp ? "warming_up" : "limited",
+      {{"request", demand.id},
+       {"service", demand.service},
+       {"servers", std::to_string(supply.servers)},
+       {"ahead", std::to_string(ahead)},
+       {"expected_ms", Millis(expected)},
+       {"retry_after_ms", Millis(retry_after)},
+       {"waited_ms", Millis(state.now - demand.arrived)}});
+  return DeadlineUnreachable{.retry_after = retry_after,
+                             .shortage = supply.shortage};
 }
 
-// The backend server of a placement and its prefill helpers.
 std::vector<BackendId> BackendsOf(const Placement& placement) {
   std::vector<BackendId> servers{placement.backend};
   servers.insert(servers.end(), placement.helpers.begin(),
@@ -114,8 +133,6 @@
   return servers;
 }
 
-}  // namespace
-
 std::optional<double> RateLimitOf(const State& state, BackendId backend) {
   const auto it = state.limits.find(backend);
   return it == state.limits.end() ? std::nullopt : it->second.limit.per_second;
@@ -179,7 +196,8 @@
                              !ReceivesAllActiveRequests(state);
   if (!unlimited.empty() && avoid_limited) return unlimited;
   // Rate tokens go first to the requests that already wait for them.
-  if (!within_limit.empty() && AheadOf(state, demand) >= within_limit.size())
+  if (!within_limit.empty() &&
+      AheadOf(state, demand, Shortage::kRateLimit) >= within_limit.size())
     return unlimited;
   unlimited.insert(unlimited.end(), within_limit.begin(), within_limit.end());
   std::sort(unlimited.begin(), unlimited.end(),
@@ -189,25 +207,16 @@
 
 PlacementDecision WaitForRateLimit(State& state, const PlacementDemand& demand,
                                    const std::vector<const Backend*>& open) {
-  const std::size_t ahead = AheadOf(state, demand);
-  const Duration expected = ExpectedWait(state, ahead, open);
-  const Duration until_due = demand.due - state.now;
-  const Duration max_wait =
-      demand.awaits_rate_limit
-          ? demand.deadline - state.now - demand.prefill_time
-          : std::max(FractionOf(until_due, kMaxWaitShare), kMinAcceptedWait);
-  if (expected <= max_wait) return NoCapacityNow{Shortage::kRateLimit};
-  const Duration retry_after = RetryAfterOf(state, demand, expected);
-  Log(state, "limited",
-      {{"request", demand.id},
-       {"service", demand.service},
-       {"servers", std::to_string(open.size())},
-       {"ahead", std::to_string(ahead)},
-       {"expected_ms", Millis(expected)},
-       {"retry_after_ms", Millis(retry_after)},
-       {"waited_ms", Millis(state.now - demand.arrived)}});
-  return DeadlineUnreachable{.retry_after = retry_after,
-                             .shortage = Shortage::kRateLimit};
+  TokenSupply supply{.shortage = Shortage::kRateLimit,
+                     .servers = open.size(),
+                     .next_token = Duration::max()};
+  for (const Backend* it : open) {
+    KnownLimit& limit = state.limits.at(it->id);
+    supply.per_second += RateOf(limit) * RateShare(state);
+    supply.next_token = std::min(supply.next_token,
+                                 limit.rate_limiter.TimeUntilToken(state.now));
+  }
+  return WaitForToken(state, demand, supply);
 }
 
 void RecordStart(State& state, BackendId backend) {
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -44,6 +44,7 @@
                         .places = PlacesForOthers(state),
                         .relays = true,
                         .withdrawn = state.withdrawn,
+                        .grants_warm_ups = HoldsWarmUpLease(state),
                         .capacity = state.options.capacity,
                         .configuration = StampOf(state),
                         .epoch = state.store.epoch.number,
@@ -84,6 +85,7 @@
           .is_hub = snapshot.is_hub,
           .places = snapshot.places,
           .withdrawn = snapshot.withdrawn,
+          .grants_warm_ups = snapshot.grants_warm_ups,
           .configuration = snapshot.configuration,
           .epoch = snapshot.epoch,
           .reconciled = snapshot.reconciling_for == Duration::zero()};
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -48,17 +48,26 @@
   }
   const auto takes_work = [&](const Backend* it) {
     return it != nullptr &&
-           !FindSendBlock(state, *it,
-                          {.allowed_regions = &request.allowed_regions,
-                           .sends_now = true,
-                           .has_warm_up_grant = true});
+           !FindSendBlock(
+               state, *it,
+               {.allowed_regions = &request.allowed_regions,
+                .sends_now = true,
+                .has_warm_up_grant = HasWarmUpGrant(state, request, *it)});
   };
   const bool helpers_ready =
       std::all_of(helpers.begin(), helpers.end(), takes_work);
   if (!takes_work(backend) || !helpers_ready || !AreBackendsUsable(state)) {
     // The placer may not know yet that this server is leaving, or asked for a
-    // backoff.
-    if (!takes_work(backend)) request.excluded.insert(request.backend);
+    // backoff. Of a cold server, only the grant may be void.
+    const bool lacks_grant =
+        backend != nullptr && !HasWarmUpGrant(state, request, *backend);
+    if (!takes_work(backend) && !lacks_grant)
+      request.excluded.insert(request.backend);
+    if (lacks_grant) {
+      state.effects.emplace_back(IncrementCounter{Counter::kWarmUpGrantsVoid});
+      Log(state, "warm_up_void",
+          {{"request", request.metadata.id}, {"backend", backend->server.id}});
+    }
     Requeue(state, request, kLocalPlacementRetryInterval);
     return;
   }
@@ -276,10 +285,11 @@
     return;
   }
   if (RefuseIfAllBackingOff(state, request, open)) return;
-  // Plain requests go to a placer only if a rate limit counts them over all
-  // daemons.
+  // Plain requests go to a placer only if a rate limit or the warm-up of a
+  // server counts them over all daemons.
   const bool is_fleet_wide = TimingOf(state, request.service) != nullptr ||
-                             AnyRateLimited(state, request.service);
+                             AnyRateLimited(state, request.service) ||
+                             AnyCold(state, request.service);
   if (is_fleet_wide && !ReceivesAllActiveRequests(state)) {
     RequestRemotePlacement(state, request);
     return;
@@ -287,22 +297,56 @@
   PlaceLocally(state, request);
 }
 
+namespace {
+
+// Whether only a cold server could take a request about which this daemon has
+// decided so, and another daemon grants the use of these.
+bool NeedsWarmUpGranter(const State& state, const Request& request,
+                        const PlacementDecision& decision) {
+  if (state.warm_ups.empty() || !state.dispatch.place_locally) return false;
+  if (GrantsWarmUps(state) || !AnyCold(state, request.service)) return false;
+  const auto* lacks = std::get_if<NoCapacityNow>(&decision);
+  const auto* refused = std::get_if<DeadlineUnreachable>(&decision);
+  if (lacks == nullptr && refused == nullptr) return false;
+  const Shortage shortage =
+      lacks != nullptr ? lacks->shortage : refused->shortage;
+  const bool is_capacity =
+      shortage != Shortage::kCrashCheck && shortage != Shortage::kBackoff;
+  return is_capacity && !FindWarmUpGranter(state).empty();
+}
+
+// Starts a request at servers that this daemon itself has chosen.
+void StartLocally(State& state, Request& request, const Placement& placement) {
+  // The warm-up granter was requested to place it.
+  if (state.dispatch.place_locally) WithdrawPlacement(state, request);
+  request.warm_up_grants = TakeWarmUpGrants(state, placement);
+  request.warm_up_grants_until = state.now + kWarmUpGrantLifetime;
+  StartPlacedAttempt(state, request, placement);
+}
+
+}  // namespace
+
 void PlaceLocally(State& state, Request& request) {
+  const PlacementDecision decision =
+      DecidePlacement(state, DemandOf(state, request));
+  if (NeedsWarmUpGranter(state, request, decision)) {
+    RequestRemotePlacement(state, request);
+    return;
+  }
   std::visit(
-      Overloaded{
-          [&](const Placement& it) { StartPlacedAttempt(state, request, it); },
-          [&](const NoCapacityNow& it) {
-            QueueRequest(state, request, kLocalPlacementRetryInterval,
-                         it.shortage);
-          },
-          [&](const TooLarge&) {
-            RefuseRequest(state, request, Refusal::kInvalid, {});
-          },
-          [&](const DeadlineUnreachable& it) {
-            RefuseRequest(state, request, RefusalFor(it.shortage),
-                          it.retry_after);
-          }},
-      DecidePlacement(state, DemandOf(state, request)));
+      Overloaded{[&](const Placement& it) { StartLocally(state, request, it); },
+                 [&](const NoCapacityNow& it) {
+                   QueueRequest(state, request, kLocalPlacementRetryInterval,
+                                it.shortage);
+                 },
+                 [&](const TooLarge&) {
+                   RefuseRequest(state, request, Refusal::kInvalid, {});
+                 },
+                 [&](const DeadlineUnreachable& it) {
+                   RefuseRequest(state, request, RefusalFor(it.shortage),
+                                 it.retry_after);
+                 }},
+      decision);
 }
 
 void StartWaitingRequests(State& state) {
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -92,6 +92,7 @@
   to.set_places(snapshot.places);
   to.set_relays(snapshot.relays);
   to.set_withdrawn(snapshot.withdrawn);
+  to.set_grants_warm_ups(snapshot.grants_warm_ups);
   if (!snapshot.incremental) to.set_capacity(snapshot.capacity);
   for (const auto it : snapshot.finished_ids) to.add_ended(it);
   for (const auto& it : snapshot.active_requests)
@@ -173,6 +174,7 @@
       .places = from.places(),
       .relays = from.relays(),
       .withdrawn = from.withdrawn(),
+      .grants_warm_ups = from.grants_warm_ups(),
       .capacity = from.capacity(),
       .configuration = {.version = from.version(),
                         .revision = {.epoch = from.configuration_era(),
@@ -325,7 +327,8 @@
           .fingerprint = from.content(),
           .crash_suspected = from.doubtful(),
           .suspected_parts = {from.suspected_parts().begin(),
-                              from.suspected_parts().end()}};
+                              from.suspected_parts().end()},
+          .sequence = from.sequence()};
 }
 
 // Nothing where it names what this version does not know.
@@ -349,6 +352,9 @@
                                       from.helper_tokens().end()},
                     .first_token = Duration(from.first_token_us())},
       .rate_limits_counted = {from.counted().begin(), from.counted().end()},
+      .warm_up_grants = {from.warm_up_grants().begin(),
+                         from.warm_up_grants().end()},
+      .sequence = from.sequence(),
       .shortage = static_cast<serving::Shortage>(shortage),
       .retry_after = Duration(from.retry_after_us())};
 }
@@ -377,6 +383,7 @@
   to.set_content(question.fingerprint);
   to.set_doubtful(question.crash_suspected);
   for (const auto it : question.suspected_parts) to.add_suspected_parts(it);
+  to.set_sequence(question.sequence);
   return datagram.SerializeAsString();
 }
 
@@ -395,6 +402,8 @@
   for (const auto it : answer.placement.helper_tokens) to.add_helper_tokens(it);
   to.set_first_token_us(answer.placement.first_token.count());
   for (const auto it : answer.rate_limits_counted) to.add_counted(it);
+  for (const auto it : answer.warm_up_grants) to.add_warm_up_grants(it);
+  to.set_sequence(answer.sequence);
   return datagram.SerializeAsString();
 }
 
--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -196,7 +196,8 @@
                                            .backing_off = {14, 15},
                                            .fingerprint = 13,
                                            .crash_suspected = true,
-                                           .suspected_parts = {5, 6}};
+                                           .suspected_parts = {5, 6},
+                                           .sequence = 16};
   // Times stand as far from now on the other daemon's clock.
   const Time there = kNow + seconds(100);
   const auto asked = Back<serving::PlacementRequestReceived>(
@@ -220,6 +221,7 @@
   CHECK(asked.fingerprint == 13);
   CHECK(asked.crash_suspected);
   CHECK(asked.suspected_parts == question.suspected_parts);
+  CHECK(asked.sequence == 16);
 
   const serving::PlacementResponse answer{
       .peer_address = "2.2.2.2:2",
@@ -232,6 +234,8 @@
                     .helper_tokens = {0, 9},
                     .first_token = milliseconds(10)},
       .rate_limits_counted = {6, 8},
+      .warm_up_grants = {6, 7},
+      .sequence = 16,
       .shortage = serving::Shortage::kCombinedMemory,
       .retry_after = milliseconds(11)};
   const auto back =
@@ -248,6 +252,8 @@
   CHECK(back.shortage == serving::Shortage::kCombinedMemory);
   CHECK(back.retry_after == milliseconds(11));
   CHECK(back.rate_limits_counted == answer.rate_limits_counted);
+  CHECK(back.warm_up_grants == answer.warm_up_grants);
+  CHECK(back.sequence == 16);
 }
 
 }  // namespace
