--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -297,6 +297,20 @@
   orders_.Start(std::move(call));
 }
 
+void BackendCalls::AskHealth(const serving::CheckHealth& question) {
+  HttpCall call = platform::HealthCall(question);
+  call.on_done = [this, question](const HttpResult& result) {
+    const auto* response = ValueOf(result);
+    if (response != nullptr) {
+      feed_(platform::ReadHealth(*response, question.backend));
+      return;
+    }
+    LogInfo("no_health",
+            {{"address", question.address}, {"why", OutcomeText(result)}});
+  };
+  orders_.Start(std::move(call));
+}
+
 // Any answer will do: what counts is whether anybody listens there.
 void BackendCalls::AskLife(const serving::ProbeLiveness& question) {
   HttpCall call = platform::ReportCall(
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -183,6 +183,16 @@
           },
           [&](const serving::WatchStore& it) { store_->SetWatch(it.enabled); },
           [&](const serving::SaveCrashes& it) { store_->Save(it); },
+          [&](const serving::AcquireWarmUpLease&) {
+            store_->warm_up_lease().Acquire();
+          },
+          [&](const serving::RenewWarmUpLease&) {
+            store_->warm_up_lease().Renew();
+          },
+          [&](const serving::ReleaseWarmUpLease&) {
+            store_->warm_up_lease().Release();
+          },
+          [&](const serving::CheckHealth& it) { backends_->AskHealth(it); },
           [&](const serving::RelayStoreState& it) {
             for (const auto& [to, relay] : it.messages) {
               Tell(DatagramKind::kRelay, to, EncodeDatagram(relay));
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -32,6 +32,11 @@
       std::count_if(state.backoffs.begin(), state.backoffs.end(),
                     [&](const auto& it) { return it.second > state.now; });
   RenderGauge(out, "backends_resting", static_cast<double>(resting));
+  const auto cold = std::count_if(
+      state.warm_ups.begin(), state.warm_ups.end(),
+      [&](const auto& it) { return it.second.until > state.now; });
+  RenderGauge(out, "backends_cold", static_cast<double>(cold));
+  RenderGauge(out, "warm_up_granter", serving::IsWarmUpGranter(state) ? 1 : 0);
 }
 
 void RenderDispatch(std::ostream& out,
--- a/daemon/src/internal/backend_calls.h
+++ b/daemon/src/internal/backend_calls.h
@@ -34,6 +34,7 @@
   void Reserve(const serving::ReserveMemory& order);
   void Release(const serving::ReleaseMemory& order);
   void AskReport(const serving::FetchEngineReport& question);
+  void AskHealth(const serving::CheckHealth& question);
   void AskLife(const serving::ProbeLiveness& question);
 
   // The whole answer of an attempt, or the head of its stream; nullptr where
--- a/daemon/src/internal/store_follower.h
+++ b/daemon/src/internal/store_follower.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "internal/registration.h"
+#include "internal/warm_up_lease.h"
 #include "scaleshed/platform/store_client.h"
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/runtime/http_client.h"
@@ -56,6 +57,7 @@
   // The store may have lost this daemon's entry.
   void WriteEntryAgain();
   void WriteSettledEra(std::uint64_t era);
+  WarmUpLease& warm_up_lease() { return warm_up_lease_; }
 
   std::uint64_t calls() const { return store_.calls(); }
 
@@ -107,6 +109,7 @@
   Time trouble_at_{};
   Time heard_at_{};  // last, something of an answer
   Registration registration_;
+  WarmUpLease warm_up_lease_;
   Timer list_timer_;
   Timer watch_timer_;
 };
--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -85,6 +85,12 @@
                                      auto error) { return Noted(call, error); },
                      .feed = [this](auto body) { feed_(std::move(body)); },
                      .on_registered = [this] { ListOnceRegistered(); }}),
+      warm_up_lease_(
+          loop, store_,
+          {.peer_address = options_.peer_address,
+           .noted = [this](const char* call,
+                           auto error) { return Noted(call, error); },
+           .feed = [this](auto body) { feed_(std::move(body)); }}),
       list_timer_(loop, [this] { List(); }),
       watch_timer_(loop, [this] { Watch(); }) {}
 
--- a/serving/include/scaleshed/serving/reducer.h
+++ b/serving/include/scaleshed/serving/reducer.h
@@ -28,6 +28,9 @@
 // its network paths to the backend servers that other daemons reach.
 bool TakesClients(const State& state);
 
+// Whether this daemon holds the lease of the warm-up granter.
+bool IsWarmUpGranter(const State& state);
+
 // Whether the newest known configuration is from an earlier store epoch: the
 // operators haven't rewritten it since the restore.
 bool AwaitsConfigurationRewrite(const State& state);
--- a/serving/src/warm_up_lease.cc
+++ b/serving/src/warm_up_lease.cc
@@ -140,7 +140,10 @@
 void OnWarmUpLeaseHeld(State& state, const WarmUpLeaseHeld& event) {
   WarmUpGranting& granting = state.warm_up_granting;
   const bool is_new = event.newly_taken || !granting.lease_until;
-  granting.lease_until = event.valid_until;
+  // Responses may arrive in another order than the calls were made.
+  granting.lease_until =
+      is_new ? event.valid_until
+             : std::max(*granting.lease_until, event.valid_until);
   granting.logged_refusal.clear();
   if (is_new) {
     granting.epoch = state.store.epoch.number;
@@ -172,3 +175,11 @@
 }
 
 }  // namespace scaleshed::serving::internal
+
+namespace scaleshed::serving {
+
+bool IsWarmUpGranter(const State& state) {
+  return internal::HoldsWarmUpLease(state);
+}
+
+}  // namespace scaleshed::serving
--- /dev/null
+++ b/serving/test/cold_servers_test.cc
@@ -0,0 +1,250 @@
+// Tests that a whole fleet sends a cold server no more requests within any
+// second than it bears, whichever daemons fail. They guard against daemons that
+// each grant for themselves: two that both take themselves for the granter,
+// those that place locally, and those that have just started.
+
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "simulated_fleet_load.h"
+
+namespace scaleshed::serving::test {
+namespace {
+
+constexpr double kPerSecond = 26;
+constexpr double kOverage = 1.5;
+constexpr double kSlack = 5;
+constexpr double kBound = kPerSecond * kOverage + kSlack;
+constexpr Duration kCold = seconds(30);
+
+SimulatedFleetOptions WithWarmUps(SimulatedFleetOptions options, int engines,
+                                  int plain_servers) {
+  options.engines = engines;
+  options.plain_servers = plain_servers;
+  options.warm_up = {.duration = seconds(3), .per_second = kPerSecond};
+  options.warm_up_overage = kOverage;
+  options.warm_up_slack = kSlack;
+  return options;
+}
+
+// A fleet that places locally and one with placers, before few servers.
+const SimulatedFleetOptions kFleets[] = {WithWarmUps(kSmallFleet, 3, 2),
+                                         WithWarmUps(kMediumFleet, 3, 2)};
+// More than twice what the cold servers together bear.
+const Load kHighLoad{.prompts = 180, .calls = 120, .length = seconds(10)};
+
+std::vector<std::string> ServersOf(const SimulatedFleetOptions& options) {
+  std::vector<std::string> servers;
+  for (int i = 0; i < options.engines; ++i)
+    servers.push_back("llm" + std::to_string(i));
+  for (int i = 0; i < options.plain_servers; ++i)
+    servers.push_back("app" + std::to_string(i));
+  return servers;
+}
+
+void StartAllCold(SimulatedFleet& fleet, const SimulatedFleetOptions& options) {
+  for (const std::string& it : ServersOf(options)) fleet.StartCold(it, kCold);
+}
+
+void CheckBound(const SimulatedFleet& fleet) {
+  for (const auto& [server, times] : fleet.cold_arrivals()) {
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+      while (times[last] - times[first] >= seconds(1)) ++first;
+      most = std::max(most, last - first + 1);
+    }
+    INFO(server << " got " << most << " requests within a second");
+    CHECK(static_cast<double>(most) <= kBound);
+  }
+}
+
+// The requests a second that the cold servers got on average from `from` to
+// `until`.
+double RateAt(const SimulatedFleet& fleet, std::size_t servers, Time from,
+              Time until) {
+  double n = 0;
+  for (const auto& [server, times] : fleet.cold_arrivals()) {
+    n += static_cast<double>(
+        std::count_if(times.begin(), times.end(),
+                      [&](Time it) { return it >= from && it < until; }));
+  }
+  const std::chrono::duration<double> length = until - from;
+  return n / length.count() / static_cast<double>(servers);
+}
+
+// Runs the load before servers that are all cold, with a fault 5 s after its
+// start. Requires the bound, and that the servers are filled before the fault
+// and from `recovery` after it.
+void CheckFault(const std::function<void(SimulatedFleet&)>& fault,
+                Duration recovery) {
+  for (const SimulatedFleetOptions& options : kFleets) {
+    INFO(options.daemons << " daemons");
+    SimulatedFleet fleet(options);
+    StartAllCold(fleet, options);
+    const Time start = fleet.now();
+    const Time fault_at = start + seconds(5);
+    bool is_faulty = false;
+    (void)RunLoad(fleet, options.daemons, kHighLoad, [&] {
+      if (is_faulty || fleet.now() < fault_at) return;
+      is_faulty = true;
+      fault(fleet);
+    });
+    CheckBound(fleet);
+    const auto servers =
+        static_cast<std::size_t>(options.engines + options.plain_servers);
+    CHECK(RateAt(fleet, servers, start + seconds(2), fault_at) >
+          0.6 * kPerSecond);
+    if (recovery < seconds(5)) {
+      CHECK(RateAt(fleet, servers, fault_at + recovery, start + seconds(10)) >
+            0.6 * kPerSecond);
+    }
+  }
+}
+
+TEST_CASE("Cold servers are filled and get no more than they bear") {
+  CheckFault([](SimulatedFleet&) {}, Duration::zero());
+}
+
+TEST_CASE("Requests that no cold server can take in time are refused at once") {
+  for (const SimulatedFleetOptions& options : kFleets) {
+    INFO(options.daemons << " daemons");
+    SimulatedFleet fleet(options);
+    StartAllCold(fleet, options);
+    const LoadResult result = RunLoad(fleet, options.daemons, kHighLoad);
+    CHECK(result.answered + fleet.refused().size() == result.sent);
+    std::size_t at_once = 0;
+    std::size_t warming_up = 0;
+    for (const auto& it : fleet.refused()) {
+      if (it.after < milliseconds(50)) ++at_once;
+      if (it.refusal.reason == Refusal::kWarmingUp) ++warming_up;
+    }
+    INFO(at_once << " at once, " << warming_up << " of "
+                 << fleet.refused().size());
+    CHECK(warming_up * 10 >= fleet.refused().size() * 9);
+    CHECK(at_once * 10 >= fleet.refused().size() * 9);
+  }
+}
+
+TEST_CASE("The bound holds while the granter and all placers die at once") {
+  CheckFault(
+      [](SimulatedFleet& fleet) {
+        for (const std::string& it : fleet.state(0).dispatch.placers)
+          fleet.FreezeDaemon(std::stoi(it.substr(1)));
+        if (fleet.granter() >= 0) fleet.FreezeDaemon(fleet.granter());
+      },
+      milliseconds(4500));
+}
+
+// The granter takes up what came meanwhile, also placement requests, after
+// another daemon has become the granter.
+TEST_CASE("The bound holds when a frozen granter goes on") {
+  for (const Duration pause : {milliseconds(400), milliseconds(1900),
+                               milliseconds(2600), milliseconds(4000)}) {
+    for (const SimulatedFleetOptions& options : kFleets) {
+      SimulatedFleet fleet(options);
+      StartAllCold(fleet, options);
+      const Time pause_at = fleet.now() + seconds(3);
+      int paused = -1;
+      bool is_over = false;
+      (void)RunLoad(fleet, options.daemons, kHighLoad, [&] {
+        if (paused == -1 && fleet.now() >= pause_at) {
+          paused = fleet.granter();
+          REQUIRE(paused != -1);
+          fleet.PauseDaemon(paused, true);
+        }
+        if (!is_over && fleet.now() >= pause_at + pause) {
+          is_over = true;
+          fleet.PauseDaemon(paused, false);
+        }
+      });
+      CHECK(is_over);
+      CheckBound(fleet);
+    }
+  }
+}
+
+TEST_CASE("Cold servers get nothing while the store is away") {
+  for (const SimulatedFleetOptions& options : kFleets) {
+    SimulatedFleet fleet(options);
+    StartAllCold(fleet, options);
+    fleet.AdvanceTime(seconds(2));
+    fleet.SetStoreUnreachable(true);
+    const Time away = fleet.now();
+    (void)RunLoad(fleet, options.daemons, kHighLoad, [&] {
+      if (fleet.now() >= away + seconds(5)) fleet.SetStoreUnreachable(false);
+    });
+    CheckBound(fleet);
+    const auto servers =
+        static_cast<std::size_t>(options.engines + options.plain_servers);
+    CHECK(RateAt(fleet, servers, away + seconds(2), away + seconds(5)) == 0);
+    CHECK(RateAt(fleet, servers, away + milliseconds(8200),
+                 away + seconds(10)) > 0.6 * kPerSecond);
+  }
+}
+
+TEST_CASE("The bound holds with daemons that have just started") {
+  CheckFault(
+      [](SimulatedFleet& fleet) {
+        const int granter = fleet.granter();
+        for (int i = 0; i < 8; i += 2) fleet.RestartDaemon(i);
+        if (granter >= 0) fleet.RestartDaemon(granter);
+      },
+      seconds(5));
+}
+
+TEST_CASE("Warm servers serve as before beside cold ones without a granter") {
+  for (SimulatedFleetOptions options : {kSmallFleet, kMediumFleet}) {
+    options = WithWarmUps(options, options.engines, options.plain_servers);
+    INFO(options.daemons << " daemons");
+    SimulatedFleet fleet(options);
+    fleet.SetStoreUnreachable(true);
+    for (int i = 0; i < options.engines; i += 2)
+      fleet.StartCold("llm" + std::to_string(i), kCold);
+    fleet.StartCold("app0", kCold);
+    const LoadResult result =
+        RunLoad(fleet, options.daemons, {.prompts = 60, .calls = 20});
+    CHECK(fleet.cold_arrivals().empty());
+    CHECK(result.answered == result.sent);
+  }
+}
+
+TEST_CASE("A running server that becomes cold is metered once that is known") {
+  for (const SimulatedFleetOptions& options : kFleets) {
+    SimulatedFleet fleet(options);
+    const Time cold_at = fleet.now() + seconds(2);
+    bool is_cold = false;
+    (void)RunLoad(fleet, options.daemons,
+                  {.prompts = 60, .calls = 40, .length = seconds(8)}, [&] {
+                    if (is_cold || fleet.now() < cold_at) return;
+                    is_cold = true;
+                    for (const std::string& it : ServersOf(options))
+                      fleet.MakeCold(it, kCold);
+                  });
+    CheckBound(fleet);
+    const auto servers =
+        static_cast<std::size_t>(options.engines + options.plain_servers);
+    CHECK(RateAt(fleet, servers, cold_at + seconds(3), cold_at + seconds(6)) >
+          0.6 * 20);
+  }
+}
+
+// A warm-up that is over leaves nothing behind, and the granter gives up its
+// lease.
+TEST_CASE("Servers that are warm again are used without grants") {
+  const SimulatedFleetOptions& options = kFleets[1];
+  SimulatedFleet fleet(options);
+  for (const std::string& it : ServersOf(options))
+    fleet.StartCold(it, seconds(3));
+  fleet.AdvanceTime(seconds(12));
+  CHECK(fleet.granter() == -1);
+  for (int i = 0; i < options.daemons; ++i) {
+    CHECK(fleet.state(i).warm_ups.empty());
+    CHECK(fleet.state(i).warm_up_granting.meters.empty());
+  }
+  const LoadResult result =
+      RunLoad(fleet, options.daemons, {.prompts = 60, .calls = 20});
+  CHECK(result.answered == result.sent);
+}
+
+}  // namespace
+}  // namespace scaleshed::serving::test
--- a/serving/test/simulated_fleet.h
+++ b/serving/test/simulated_fleet.h
@@ -38,6 +38,10 @@
   double message_loss_share = 0;
   // Share of the streams that are interrupted after their first event.
   double stream_reset_share = 0;
+  // Of both services.
+  WarmUpLimits warm_up{};
+  double warm_up_overage = 1;
+  double warm_up_slack = 0;
 };
 
 // Many daemons under one scripted clock in one process, with a simulated store
@@ -95,6 +99,38 @@
   void SetBackoff(const std::string& server, Duration rest) {
     engines_.at(server).rest = rest;
   }
+  // Starts a new incarnation of a server that is cold for `left`, or makes the
+  // running one cold. All daemons learn it `delay` later.
+  void StartCold(const std::string& server, Duration left,
+                 Duration delay = milliseconds(5)) {
+    ++engines_.at(server).born;
+    MakeCold(server, left, delay);
+  }
+  void MakeCold(const std::string& server, Duration left,
+                Duration delay = milliseconds(5)) {
+    Engine& engine = engines_.at(server);
+    engine.cold_until = now_ + left;
+    engine.revision = ++revision_;
+    for (int i = 0; i < options_.daemons; ++i) {
+      After(delay, i, BackendListed{EntryOf(server, engine)});
+    }
+  }
+  // Returns the requests that servers got, as decoder or helper, while they
+  // were cold: when each of them came, by server.
+  const std::map<std::string, std::vector<Time>>& cold_arrivals() const {
+    return cold_arrivals_;
+  }
+  // Returns the daemon that the store names as the warm-up granter; -1: none.
+  int granter() const { return granter_until_ > now_ ? granter_ : -1; }
+  // Stops a daemon's process, or lets it go on with all that came meanwhile.
+  void PauseDaemon(int i, bool paused) {
+    Node& node = nodes_.at(static_cast<std::size_t>(i));
+    node.paused = paused;
+    ledger_.Excuse(PeerOf(i));
+    if (paused) return;
+    for (EventBody& it : std::exchange(node.backlog, {}))
+      Feed(i, std::move(it));
+  }
   const testing::ServerLedger& ledger() const { return ledger_; }
   // Drops all messages between a daemon and the others, or delivers them again.
   void IsolateDaemon(int i, bool isolated) {
@@ -282,6 +318,8 @@
     int life = 0;
     Time dies = Time::max();  // set while it runs a poison request
     Time back = Time::max();  // set while it is down
+    std::uint64_t born = 0;
+    Time cold_until{};
     std::vector<Attempt> attempts;
   };
 
@@ -289,6 +327,8 @@
     std::unique_ptr<State> state;
     bool frozen = false;
     bool isolated = false;
+    bool paused = false;
+    std::vector<EventBody> backlog;  // that came while it was paused
     ServerLink server_link = ServerLink::kOpen;
     std::size_t heard = 0;  // messages received
   };
@@ -322,6 +362,8 @@
                        .seed = static_cast<std::uint64_t>(i) + life,
                        .capacity = strong ? 4.0 : 1.0,
                        .propagation_limit = seconds(3),
+                       .warm_up_overage = options_.warm_up_overage,
+                       .warm_up_slack = options_.warm_up_slack,
                        .retry_budget = {.slack = 1000}});
     if (options_.hold_slack_share) HoldSlack(state->slack_share);
     return state;
@@ -347,21 +389,56 @@
 
   // Feeds all that the store holds to a daemon.
   void TellAll(int i) {
-    Feed(i, ConfigurationReceived{.configuration = MakeConfiguration(1),
+    Configuration configuration = MakeConfiguration(1);
+    for (auto& [name, it] : configuration.services)
+      it.warm_up = options_.warm_up;
+    Feed(i, ConfigurationReceived{.configuration = std::move(configuration),
                                   .queried_at = now_});
     Feed(i, ListedEndings());
     BackendsListed all{.revision = {.number = revision_}, .queried_at = now_};
     for (const auto& [id, engine] : engines_) {
-      all.backends.push_back({.id = id,
-                              .service = engine.service,
-                              .address = engine.address,
-                              .data_centre = engine.data_centre,
-                              .slots = 16,
-                              .revision = {.number = engine.revision}});
+      all.backends.push_back(EntryOf(id, engine));
     }
     Feed(i, all);
   }
 
+  BackendServer EntryOf(const std::string& id, const Engine& engine) const {
+    return {
+        .id = id,
+        .service = engine.service,
+        .address = engine.address,
+        .data_centre = engine.data_centre,
+        .slots = 16,
+        .revision = {.number = engine.revision},
+        .start_unix_ms = engine.born,
+        .warm_up_left = std::max(engine.cold_until - now_, Duration::zero())};
+  }
+
+  void RecordColdArrival(const std::string& server) {
+    const auto it = engines_.find(server);
+    if (it != engines_.end() && it->second.cold_until > now_)
+      cold_arrivals_[server].push_back(now_);
+  }
+
+  // Carries out a daemon's call for the lease of the warm-up granter.
+  void CallForLease(int from, bool renews) {
+    constexpr Duration kLease = seconds(2);
+    const Time until = now_ + kLease;
+    const bool is_own = granter() == from;
+    if (store_cut_) {
+      After(seconds(1), from, WarmUpLeaseRefused{.reason = "unavailable"});
+    } else if (renews && !is_own) {
+      After(milliseconds(4), from, WarmUpLeaseLost{.reason = "over"});
+    } else if (!renews && granter() != -1) {
+      After(milliseconds(4), from, WarmUpLeaseRefused{.reason = "held"});
+    } else {
+      granter_ = from;
+      granter_until_ = until;
+      After(milliseconds(4), from,
+            WarmUpLeaseHeld{.valid_until = until, .newly_taken = !renews});
+    }
+  }
+
   AllCrashesListed ListedEndings() const {
     AllCrashesListed all{.crashes = {}, .revision = {.number = revision_}};
     all.crashes.reserve(stored_.size());
@@ -449,6 +526,8 @@
 
   void StartAt(int daemon, const StartAttempt& start) {
     ++sends_[start.instance];
+    RecordColdArrival(start.instance);
+    for (const PrefillHelper& it : start.helpers) RecordColdArrival(it.address);
     helpers_[start.key].push_back(start.helpers.size());
     waits_[start.key] = now_ - arrived_.at(start.key);
     const bool deadly = deadly_.contains(facts_.at(start.key).fingerprint);
@@ -591,6 +670,11 @@
   void Feed(int i, EventBody body) {
     Node& node = nodes_.at(static_cast<std::size_t>(i));
     if (node.frozen) return;
+    if (node.paused) {
+      if (!std::holds_alternative<Tick>(body))
+        node.backlog.push_back(std::move(body));
+      return;
+    }
     const auto effects =
         Reduce(*node.state, {.now = now_, .body = std::move(body)});
     for (const Effect& it : effects) Carry(i, it);
@@ -694,6 +778,12 @@
       aborted_.insert(it->key);
     } else if (const auto* it = std::get_if<SaveCrashes>(&effect)) {
       Save(from, *it);
+    } else if (std::holds_alternative<AcquireWarmUpLease>(effect)) {
+      CallForLease(from, /*renews=*/false);
+    } else if (std::holds_alternative<RenewWarmUpLease>(effect)) {
+      CallForLease(from, /*renews=*/true);
+    } else if (std::holds_alternative<ReleaseWarmUpLease>(effect)) {
+      if (granter() == from) granter_until_ = now_;
     } else if (const auto* it = std::get_if<ProbeLiveness>(&effect)) {
       Probe(from, *it);
     } else if (const auto* it = std::get_if<ReserveMemory>(&effect)) {
@@ -782,6 +872,9 @@
   std::map<StoredKey, StoredCrashes> stored_;
   bool store_cut_ = false;
   std::size_t saves_ = 0;
+  std::map<std::string, std::vector<Time>> cold_arrivals_;
+  int granter_ = -1;
+  Time granter_until_{};
   std::set<std::uint64_t> deadly_;
   std::vector<Time> ends_;
   std::vector<Time> deadly_sends_;
