--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -99,6 +99,13 @@
          " ms";
 }
 
+std::string ExplainWarmingUp(const TraceLine& line) {
+  return "refused as servers warm up: " + Field(line, "servers") +
+         " servers of " + Field(line, "service") + " are cold, " +
+         Field(line, "ahead") + " requests go before it, a start in " +
+         Field(line, "expected_ms") + " ms";
+}
+
 std::string ExplainAllRest(const TraceLine& line) {
   return "refused for rest: all " + Field(line, "servers") + " servers of " +
          Field(line, "service") + " want it, the first for " +
@@ -151,6 +158,7 @@
     {"refused", ExplainRefused},
     {"gives_up", ExplainGivesUp},
     {"limited", ExplainLimited},
+    {"warming_up", ExplainWarmingUp},
     {"all_rest", ExplainAllRest},
     {"server_limit", ExplainServerLimit},
     {"server_rest", ExplainServerRest},
@@ -192,6 +200,11 @@
        return Field(line, "placer") +
               " did not know of a limit where it placed it, and is told";
      }},
+    {"warm_up_void",
+     [](const TraceLine&) -> std::string {
+       return "not sent to a cold server, as the grant for it is missing or "
+              "too old: placed again";
+     }},
     {"server_leaving",
      [](const TraceLine& line) {
        return Field(line, "backend") + " says that it leaves";
--- a/cli/test/trace_test.cc
+++ b/cli/test/trace_test.cc
@@ -74,6 +74,12 @@
                             {"expected_ms", "900"}}) ==
         "1  a  refused for limits: all 3 servers of app have named one, 4 "
         "requests go before it, a start in 900 ms\n");
+  CHECK(explain("warming_up", {{"servers", "3"},
+                               {"service", "app"},
+                               {"ahead", "4"},
+                               {"expected_ms", "900"}}) ==
+        "1  a  refused as servers warm up: 3 servers of app are cold, 4 "
+        "requests go before it, a start in 900 ms\n");
   CHECK(explain("all_rest",
                 {{"servers", "2"}, {"service", "app"}, {"left_ms", "70"}}) ==
         "1  a  refused for rest: all 2 servers of app want it, the first for "
