--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -306,6 +306,20 @@
   orders_.Start(std::move(call));
 }
 
+void BackendCalls::AskHealth(const serving::CheckHealth& question) {
+  HttpCall call = platform::HealthCall(question);
+  call.on_done = [this, question](const HttpResult& result) {
+    const auto* response = ValueOf(result);
+    if (response != nullptr) {
+      feed_(platform::ReadHealth(*response, question.backend));
+      return;
+    }
+    LogInfo("no_health",
+            {{"address", question.address}, {"why", OutcomeText(result)}});
+  };
+  orders_.Start(std::move(call));
+}
+
 // Any answer will do: what counts is whether anybody listens there. The time
 // to connect is shorter than that of the call, so a call that ends by its own
 // time has connected.
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -204,6 +204,19 @@
 struct WriteReconciledEpoch {
   std::uint64_t epoch = 0;
 };
+// Take, renew and release the lease of the warm-up granter, which one daemon
+// holds at a time. WarmUpLeaseHeld, WarmUpLeaseRefused or WarmUpLeaseLost
+// follows the first two.
+struct AcquireWarmUpLease {};
+struct RenewWarmUpLease {};
+struct ReleaseWarmUpLease {};
+// Asks a backend server by a health check whether it is cold. HealthChecked
+// follows only if the server responds.
+struct CheckHealth {
+  BackendId backend = 0;
+  std::string address;
+  std::string path;
+};
 // Starts or ends this daemon's watch of the store's changes.
 struct WatchStore {
   bool enabled = false;
@@ -268,8 +281,11 @@
   kRelayedForOthers,
   kRelaysFailed,
   kEvacuationKeysUnreadable,
+  kWarmUpGrants,
+  kWarmUpGrantsVoid,
+  kWarmUpsUnreadable,
 };
-inline constexpr NameTable<Counter, 23> kCounterNames{{
+inline constexpr NameTable<Counter, 26> kCounterNames{{
     {Counter::kRequests, "requests"},
     {Counter::kDelivered, "delivered"},
     {Counter::kRefused, "refused"},
@@ -293,6 +309,9 @@
     {Counter::kRelayedForOthers, "relayed_for_others"},
     {Counter::kRelaysFailed, "relays_failed"},
     {Counter::kEvacuationKeysUnreadable, "evacuation_keys_unreadable"},
+    {Counter::kWarmUpGrants, "warm_up_grants"},
+    {Counter::kWarmUpGrantsVoid, "warm_up_grants_void"},
+    {Counter::kWarmUpsUnreadable, "warm_ups_unreadable"},
 }};
 
 // Adds one to a counter.
@@ -323,9 +342,10 @@
                  ReserveMemory, ReleaseMemory, FetchEngineReport, ProbeLiveness,
                  PublishSnapshot, PollStore, ReadConfiguration, ListStore,
                  RewriteOwnEntry, WriteReconciledEpoch, WatchStore, SaveCrashes,
-                 RelayStoreState, RequestPlacement, RespondToPlacement,
-                 LogDecision, IncrementCounter, ObserveLatency, ApplyLimits,
-                 Exit>;
+                 AcquireWarmUpLease, RenewWarmUpLease, ReleaseWarmUpLease,
+                 CheckHealth, RelayStoreState, RequestPlacement,
+                 RespondToPlacement, LogDecision, IncrementCounter,
+                 ObserveLatency, ApplyLimits, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace scaleshed::serving
