Allowed regions at placers and relays; client addresses by region and capacity

Requests of routes or client accounts with allowed regions were checked at the send only: placers didn't know the regions, relays could get a body outside of them, and the query of a client's look-up of addresses was not read.

Placement requests carry the allowed regions. A placer that has no server there refuses, and the request is refused as no_home; a daemon that knows such a server places the request itself, as it does after a placement outside (a placer of an older build). Requests are relayed only to daemons in allowed regions, and the relay checks again. A new configuration's regions apply to requests that were admitted before. no_home is given whenever no server in the regions takes the request, whatever there is outside.

Address selection has a module of its own. It names daemons of the client's region, then of regions that the host's routes allow, then any. In fleets with placers, daemons of unequal capacity are named with unequal probability. A part of a query that can't be read no longer hides the other parts.

--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -323,7 +323,7 @@
     return;
   }
   const serving::ClientAddresses answer =
-      serving::LookUpClientAddresses(state_);
+      serving::LookUpClientAddresses(state_, platform::ReadLookUp(exchange));
   exchange.Reply(kOk, {{"Content-Type", "application/json"}},
                  platform::LookUpJson(answer.addresses, answer.time_to_live));
 }
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 
 #include <boost/beast/http/status.hpp>
+#include <optional>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -58,12 +60,19 @@
 }
 
 std::string HttpExchange::Query(const std::string& name) const {
-  evkeyvalq values{};
-  if (evhttp_parse_query_str(query_.c_str(), &values) != 0) return "";
-  const char* value = evhttp_find_header(&values, name.c_str());
-  std::string text = value == nullptr ? "" : value;
-  evhttp_clear_headers(&values);
-  return text;
+  // Each part is parsed by itself, so that one that can't be read leaves the
+  // others readable.
+  std::istringstream parts(query_);
+  for (std::string part; std::getline(parts, part, '&');) {
+    evkeyvalq values{};
+    if (evhttp_parse_query_str(part.c_str(), &values) != 0) continue;
+    const char* value = evhttp_find_header(&values, name.c_str());
+    const std::optional<std::string> found =
+        value == nullptr ? std::nullopt : std::optional<std::string>(value);
+    evhttp_clear_headers(&values);
+    if (found) return *found;
+  }
+  return "";
 }
 
 std::string HttpExchange::remote_address() const {
--- a/serving/include/scaleshed/serving/dispatch.h
+++ b/serving/include/scaleshed/serving/dispatch.h
@@ -7,6 +7,7 @@
 
 #include "scaleshed/core/types.h"
 #include "scaleshed/serving/placement.h"
+#include "scaleshed/serving/send_block.h"
 #include "scaleshed/serving/work.h"
 
 namespace scaleshed::serving {
@@ -43,6 +44,8 @@
   // Fingerprints of the prompt's parts that are crash-suspected, by what the
   // requesting daemon knows.
   std::vector<std::uint64_t> suspected_parts;
+  // As Request::allowed_regions. A placer of an older build ignores them.
+  AllowedRegions allowed_regions;
 };
 
 // What a placer did with a PlacementRequest.
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -264,8 +264,9 @@
   kRelayed,
   kRelayedForOthers,
   kRelaysFailed,
+  kPlacedOutsideRegions,
 };
-inline constexpr NameTable<Counter, 22> kCounterNames{{
+inline constexpr NameTable<Counter, 23> kCounterNames{{
     {Counter::kRequests, "requests"},
     {Counter::kDelivered, "delivered"},
     {Counter::kRefused, "refused"},
@@ -288,6 +289,7 @@
     {Counter::kRelayed, "relayed"},
     {Counter::kRelayedForOthers, "relayed_for_others"},
     {Counter::kRelaysFailed, "relays_failed"},
+    {Counter::kPlacedOutsideRegions, "placed_outside_regions"},
 }};
 
 // Adds one to a counter.
--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -87,8 +87,9 @@
   kCrashCheck,  // a crash check of its fingerprint is under way
   kRateLimit,   // the rate limits of all eligible servers are used up
   kBackoff,     // the sender backs off from all eligible servers
+  kRegions,     // no backend server is in a region that is allowed
 };
-inline constexpr NameTable<Shortage, 9> kShortageNames{{
+inline constexpr NameTable<Shortage, 10> kShortageNames{{
     {Shortage::kQueueOrder, "turn"},
     {Shortage::kEngines, "engines"},
     {Shortage::kMemory, "memory"},
@@ -98,6 +99,7 @@
     {Shortage::kCrashCheck, "verdict"},
     {Shortage::kRateLimit, "limit"},
     {Shortage::kBackoff, "rest"},
+    {Shortage::kRegions, "regions"},
 }};
 
 // The prompt can't be placed now; capacity is expected later.
--- a/serving/include/scaleshed/serving/reducer.h
+++ b/serving/include/scaleshed/serving/reducer.h
@@ -32,13 +32,21 @@
 // operators haven't rewritten it since the restore.
 bool AwaitsConfigurationRewrite(const State& state);
 
+// What a client says of itself in an addresses query; empty: not given.
+struct AddressesQuery {
+  std::string host;         // whose routes it is going to use
+  std::string region;       // its own
+  std::string data_centre;  // its own
+};
+
 // The daemons' addresses that a client may use, and how long it may cache them.
 // An addresses query of a client is answered with it.
 struct ClientAddresses {
   std::vector<std::string> addresses;
   Duration time_to_live{};
 };
-ClientAddresses LookUpClientAddresses(const State& state);
+ClientAddresses LookUpClientAddresses(const State& state,
+                                      const AddressesQuery& query = {});
 
 }  // namespace scaleshed::serving
 
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -410,6 +410,9 @@
   std::optional<Shortage> waits_for;  // as last logged
   std::string placer;  // peer address of the last placer used; empty: none
   bool placer_responded = false;
+  // A placer doesn't know the allowed regions, so that this daemon places the
+  // request itself.
+  bool places_locally = false;
   std::uint64_t attempt_number = 0;  // placements tried so far
   Duration prefill_time{};
 
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -168,6 +168,13 @@
   request.service = PickService(state, *route);
   if (account != nullptr) request.account = account->name;
   request.allowed_regions = AllowedRegionsOf(*route, account);
+  // The origin may know another configuration or other regions.
+  if (!event.metadata.relayed_by.empty() &&
+      !IsRegionAllowed(request.allowed_regions, OwnRegion(state))) {
+    RefuseImmediately(state, event, Refusal::kNoHome,
+                      kRetryAfterOtherDaemonServes);
+    return;
+  }
   if (request.metadata.fingerprint != 0) {
     request.metadata.fingerprint =
         HashBytes(request.account, request.metadata.fingerprint);
--- a/serving/src/audience.cc
+++ b/serving/src/audience.cc
@@ -31,11 +31,6 @@
 // few, since the first four hubs can die together; with three data centres,
 // four are all hubs besides the placers.
 constexpr std::size_t kMaxFallbackPlacers = 4;
-// Limit on the addresses in the response to a client's addresses query.
-constexpr std::size_t kMaxAddresses = 64;
-// If fewer daemons than this serve in this data centre, clients also get the
-// addresses of daemons in other data centres.
-constexpr std::size_t kMinLocalAddresses = 4;
 
 bool ServesInThisDataCentre(const State& state, const Member& member) {
   return member.snapshot.serving && IsLive(state, member) &&
@@ -207,33 +202,4 @@
          IsLive(state, member->second);
 }
 
-std::vector<std::string> AddressesFor(const State& state) {
-  std::vector<std::string> here;
-  std::vector<std::string> elsewhere;
-  for (const auto& [address, member] : state.members) {
-    const bool takes_clients =
-        member.snapshot.serving && !member.snapshot.withdrawn;
-    if (!IsLive(state, member) || !takes_clients) continue;
-    const bool is_local =
-        state.dispatch.place_locally ||
-        member.snapshot.data_centre == state.options.data_centre;
-    (is_local ? here : elsewhere).push_back(member.snapshot.instance);
-  }
-  if (TakesClients(state)) here.push_back(state.options.instance);
-  if (here.size() < kMinLocalAddresses) {
-    here.insert(here.end(), elsewhere.begin(), elsewhere.end());
-  }
-  // Each daemon returns a different selection of too many addresses, so that
-  // all daemons are returned equally often.
-  if (here.size() > kMaxAddresses) {
-    const std::uint64_t own = HashBytes(state.options.peer_address);
-    std::sort(here.begin(), here.end(),
-              [&](const std::string& a, const std::string& b) {
-                return HashBytes(a, own) < HashBytes(b, own);
-              });
-    here.resize(kMaxAddresses);
-  }
-  return here;
-}
-
 }  // namespace scaleshed::serving::internal
--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -11,6 +11,8 @@
 // Retry-After of a refusal because of backoffs. The daemon that places doesn't
 // know when the backoffs of the requesting daemon end.
 constexpr Duration kBackoffRetryAfter = milliseconds(500);
+// Retry-After of a refusal because no server is in an allowed region.
+constexpr Duration kNoHomeRetryAfter = milliseconds(200);
 
 // An engine on probation gets one short prompt at a time, and no part of a long
 // prompt after two suspicions in a row. One suspicion doesn't exclude it from
@@ -165,6 +167,17 @@
                                            : demand.prefill_time};
 }
 
+// Decides about a request that no server may get. A region without servers
+// isn't expected to get any before the request's deadline.
+PlacementDecision WithoutServer(const State& state,
+                                const PlacementDemand& demand) {
+  const Refusal reason =
+      RefusalWithoutServer(state, demand.service, demand.allowed_regions);
+  if (reason != Refusal::kNoHome) return NoCapacityNow{Shortage::kBackends};
+  return DeadlineUnreachable{.retry_after = kNoHomeRetryAfter,
+                             .shortage = Shortage::kRegions};
+}
+
 }  // namespace
 
 const EngineTiming* TimingOf(const State& state, const std::string& service) {
@@ -197,6 +210,8 @@
       return Refusal::kRateLimited;
     case Shortage::kBackoff:
       return Refusal::kBackendsBackingOff;
+    case Shortage::kRegions:
+      return Refusal::kNoHome;
     default:
       return Refusal::kOverload;
   }
@@ -207,7 +222,7 @@
   const auto all = OpenBackends(
       state, demand.service,
       {.allowed_regions = &demand.allowed_regions, .has_warm_up_grant = true});
-  if (all.empty()) return NoCapacityNow{Shortage::kBackends};
+  if (all.empty()) return WithoutServer(state, demand);
   const auto available = WithoutBackingOff(demand, all);
   if (available.empty()) {
     return DeadlineUnreachable{.retry_after = kBackoffRetryAfter,
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -90,7 +90,8 @@
       .backing_off = {backing_off.begin(), backing_off.end()},
       .fingerprint = request.metadata.fingerprint,
       .crash_suspected = IsCrashSuspected(state, request.metadata.fingerprint),
-      .suspected_parts = {suspected_parts.begin(), suspected_parts.end()}};
+      .suspected_parts = {suspected_parts.begin(), suspected_parts.end()},
+      .allowed_regions = request.allowed_regions};
 }
 
 std::set<std::uint64_t> UnclearedParts(
@@ -116,6 +117,7 @@
           .crash_suspected = it.crash_suspected,
           .suspected_parts = UnclearedParts(state, it.suspected_parts),
           .data_centre = DataCentreOf(state, it.peer_address),
+          .allowed_regions = it.allowed_regions,
           .awaits_rate_limit = remote.waits_for == Shortage::kRateLimit,
           .backing_off = {it.backing_off.begin(), it.backing_off.end()}};
 }
@@ -215,6 +217,20 @@
                Shortage::kRateLimit);
 }
 
+// Called when a placer refused a request: if it knows no server in the allowed
+// regions, but this daemon does, places the request locally and returns true.
+// The placer may lack the regions of data centres in its settings.
+bool PlacesLocallyInRegions(State& state, Request& request, Shortage shortage) {
+  if (shortage != Shortage::kRegions) return false;
+  const SendTerms terms{.allowed_regions = &request.allowed_regions,
+                        .has_warm_up_grant = true};
+  if (OpenBackends(state, request.service, terms).empty()) return false;
+  Log(state, "placer_without_regions", {{"request", request.metadata.id}});
+  request.places_locally = true;
+  PlaceLocally(state, request);
+  return true;
+}
+
 void DropExpiredPlacements(State& state) {
   std::erase_if(state.dispatch.remote_placements, [&](const auto& it) {
     const RemotePlacement& remote = it.second;
@@ -301,6 +317,7 @@
       return;
     case PlacementOutcome::kRefused:
       request.placer.clear();
+      if (PlacesLocallyInRegions(state, request, response.shortage)) return;
       RefuseRequest(state, request, RefusalFor(response.shortage),
                     response.retry_after);
       return;
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -155,8 +155,6 @@
 std::string DataCentreOf(const State& state, const std::string& peer);
 // Whether `peer`, while it runs, sends heartbeats to this daemon.
 bool SendsUsHeartbeats(const State& state, const std::string& peer);
-// Returns the addresses of the daemons that clients may use.
-std::vector<std::string> AddressesFor(const State& state);
 
 // queue.cc: the queue of waiting long prompts, in one order for all daemons.
 
@@ -307,11 +305,29 @@
 // Returns the refusal of a request for which no server of its service is open.
 Refusal RefusalWithoutServer(const State& state, const std::string& service,
                              const AllowedRegions& allowed_regions);
+// Restricts `allowed` to the listed regions; an empty list restricts nothing.
+void RestrictRegions(AllowedRegions& allowed,
+                     const std::vector<std::string>& listed);
 // Returns the regions that both the route and the account allow; `account` may
 // be null.
 AllowedRegions AllowedRegionsOf(const Route& route,
                                 const ClientAccount* account);
 
+// regions.cc: the regions of daemons and hosts.
+
+// Return the region of this daemon and of the daemons of a data centre; empty
+// if it is unknown.
+std::string OwnRegion(const State& state);
+std::string RegionOfDaemons(const State& state, const std::string& data_centre);
+// Whether a request with these allowed regions may be relayed to the daemon.
+bool MayGetBody(const State& state, const Member& member,
+                const AllowedRegions& allowed_regions);
+// Returns the regions that all routes of the host allow.
+AllowedRegions RegionsOfHost(const State& state, const std::string& host);
+// Applies the allowed regions of a new configuration to the requests that were
+// admitted before.
+void UpdateAllowedRegions(State& state);
+
 // warm_ups.cc: backend servers that are cold.
 
 // Records that the server is cold for `left` from now, as `source` says.
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -113,6 +113,7 @@
                              ? ""
                              : Millis(state.now - event.queried_at)}});
   state.has_unpublished_changes = true;
+  UpdateAllowedRegions(state);
   ConfirmAwaited(state);
 }
 
@@ -157,21 +158,4 @@
   return IsServing(state) && !state.withdrawn;
 }
 
-ClientAddresses LookUpClientAddresses(const State& state) {
-  // The time is short so that clients soon stop using a daemon that is gone.
-  // Some clients keep a response three times as long, which a planned stop
-  // waits for.
-  constexpr Duration kTimeToLive = seconds(2);
-  ClientAddresses result{.addresses = internal::AddressesFor(state),
-                         .time_to_live = kTimeToLive};
-  if (!result.addresses.empty()) return result;
-  // No daemon is known to serve. The client gets all addresses, since any
-  // daemon may be the first to serve again.
-  result.addresses.push_back(state.options.instance);
-  for (const auto& [address, member] : state.members) {
-    result.addresses.push_back(member.snapshot.instance);
-  }
-  return result;
-}
-
 }  // namespace scaleshed::serving
--- a/serving/src/relays.cc
+++ b/serving/src/relays.cc
@@ -21,12 +21,20 @@
 // without a send, if no daemon is known to reach the service.
 constexpr std::size_t kMissedServersToRefuse = 6;
 
+bool HasServerInRegions(const State& state, const Request& request) {
+  return !OpenBackends(state, request.service,
+                       {.allowed_regions = &request.allowed_regions,
+                        .has_warm_up_grant = true})
+              .empty();
+}
+
 bool MayRelayTo(const State& state, const Request& request,
                 const std::string& address, const Member& member) {
   const bool usable = IsLive(state, member) && member.snapshot.serving &&
                       member.snapshot.relays &&
                       !request.tried_relays.contains(address);
-  if (!usable) return false;
+  if (!usable || !MayGetBody(state, member, request.allowed_regions))
+    return false;
   const auto avoided = state.relays_avoided_until.find(address);
   if (avoided != state.relays_avoided_until.end() &&
       avoided->second > state.now)
@@ -94,6 +102,7 @@
     case Refusal::kStopping:
     case Refusal::kUnreachable:
     case Refusal::kRelayLimit:
+    case Refusal::kNoHome:  // the relay may know another configuration
       return true;
     default:
       return false;
@@ -104,6 +113,9 @@
 
 bool RelayOrRefuse(State& state, Request& request) {
   if (!IsPathDoubtful(state, request.service)) return false;
+  // Such a request is refused, and its body goes nowhere.
+  if (request.allowed_regions && !HasServerInRegions(state, request))
+    return false;
   const bool is_relayed = !request.metadata.relayed_by.empty();
   const std::string relay = is_relayed ? "" : ChooseRelay(state, request);
   if (!relay.empty()) {
--- a/serving/src/send_blocks.cc
+++ b/serving/src/send_blocks.cc
@@ -50,34 +50,39 @@
 
 Refusal RefusalWithoutServer(const State& state, const std::string& service,
                              const AllowedRegions& allowed_regions) {
-  const SendTerms terms{.allowed_regions = &allowed_regions,
-                        .has_warm_up_grant = true};
   std::set<SendBlock> blocks;
   for (const auto& [name, backend] : state.backends) {
-    if (backend.server.service != service) continue;
-    if (const auto block = FindSendBlock(state, backend, terms))
-      blocks.insert(*block);
+    const BackendServer& server = backend.server;
+    const bool is_candidate =
+        server.service == service &&
+        (!allowed_regions ||
+         IsRegionAllowed(allowed_regions, RegionOf(state, server.data_centre)));
+    if (!is_candidate) continue;
+    const auto block =
+        FindSendBlock(state, backend, {.has_warm_up_grant = true});
+    if (block) blocks.insert(*block);
   }
   if (blocks.contains(SendBlock::kEvacuated)) return Refusal::kEvacuated;
-  if (blocks.contains(SendBlock::kOutsideRegions)) return Refusal::kNoHome;
-  return Refusal::kNoBackend;
+  return allowed_regions ? Refusal::kNoHome : Refusal::kNoBackend;
+}
+
+void RestrictRegions(AllowedRegions& allowed,
+                     const std::vector<std::string>& listed) {
+  if (listed.empty()) return;
+  const std::set<std::string> regions(listed.begin(), listed.end());
+  if (!allowed) {
+    allowed = regions;
+    return;
+  }
+  std::erase_if(*allowed,
+                [&](const std::string& it) { return !regions.contains(it); });
 }
 
 AllowedRegions AllowedRegionsOf(const Route& route,
                                 const ClientAccount* account) {
   AllowedRegions allowed;
-  const auto restrict_to = [&](const std::vector<std::string>& regions) {
-    if (regions.empty()) return;
-    const std::set<std::string> listed(regions.begin(), regions.end());
-    if (!allowed) {
-      allowed = listed;
-      return;
-    }
-    std::erase_if(*allowed,
-                  [&](const std::string& it) { return !listed.contains(it); });
-  };
-  restrict_to(route.allowed_regions);
-  if (account != nullptr) restrict_to(account->allowed_regions);
+  RestrictRegions(allowed, route.allowed_regions);
+  if (account != nullptr) RestrictRegions(allowed, account->allowed_regions);
   return allowed;
 }
 
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -38,6 +38,27 @@
 constexpr int kHangTimeoutObjectives = 3;
 constexpr Duration kMinHangTimeout = milliseconds(800);
 
+// Places a request locally from now on if the placer, which may be of an older
+// build, ignored its allowed regions.
+void NotePlacementOutsideRegions(State& state, Request& request,
+                                 const Backend* backend,
+                                 const std::vector<const Backend*>& helpers) {
+  const auto is_outside = [&](const Backend* it) {
+    return it != nullptr &&
+           FindSendBlock(state, *it,
+                         {.allowed_regions = &request.allowed_regions,
+                          .has_warm_up_grant = true}) ==
+               SendBlock::kOutsideRegions;
+  };
+  const bool outside = is_outside(backend) ||
+                       std::any_of(helpers.begin(), helpers.end(), is_outside);
+  if (!outside) return;
+  request.places_locally = true;
+  state.effects.emplace_back(IncrementCounter{Counter::kPlacedOutsideRegions});
+  Log(state, "placed_outside_regions",
+      {{"request", request.metadata.id}, {"backend", request.backend_name}});
+}
+
 void SendAttempt(State& state, Request& request) {
   Backend* backend = FindBackend(state, request.backend);
   // Reserving memory took a while. A helper that is leaving by now would refuse
@@ -59,6 +80,7 @@
     // The placer may not know yet that this server is leaving, or asked for a
     // backoff.
     if (!takes_work(backend)) request.excluded.insert(request.backend);
+    NotePlacementOutsideRegions(state, request, backend, helpers);
     Requeue(state, request, kLocalPlacementRetryInterval);
     return;
   }
@@ -280,7 +302,8 @@
   // daemons.
   const bool is_fleet_wide = TimingOf(state, request.service) != nullptr ||
                              AnyRateLimited(state, request.service);
-  if (is_fleet_wide && !ReceivesAllActiveRequests(state)) {
+  if (is_fleet_wide && !request.places_locally &&
+      !ReceivesAllActiveRequests(state)) {
     RequestRemotePlacement(state, request);
     return;
   }
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "generated/peer.pb.h"
@@ -305,6 +307,12 @@
   return relay;
 }
 
+serving::AllowedRegions ReadRegions(const wire::PlaceQuestion& from) {
+  if (!from.restricts_regions()) return std::nullopt;
+  return std::set<std::string>{from.allowed_regions().begin(),
+                               from.allowed_regions().end()};
+}
+
 serving::PlacementRequest ReadQuestion(const wire::PlaceQuestion& from,
                                        Time now) {
   return {.peer_address = from.peer_address(),
@@ -325,7 +333,8 @@
           .fingerprint = from.content(),
           .crash_suspected = from.doubtful(),
           .suspected_parts = {from.suspected_parts().begin(),
-                              from.suspected_parts().end()}};
+                              from.suspected_parts().end()},
+          .allowed_regions = ReadRegions(from)};
 }
 
 // Nothing where it names what this version does not know.
@@ -377,6 +386,10 @@
   to.set_content(question.fingerprint);
   to.set_doubtful(question.crash_suspected);
   for (const auto it : question.suspected_parts) to.add_suspected_parts(it);
+  to.set_restricts_regions(question.allowed_regions.has_value());
+  if (question.allowed_regions) {
+    for (const auto& it : *question.allowed_regions) to.add_allowed_regions(it);
+  }
   return datagram.SerializeAsString();
 }
 
