--- a/serving/include/scaleshed/serving/dispatch.h
+++ b/serving/include/scaleshed/serving/dispatch.h
@@ -7,6 +7,7 @@
 
 #include "scaleshed/core/types.h"
 #include "scaleshed/serving/placement.h"
+#include "scaleshed/serving/send_block.h"
 #include "scaleshed/serving/work.h"
 
 namespace scaleshed::serving {
@@ -46,6 +47,8 @@
   // Rises with each placement request that the daemon sends. The response
   // echoes it, which bounds the age of a warm-up grant.
   std::uint64_t sequence = 0;
+  // As Request::allowed_regions. A placer of an older build ignores them.
+  AllowedRegions allowed_regions;
 };
 
 // What a placer did with a PlacementRequest.
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -284,8 +284,9 @@
   kWarmUpGrants,
   kWarmUpGrantsVoid,
   kWarmUpsUnreadable,
+  kPlacedOutsideRegions,
 };
-inline constexpr NameTable<Counter, 26> kCounterNames{{
+inline constexpr NameTable<Counter, 27> kCounterNames{{
     {Counter::kRequests, "requests"},
     {Counter::kDelivered, "delivered"},
     {Counter::kRefused, "refused"},
@@ -312,6 +313,7 @@
     {Counter::kWarmUpGrants, "warm_up_grants"},
     {Counter::kWarmUpGrantsVoid, "warm_up_grants_void"},
     {Counter::kWarmUpsUnreadable, "warm_ups_unreadable"},
+    {Counter::kPlacedOutsideRegions, "placed_outside_regions"},
 }};
 
 // Adds one to a counter.
--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -88,8 +88,9 @@
   kRateLimit,   // the rate limits of all eligible servers are used up
   kBackoff,     // the sender backs off from all eligible servers
   kWarmUp,      // all eligible servers are cold and get what they bear
+  kRegions,     // no backend server is in a region that is allowed
 };
-inline constexpr NameTable<Shortage, 10> kShortageNames{{
+inline constexpr NameTable<Shortage, 11> kShortageNames{{
     {Shortage::kQueueOrder, "turn"},
     {Shortage::kEngines, "engines"},
     {Shortage::kMemory, "memory"},
@@ -100,6 +101,7 @@
     {Shortage::kRateLimit, "limit"},
     {Shortage::kBackoff, "rest"},
     {Shortage::kWarmUp, "warm_up"},
+    {Shortage::kRegions, "regions"},
 }};
 
 // The prompt can't be placed now; capacity is expected later.
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -451,6 +451,9 @@
   // against, and until when it may be sent to them.
   std::vector<BackendId> warm_up_grants;
   Time warm_up_grants_until{};
+  // A placer doesn't know the allowed regions, so that this daemon places the
+  // request itself.
+  bool places_locally = false;
   std::uint64_t attempt_number = 0;  // placements tried so far
   Duration prefill_time{};
 
