Random tests of relays allow for a withdrawal that a complete list showed

The checker took a daemon without a record for one that lacks the request, though its list was of after the withdrawal (watches silent, request and withdrawal within 10 ms).

--- a/serving/test/relay_fleet.h
+++ b/serving/test/relay_fleet.h
@@ -472,8 +472,8 @@
         store_.Missing(state.backends, state.store.backends_confirmed_at);
     if (!missing.empty())
       Violate("outdated, but counts as confirmed: " + missing);
-    const std::string evacuation = store_.MissingEvacuation(
-        state.evacuations, state.store.backends_confirmed_at);
+    const std::string evacuation =
+        store_.MissingEvacuation(state, state.store.backends_confirmed_at);
     if (!evacuation.empty())
       Violate("unknown, but counts as confirmed: " + evacuation);
     CheckServing(node);
@@ -494,8 +494,7 @@
     const std::string missing = store_.Missing(state.backends, due);
     if (!missing.empty())
       Violate("a recovered daemon serves though " + missing);
-    const std::string evacuation =
-        store_.MissingEvacuation(state.evacuations, due);
+    const std::string evacuation = store_.MissingEvacuation(state, due);
     if (!evacuation.empty())
       Violate("a recovered daemon serves though " + evacuation);
   }
--- a/serving/test/relay_store.h
+++ b/serving/test/relay_store.h
@@ -96,21 +96,23 @@
     }
     return changes;
   }
-  // Describes a change of an evacuation before `then` that `known` lacks; empty
-  // if there is none. A change that a restore lost isn't looked for: the
-  // operators write it again.
-  std::string MissingEvacuation(
-      const std::map<std::string, KnownEvacuation>& known, Time then) const {
+  // Describes a change of an evacuation before `then` that the daemon lacks;
+  // empty if there is none. A change that a restore lost isn't looked for: the
+  // operators write it again. A daemon without a record may know by a complete
+  // list that the request was withdrawn meanwhile.
+  std::string MissingEvacuation(const State& state, Time then) const {
     std::map<std::string, const EvacuationChange*> last;
     for (const EvacuationChange& it : evacuation_changes_) {
       if (it.at < then) last[it.data_centre] = &it;
     }
     for (const auto& [name, change] : last) {
       if (change->revision.epoch != revision_.epoch) continue;
-      const auto found = known.find(name);
+      const auto found = state.evacuations.find(name);
+      const bool has_record = found != state.evacuations.end();
       const bool is_known =
-          found != known.end() && found->second.revision >= change->revision;
-      const bool evacuated = found != known.end() && found->second.in_force;
+          has_record ? found->second.revision >= change->revision
+                     : IsWithdrawnBetween(*change, state.store.complete_up_to);
+      const bool evacuated = has_record && found->second.in_force;
       if (!is_known && evacuated != change->in_force)
         return name + (change->in_force ? " is evacuated" : " is reopened");
     }
@@ -214,6 +216,16 @@
     StoreRevision revision;
   };
 
+  bool IsWithdrawnBetween(const EvacuationChange& request,
+                          const StoreRevision& end) const {
+    return std::any_of(evacuation_changes_.begin(), evacuation_changes_.end(),
+                       [&](const EvacuationChange& it) {
+                         return it.data_centre == request.data_centre &&
+                                !it.in_force &&
+                                it.revision > request.revision &&
+                                it.revision <= end;
+                       });
+  }
   // The operators' last version, even if the store has lost it.
   std::int64_t newest() const {
     return accepted_.empty() ? 0 : accepted_.back().first.version;
