--- a/serving/src/warm_ups.cc
+++ b/serving/src/warm_ups.cc
@@ -229,6 +229,8 @@
   if (state.warm_ups.empty() || !GrantsWarmUps(state)) return;
   for (const auto& [name, backend] : state.backends) {
     if (!IsCold(state, backend)) continue;
+    // The bucket fills from here on, not only from the first request.
+    WarmUpMeter& meter = MeterOf(state, backend);
     WarmUp& warm_up = state.warm_ups.at(backend.id);
     const Service* service = ServiceOf(state, backend);
     const double rate = RateOf(state, backend).per_second;
@@ -238,7 +240,6 @@
     const std::chrono::duration<double> slowest(1 / (rate * kMaxCheckShare));
     const Duration interval = std::max(
         kHealthCheckInterval, std::chrono::duration_cast<Duration>(slowest));
-    WarmUpMeter& meter = MeterOf(state, backend);
     if (state.now - warm_up.checked_at < interval || !meter.HasToken(state.now))
       continue;
     warm_up.checked_at = state.now;
