Paths: a request tries a doubtful path whose servers may not be probed

Cause: servers with a rate limit, or that asked for a backoff, get no probes. Where a service has no others, nothing could end a doubt before its misses were 5 s old, or, of a lost path, before no other daemon reached the service.

Change: a probe that finds no server to ask stays due, and the next request that may run again and hasn't been sent yet takes its turn. It is placed within the rate limits like any other.

--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -444,6 +444,10 @@
 // Whether this daemon's calls to the service's servers fail in such a way that
 // its path is the likelier cause.
 bool IsPathDoubtful(const State& state, const std::string& service);
+// Whether a request may try a doubtful path, as a probe is due and all servers
+// have rate limits or are backed off from, so that none may be probed. Takes
+// the probe's turn if so.
+bool TakePathTrial(State& state, const std::string& service);
 // Record what a call to a server that began at `began` shows of the path: it
 // got an answer, its connection stands, that has brought nothing in time, or it
 // reached no server.
--- a/serving/src/paths.cc
+++ b/serving/src/paths.cc
@@ -283,7 +283,10 @@
   // Before the path is doubted two answers decide; afterwards one shows that it
   // is worth looking again.
   const std::size_t most = doubtful ? 1 : kProbesAtOnce;
-  for (const Backend* it : ServersToProbe(state, service, most)) {
+  const auto servers = ServersToProbe(state, service, most);
+  // The probe stays due, so that a request may try the path.
+  if (doubtful && servers.empty() && path.probes.empty()) return;
+  for (const Backend* it : servers) {
     path.probes[it->id] = state.now;
     RecordStart(state, it->id);
     state.effects.emplace_back(
@@ -327,6 +330,17 @@
          it->second.evidence.misses().size() >= kMissedServers;
 }
 
+bool TakePathTrial(State& state, const std::string& service) {
+  const auto it = state.paths.find(service);
+  if (it == state.paths.end()) return false;
+  TrackedPath& path = it->second;
+  const bool is_due = state.doubtful_services.contains(service) &&
+                      path.probe_due <= state.now && path.probes.empty();
+  if (!is_due || !ServersToProbe(state, service, 1).empty()) return false;
+  path.probe_due = state.now + kProbeInterval;
+  return true;
+}
+
 bool IsPathDoubtful(const State& state, const std::string& service) {
   return state.doubtful_services.contains(service);
 }
--- a/serving/src/relays.cc
+++ b/serving/src/relays.cc
@@ -105,6 +105,9 @@
 bool RelayOrRefuse(State& state, Request& request) {
   if (!IsPathDoubtful(state, request.service)) return false;
   const bool is_relayed = !request.metadata.relayed_by.empty();
+  const bool may_try = !is_relayed && MayRunAgain(request.route.kind) &&
+                       request.possible_runs + request.declined_sends == 0;
+  if (may_try && TakePathTrial(state, request.service)) return false;
   const std::string relay = is_relayed ? "" : ChooseRelay(state, request);
   if (!relay.empty()) {
     StartRelayed(state, request, relay);
--- a/serving/test/slow_servers_test.cc
+++ b/serving/test/slow_servers_test.cc
@@ -86,6 +86,31 @@
   CHECK(daemon.FirstEffect<StartAttempt>() != nullptr);
 }
 
+// Guards against doubts that nothing can end, as servers with rate limits get
+// no probes: other daemons aren't reached either, and all refuse for seconds.
+TEST_CASE("A request tries a doubtful path whose servers may not be probed") {
+  Daemon daemon;
+  SendRefused(daemon);
+  LoadSnapshot limits = PeerSnapshot(1);
+  for (const auto& [name, it] : daemon.state().backends) {
+    limits.limits.push_back(
+        {.backend = it.id, .per_second = 100, .received_at = daemon.now()});
+  }
+  daemon.Feed(SnapshotReceived{limits});
+  daemon.AdvanceTime(kProbeWait);
+  REQUIRE(daemon.state().doubtful_services.contains("app"));
+  daemon.SendRequest("safe");
+  const auto* sent = daemon.FirstEffect<StartAttempt>();
+  REQUIRE(sent != nullptr);
+  const AttemptId attempt = sent->attempt;
+  // One at a time.
+  daemon.SendRequest("safe");
+  CHECK(daemon.FirstEffect<StartAttempt>() == nullptr);
+  daemon.Feed(AttemptAnswered{
+      .attempt = attempt, .kind = AnswerKind::kSuccess, .status = 200});
+  CHECK(daemon.state().doubtful_services.empty());
+}
+
 // Guards against most daemons withdrawing from clients while the servers, which
 // let only some of all connections through, are at fault.
 TEST_CASE("More than half of the daemons withdraw only if partitioned") {
