--- a/serving/src/relays.cc
+++ b/serving/src/relays.cc
@@ -117,6 +117,9 @@
   if (request.allowed_regions && !HasServerInRegions(state, request))
     return false;
   const bool is_relayed = !request.metadata.relayed_by.empty();
+  const bool may_try = !is_relayed && MayRunAgain(request.route.kind) &&
+                       request.possible_runs + request.declined_sends == 0;
+  if (may_try && TakePathTrial(state, request.service)) return false;
   const std::string relay = is_relayed ? "" : ChooseRelay(state, request);
   if (!relay.empty()) {
     StartRelayed(state, request, relay);
