A late list brings back no evacuation that was withdrawn meanwhile

A response to an older query could arrive after that to a later one; a daemon that never knew of the request then took it from the older list, though all that the store held later was known. The rule for other daemons' reports applies to the store's responses too.

--- a/serving/src/evacuations.cc
+++ b/serving/src/evacuations.cc
@@ -211,6 +211,22 @@
   Apply(state, {.data_centre = data_centre, .revision = listed}, "store");
 }
 
+// `told_by` is the store, whose response may be late, or a daemon.
+void ApplyIfNews(State& state, const StoredEvacuation& told,
+                 const std::string& told_by) {
+  const bool is_valid = !told.data_centre.empty() && told.revision.number != 0;
+  if (!is_valid || !IsNews(state, told)) return;
+  // A request that is unknown here although it is older than all that is known
+  // of the store was withdrawn, or lost in a restore.
+  const StoreRevision complete = state.store.complete_up_to;
+  const bool is_gone = told.in_force && told.revision < complete &&
+                       !state.evacuations.contains(told.data_centre);
+  const bool is_lost = told.revision.epoch != complete.epoch;
+  if (is_gone && (!is_lost || IsRestoreSettled(state))) return;
+  Apply(state, told, told_by);
+  if (is_gone) KeepInForce(state, told.data_centre, complete);
+}
+
 std::vector<std::string> KnownDataCentres(const State& state) {
   std::vector<std::string> names;
   for (const auto& [data_centre, known] : state.evacuations)
@@ -245,8 +261,7 @@
 }  // namespace
 
 void OnEvacuationStored(State& state, const StoredEvacuation& stored) {
-  if (stored.data_centre.empty() || stored.revision.number == 0) return;
-  if (IsNews(state, stored)) Apply(state, stored, "store");
+  ApplyIfNews(state, stored, "store");
 }
 
 void OnAllEvacuationsListed(State& state, const AllEvacuationsListed& event) {
@@ -271,19 +286,9 @@
 void ApplyPeerEvacuations(State& state,
                           const std::vector<StoredEvacuation>& evacuations,
                           const std::string& peer) {
-  const StoreRevision& complete = state.store.complete_up_to;
   for (const StoredEvacuation& it : evacuations) {
-    const bool is_valid = !it.data_centre.empty() && it.revision.number != 0 &&
-                          it.revision.epoch <= state.store.epoch.number;
-    if (!is_valid || !IsNews(state, it)) continue;
-    // A request that is unknown here although it is older than all that is
-    // known of the store was withdrawn, or lost in a restore.
-    const bool is_gone = it.in_force && it.revision < complete &&
-                         !state.evacuations.contains(it.data_centre);
-    const bool is_lost = it.revision.epoch != complete.epoch;
-    if (is_gone && (!is_lost || IsRestoreSettled(state))) continue;
-    Apply(state, it, peer);
-    if (is_gone) KeepInForce(state, it.data_centre, complete);
+    if (it.revision.epoch <= state.store.epoch.number)
+      ApplyIfNews(state, it, peer);
   }
 }
 
--- a/serving/src/store_following.cc
+++ b/serving/src/store_following.cc
@@ -334,7 +334,9 @@
       relay.digest.backends == own.backends && same_evacuations;
   if (same_backends) {
     ConfirmBackends(state, sent_at - *relay.backends_age);
-    RecordCompleteUpTo(state, relay.complete_up_to);
+    // Otherwise the poller may lack evacuations.
+    if (relay.digest.evacuations)
+      RecordCompleteUpTo(state, relay.complete_up_to);
   }
   const bool same_crashes = relay.digest.crashes == own.crashes &&
                             relay.digest.part_crashes.value_or(
