--- a/serving/test/cold_servers_test.cc
+++ b/serving/test/cold_servers_test.cc
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr double kPerSecond = 26;
-constexpr double kOverage = 1.5;
-constexpr double kSlack = 5;
+constexpr double kOverage = 1;
+constexpr double kSlack = 0;
 constexpr double kBound = kPerSecond * kOverage + kSlack;
 constexpr Duration kCold = seconds(30);
 
