Test of relays outside of the allowed regions has servers inside

Without them the request was refused for lack of a server, whether or not the relay checked its own region. With the check switched off, the test now fails; with it, the 12 cases of allowed regions pass.

--- a/serving/test/allowed_regions_test.cc
+++ b/serving/test/allowed_regions_test.cc
@@ -207,7 +207,8 @@
 // keeps from its region.
 TEST_CASE("A daemon outside of the allowed regions serves no relayed request") {
   Daemon daemon;
-  daemon.state().options.regions = {{"", "r2"}};
+  daemon.state().options.region = "r2";
+  daemon.state().options.regions = {{"", "r1"}};  // of all servers
   Configuration configuration = MakeConfiguration(2);
   configuration.routes.front().allowed_regions = {"r1"};
   daemon.Feed(ConfigurationReceived{.configuration = configuration,
