--- a/serving/test/allowed_regions_test.cc
+++ b/serving/test/allowed_regions_test.cc
@@ -1,5 +1,6 @@
 // Requests that may run only in some regions, in a fleet of two.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <string>
@@ -183,6 +184,35 @@
   CheckServedOnlyIn(fleet, home, result, 0.8);
 }
 
+// Guards against responses to addresses queries that lead clients out of their
+// region or, if that has lost all its daemons, out of the allowed ones.
+TEST_CASE("Each daemon directs clients to daemons of their region") {
+  const auto daemons = GENERATE(kSmall, kLarge);
+  SimulatedFleet fleet(FleetOf(daemons), Allow({"r1"}));
+  const auto all_named_in = [&](const std::string& region, int by,
+                                const std::string& client_region) {
+    const auto named =
+        LookUpClientAddresses(fleet.state(by),
+                              {.host = "h", .region = client_region})
+            .addresses;
+    return !named.empty() &&
+           std::all_of(named.begin(), named.end(), [&](const auto& it) {
+             return fleet.state(std::stoi(it.substr(1))).options.region ==
+                    region;
+           });
+  };
+  for (int i = 0; i < daemons; ++i) {
+    CHECK(all_named_in("r1", i, "r1"));
+    CHECK(all_named_in("r2", i, "r2"));
+    CHECK(all_named_in("r1", i, "r9"));
+  }
+  for (int i = 0; i < daemons; ++i) {
+    if (fleet.state(i).options.region == "r2") fleet.FreezeDaemon(i);
+  }
+  fleet.AdvanceTime(seconds(3));
+  CHECK(all_named_in("r1", 0, "r2"));
+}
+
 // Guards against a placer that leaves a request waiting which no server in its
 // regions can run.
 TEST_CASE("A placer refuses a request without a server in its regions") {
