--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -25,7 +25,7 @@
 // capacity; daemons of equal capacity rank by the hash alone.
 double ReportRank(const std::string& peer_address, double capacity,
                   BackendId engine) {
-  constexpr int kFractionBits = 53;
+  constexpr int kFractionBits = 52;
   const std::uint64_t hash =
       HashBytes(peer_address, engine) >> (64 - kFractionBits);
   // Lies above 0 and below 1.
@@ -49,6 +49,10 @@
   if (IsPathDoubtful(state, service)) return false;
   const double own_rank = ReportRank(state.options.peer_address,
                                      state.options.capacity, backend.id);
+  const auto ranks_higher = [&](const auto& peer) {
+    return ReportRank(peer.first, peer.second.snapshot.capacity, backend.id) >
+           own_rank;
+  };
   return std::none_of(
       state.members.begin(), state.members.end(), [&](const auto& it) {
         const auto& [address, member] = it;
@@ -58,15 +62,11 @@
           return false;
         const bool is_in_data_centre =
             member.snapshot.data_centre == data_centre;
-        const auto ranks_higher = [&] {
-          return ReportRank(address, member.snapshot.capacity, backend.id) >
-                 own_rank;
-        };
         if (!all_place_locally && !is_local) {
           return is_in_data_centre ||
-                 (IsPlacer(state, address) && ranks_higher());
+                 (IsPlacer(state, address) && ranks_higher(it));
         }
-        return (all_place_locally || is_in_data_centre) && ranks_higher();
+        return (all_place_locally || is_in_data_centre) && ranks_higher(it);
       });
 }
 
