Test of a fleet that shrinks to placing locally when a data centre is lost

Cause: the change from placers to local placement after such a loss had no test.

Change: the simulated fleet can remove the store entries of killed daemons; 24 daemons lose a data centre and then place locally.

--- a/serving/test/lost_data_centre_test.cc
+++ b/serving/test/lost_data_centre_test.cc
@@ -25,14 +25,24 @@
 
 class LossTest {
  public:
-  LossTest() { Send(seconds(2)); }
+  explicit LossTest(int daemons = kDaemons)
+      : daemons_(daemons),
+        fleet_({.daemons = daemons,
+                .data_centres = 3,
+                .engines = 60,
+                .strong_per_data_centre = 2,
+                .store_confirms_to_pollers = true,
+                .hold_slack_share = true,
+                .plain_servers = 3}) {
+    Send(seconds(2));
+  }
 
   SimulatedFleet& fleet() { return fleet_; }
   bool IsLost(int i) const { return lost_.contains(i); }
 
   void LoseDataCentre(const std::string& data_centre, Loss loss) {
     if (loss == Loss::kPartitioned) fleet_.PartitionDataCentre(data_centre);
-    for (int i = 0; i < kDaemons; ++i) {
+    for (int i = 0; i < daemons_; ++i) {
       if (fleet_.CentreOf(i) != data_centre) continue;
       lost_.insert(i);
       if (loss == Loss::kKilled) fleet_.KillDaemon(i);
@@ -40,7 +50,7 @@
     }
   }
   void LosePollers(const std::string& data_centre, PollerLoss loss) {
-    for (int i = 0; i < kDaemons; ++i) {
+    for (int i = 0; i < daemons_; ++i) {
       if (fleet_.CentreOf(i) != data_centre) continue;
       if (!fleet_.state(i).store.watching) continue;
       if (loss == PollerLoss::kStoreUnreachable) fleet_.SetStoreLink(i, false);
@@ -59,7 +69,7 @@
     const Time until = fleet_.now() + length;
     while (fleet_.now() < until) {
       do {
-        next_ = (next_ + 1) % kDaemons;
+        next_ = (next_ + 1) % daemons_;
       } while (IsLost(next_));
       sent.push_back(sent.size() % 10 == 9 ? fleet_.SendPlainRequest(next_)
                                            : fleet_.SendPrompt(next_, 5000));
@@ -77,7 +87,7 @@
   // Checks that the remaining daemons use, name and count no lost one.
   void CheckForgotten() {
     std::set<std::string> pollers;
-    for (int i = 0; i < kDaemons; ++i) {
+    for (int i = 0; i < daemons_; ++i) {
       if (IsLost(i)) continue;
       const State& state = fleet_.state(i);
       CHECK(state.dispatch.placers == FirstRemaining().dispatch.placers);
@@ -112,13 +122,8 @@
     CHECK(state.now - member->second.received_at >= kLivenessTimeout);
   }
 
-  SimulatedFleet fleet_{{.daemons = kDaemons,
-                         .data_centres = 3,
-                         .engines = 60,
-                         .strong_per_data_centre = 2,
-                         .store_confirms_to_pollers = true,
-                         .hold_slack_share = true,
-                         .plain_servers = 3}};
+  int daemons_;
+  SimulatedFleet fleet_;
   std::set<int> lost_;
   int next_ = 0;
 };
@@ -148,6 +153,24 @@
   CHECK(test.ServedShare(later) >= kServedShare);
 }
 
+// Guards against requests that fail while the remaining daemons, now few enough
+// to place locally, stop using placers.
+TEST_CASE("Few remaining daemons change to placing locally without a loss") {
+  constexpr int kFewDaemons = 24;
+  LossTest test(kFewDaemons);
+  const int placer = test.fleet().FirstPlacer();
+  REQUIRE(placer >= 0);
+  test.LoseDataCentre(test.fleet().CentreOf(placer), Loss::kKilled);
+  test.Send(seconds(5));
+  test.fleet().UnlistKilled();
+  const auto sent = test.Send(seconds(3));
+  test.fleet().AdvanceTime(seconds(3));
+  CHECK(test.ServedShare(sent) >= kServedShare);
+  for (int i = 0; i < kFewDaemons; ++i) {
+    if (!test.IsLost(i)) CHECK(test.fleet().state(i).dispatch.place_locally);
+  }
+}
+
 // Guards against daemons that resume with what they knew when the power failed.
 TEST_CASE("A data centre whose power comes back serves like the others") {
   LossTest test;
--- a/serving/test/simulated_fleet.h
+++ b/serving/test/simulated_fleet.h
@@ -88,6 +88,10 @@
                     [&](const Attempt& it) { return it.daemon == i; });
     }
   }
+  // Removes the store entries of killed daemons, as their leases end.
+  void UnlistKilled() {
+    for (int i = 0; i < options_.daemons; ++i) Feed(i, Peers());
+  }
   // Drops all messages between the daemons of a data centre and all others, and
   // their calls to the store and to backend servers.
   void PartitionDataCentre(const std::string& data_centre) {
@@ -340,6 +344,8 @@
   PeersListed Peers() const {
     PeersListed peers;
     for (int i = 0; i < options_.daemons; ++i) {
+      const auto n = static_cast<std::size_t>(i);
+      if (n < nodes_.size() && nodes_[n].dead) continue;
       peers.peers.push_back(
           {.peer_address = PeerOf(i), .data_centre = CentreOf(i)});
     }
