Fleet simulation: a server that is down refuses probes at once

With slow servers, a probe of an address at which nobody listens got its refusal only after the time that a probe waits. Only servers that listen are slow now.

Runs: serving_fleet_test passes (62 cases, 2757 assertions).

--- a/serving/test/simulated_fleet.h
+++ b/serving/test/simulated_fleet.h
@@ -557,10 +557,11 @@
       listens = listens || (engine.address == probe.address && !IsDown(id));
     }
     auto result = listens ? ProbeResult::kAlive : ProbeResult::kRefused;
-    Duration delay = std::max<Duration>(milliseconds(2), server_delay_);
+    Duration delay = milliseconds(2);
+    if (listens) delay = std::max(delay, server_delay_);
     if (delay > kReportTimeout) {
       delay = kReportTimeout;
-      result = listens ? ProbeResult::kConnected : ProbeResult::kRefused;
+      result = ProbeResult::kConnected;
     }
     switch (LinkOf(daemon)) {
       case ServerLink::kOpen:
