--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -236,7 +236,7 @@
   // Long prompts avoid cold engines while warm ones can serve them.
   const bool is_long = demand.prefill_time > kShortPromptPrefillLimit;
   if (is_long && !choice.warm.empty() && !choice.granted.empty()) {
-    const auto decision = DecideAmong(state, demand, timing, choice.warm);
+    auto decision = DecideAmong(state, demand, timing, choice.warm);
     if (std::holds_alternative<Placement>(decision)) return decision;
   }
   std::vector<const Backend*> open = choice.warm;
