--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -187,6 +187,16 @@
      [](const TraceLine& line) {
        return "no answer where to send it from " + Field(line, "placer");
      }},
+    {"placer_without_regions",
+     [](const TraceLine&) {
+       return std::string(
+           "placed here: the placer knows no server in the allowed regions");
+     }},
+    {"placed_outside_regions",
+     [](const TraceLine& line) {
+       return "not sent to " + Field(line, "backend") +
+              ": the placement is outside of the allowed regions";
+     }},
     {"placer_unaware",
      [](const TraceLine& line) {
        return Field(line, "placer") +
