--- a/serving/test/allowed_regions_test.cc
+++ b/serving/test/allowed_regions_test.cc
@@ -65,6 +65,7 @@
   const auto daemons = GENERATE(kSmall, kLarge);
   SimulatedFleet fleet(FleetOf(daemons), Allow({"r2"}));
   std::vector<RequestKey> sent;
+  sent.reserve(4);
   for (int i = 0; i < 4; ++i) sent.push_back(fleet.SendPrompt(i, 200'000));
   fleet.AdvanceTime(seconds(10));
   for (const RequestKey it : sent) {
@@ -132,6 +133,7 @@
   int other = 0;
   while (fleet.state(other).options.regions.empty()) ++other;
   std::vector<RequestKey> sent;
+  sent.reserve(20);
   for (int i = 0; i < 20; ++i) sent.push_back(fleet.SendPrompt(other, 3000));
   fleet.AdvanceTime(seconds(2));
   for (const RequestKey it : sent) CHECK(fleet.answered().contains(it));
