Soak: evacuations and the loss of a data centre's daemons

The soak injected no fault that concerns a whole data centre. It has two more now, evacuate and kill_data_centre, and a ledger that counts what the servers of an evacuated data centre get from daemons that nothing disturbed. Servers are spread over data centres only in such runs.

--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -204,6 +204,11 @@
   // The entry by which it is listed in the store.
   std::string Entry(const std::string& service,
                     const std::string& state = "ready") const;
+  // Its entry names this data centre.
+  void SetDataCentre(std::string data_centre) {
+    data_centre_ = std::move(data_centre);
+  }
+  const std::string& data_centre() const { return data_centre_; }
   void SetMode(WorkerMode mode) { mode_ = mode; }
   // Each request is treated as that draws.
   void DrawModes(std::function<WorkerMode()> draw) { draw_ = std::move(draw); }
@@ -279,6 +284,7 @@
   std::unique_ptr<HttpServer> server_;  // nothing: it has ended
   std::string address_;
   std::string id_;
+  std::string data_centre_ = "z1";
   std::string deadly_;
   std::string deadly_part_;
   Duration ends_after_{};
--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -36,10 +36,12 @@
   kServersLimit,  // a share of the servers names a limit in its answers
   kServersRest,   // a share refuses everything, and asks for rest each time
   kServersSayLeaving,  // one says so in its answers only, and another one comes
-  kCutReset,   // daemons lose their links to all servers, which are reset
-  kCutSilent,  // the same, but the links say nothing
+  kCutReset,        // daemons lose their links to all servers, which are reset
+  kCutSilent,       // the same, but the links say nothing
+  kEvacuate,        // the operators have a data centre evacuated for `length`
+  kKillDataCentre,  // all daemons of one are killed, and back after `length`
 };
-inline constexpr NameTable<SoakFault, 24> kSoakFaultNames{{
+inline constexpr NameTable<SoakFault, 26> kSoakFaultNames{{
     {SoakFault::kKill, "kill"},
     {SoakFault::kRestart, "restart"},
     {SoakFault::kRoll, "roll"},
@@ -64,6 +66,8 @@
     {SoakFault::kServersSayLeaving, "servers_say_leaving"},
     {SoakFault::kCutReset, "cut_reset"},
     {SoakFault::kCutSilent, "cut_silent"},
+    {SoakFault::kEvacuate, "evacuate"},
+    {SoakFault::kKillDataCentre, "kill_data_centre"},
 }};
 
 // One fault, again and again. Series overlap as they come.
@@ -117,6 +121,10 @@
 // Series that are drawn from the seed: in most of them backend servers refuse
 // or fail much, so that repeats are asked for, while other faults come beside.
 std::vector<SoakSeries> DrawSeries(std::uint64_t seed, Duration length);
+// Series that concern whole data centres, drawn from the seed, to be added to
+// these: evacuations, and the loss of all daemons of one.
+std::vector<SoakSeries> DrawDataCentreSeries(std::uint64_t seed,
+                                             Duration length);
 
 // "FAULT:AT_MS:TIMES:GAP_MS:SHARE:LENGTH_MS", by commas. Throws
 // std::invalid_argument with what can't be read.
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -19,6 +19,7 @@
 #include "scaleshed/runtime/address.h"
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/testing/configuration_ledger.h"
+#include "scaleshed/testing/evacuation_ledger.h"
 #include "scaleshed/testing/fleet_stand_ins.h"
 #include "scaleshed/testing/path_ledger.h"
 #include "scaleshed/testing/server_ledger.h"
@@ -41,6 +42,7 @@
 constexpr Duration kLastAnswers = seconds(8);
 constexpr std::size_t kStorePage = 500;
 constexpr char kConfigurationKey[] = "op/config";
+constexpr char kEvacuationPrefix[] = "op/evacuate/";
 constexpr Duration kProbeEvery = milliseconds(150);
 // A lease is found to be over at its next renewal at the latest.
 constexpr Duration kEntryWithin = seconds(7);
@@ -88,6 +90,7 @@
       words_.Excuse(it);
       paths_.Disturbed(loop_.Now(), it);
       configurations_.DaemonDisturbed(loop_.Now(), it);
+      evacuations_.DaemonDisturbed(loop_.Now(), it);
     });
     std::vector<std::string> addresses;
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
@@ -161,6 +164,7 @@
     CountCalls(now);
     if (store_.mode() != StoreMode::kUp || writers_.LackAnything()) {
       configurations_.StoreDisturbed(now);
+      evacuations_.StoreDisturbed(now);
     }
   }
 
@@ -180,12 +184,45 @@
     configurations_.Acknowledged(loop_.Now(), version_);
   }
 
+  // Otherwise all servers are in a data centre of their own, as plain requests
+  // prefer servers in that of their daemon.
+  bool HasEvacuations() const {
+    return std::any_of(
+        options_.series.begin(), options_.series.end(),
+        [](const SoakSeries& it) { return it.fault == SoakFault::kEvacuate; });
+  }
+  std::string DataCentreOf(std::size_t n) const {
+    return daemons_.data_centre(n % options_.data_centres);
+  }
+
+  // One that isn't evacuated yet, and never the last one.
+  void Evacuate(Duration length) {
+    const std::string chosen = DataCentreOf(random_());
+    const bool is_last =
+        evacuations_.evacuations() + 1 >= options_.data_centres;
+    if (is_last || evacuations_.IsEvacuated(chosen)) return;
+    writers_.Write(kEvacuationPrefix + chosen, "{}");
+    evacuations_.Requested(loop_.Now(), chosen);
+    At(length, [this, chosen] {
+      writers_.Erase(kEvacuationPrefix + chosen);
+      evacuations_.Withdrawn(chosen);
+    });
+  }
+
+  void KillDataCentre(Duration pause) {
+    const std::string chosen = DataCentreOf(random_());
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      if (daemons_.data_centre(i) == chosen) daemons_.Kill(i, pause);
+    }
+  }
+
   void AddServer(const std::string& service) {
     servers_.push_back(std::make_unique<FakeWorker>(
         loop_, "i-" + std::to_string(servers_.size())));
     FakeWorker& it = *servers_.back();
     const std::size_t n = servers_.size() - 1;
     it.SetWork(kWork);
+    if (HasEvacuations()) it.SetDataCentre(DataCentreOf(n));
     it.DrawModes([this, n] {
       const WorkerMode mode = DrawMode();
       return said_[n].rest.empty() ? mode : WorkerMode::kFull;
@@ -212,6 +249,10 @@
                       .request = arrival.request_id});
       const std::string& rest = said_[n].rest;
       const bool is_meant = arrival.expected == servers_[n]->id();
+      if (is_meant) {
+        evacuations_.Arrived(after, servers_[n]->data_centre(), daemon,
+                             arrival.request_id);
+      }
       if (arrival.ran || rest.empty() || !is_meant) return;
       words_.AskRest(loop_.Now(), servers_[n]->id(), daemon,
                      std::chrono::duration_cast<Duration>(
@@ -419,6 +460,10 @@
         return some([&](std::size_t i) {
           CutOff(i, WorkerMode::kHanging, series.length);
         });
+      case SoakFault::kEvacuate:
+        return Evacuate(series.length);
+      case SoakFault::kKillDataCentre:
+        return KillDataCentre(series.length);
     }
   }
 
@@ -513,6 +558,8 @@
     callers_->Tell(report);
     for (const std::string& it : ledger_.Broken()) report.broken.push_back(it);
     for (const std::string& it : words_.Broken()) report.broken.push_back(it);
+    for (const std::string& it : evacuations_.Broken())
+      report.broken.push_back(it);
     for (const std::string& it : configurations_.Broken()) {
       report.broken.push_back(it);
     }
@@ -555,6 +602,7 @@
   ServerLedger words_;
   std::map<std::size_t, Words> said_;  // by server
   std::size_t words_said_ = 0;
+  EvacuationLedger evacuations_;
   PathLedger paths_;
   std::map<std::size_t, WorkerMode> links_;  // by daemon; those that are cut
   std::deque<Time> looks_;
--- a/testing/src/soak_daemons.cc
+++ b/testing/src/soak_daemons.cc
@@ -1,5 +1,6 @@
 #include "internal/soak_daemons.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <utility>
@@ -39,6 +40,9 @@
   daemon.peer_listen = FreeAddress();
   const double window =
       std::chrono::duration<double>(options.bound.window).count();
+  const bool evacuates = std::any_of(
+      options.series.begin(), options.series.end(),
+      [](const SoakSeries& it) { return it.fault == SoakFault::kEvacuate; });
   std::ofstream(daemon.settings)
       << "instance: " << daemon.name << "\n"
       << "data_centre: " << daemon.data_centre << "\n"
@@ -51,6 +55,7 @@
       << "  repeat_ratio: " << options.bound.ratio << "\n"
       << "  repeat_slack: " << options.bound.slack << "\n"
       << "  repeat_window_s: " << window << "\n"
+      << "  evacuated_within_ms: " << (evacuates ? "5000" : "") << "\n"
       << "  grace_s: " << kGraceSeconds << "\n";
 }
 
--- a/testing/src/soak_main.cc
+++ b/testing/src/soak_main.cc
@@ -23,6 +23,8 @@
 ABSL_FLAG(int, window_ms, 3000, "of the bound on repeats");
 ABSL_FLAG(std::string, series, "",
           "FAULT:AT_MS:TIMES:GAP_MS:SHARE:LENGTH_MS,...; empty: drawn");
+ABSL_FLAG(bool, data_centre_faults, false,
+          "draw evacuations and losses of data centres too");
 ABSL_FLAG(bool, keep_logs, false, "leave the daemons' logs where they are");
 
 namespace {
@@ -48,8 +50,15 @@
                 .window = milliseconds(absl::GetFlag(FLAGS_window_ms))},
       .keep_logs = absl::GetFlag(FLAGS_keep_logs)};
   const std::string series = absl::GetFlag(FLAGS_series);
-  options.series =
-      series.empty() ? DrawSeries(seed, options.length) : ParseSeries(series);
+  if (!series.empty()) {
+    options.series = ParseSeries(series);
+    return options;
+  }
+  options.series = DrawSeries(seed, options.length);
+  if (absl::GetFlag(FLAGS_data_centre_faults)) {
+    for (const SoakSeries& it : DrawDataCentreSeries(seed, options.length))
+      options.series.push_back(it);
+  }
   return options;
 }
 
--- a/testing/src/soak_series.cc
+++ b/testing/src/soak_series.cc
@@ -94,6 +94,38 @@
   return series;
 }
 
+std::vector<SoakSeries> DrawDataCentreSeries(std::uint64_t seed,
+                                             Duration length) {
+  // Differs from the sequence that DrawSeries() takes from the same seed.
+  std::mt19937_64 random(~seed);
+  const auto draw = [&](std::int64_t from, std::int64_t to) {
+    return from + static_cast<std::int64_t>(
+                      random() % static_cast<std::uint64_t>(to - from + 1));
+  };
+  const auto whole = std::chrono::duration_cast<milliseconds>(length).count();
+  std::vector<SoakSeries> series;
+  // Long enough to count beyond the time until an evacuation is in force, and
+  // some that are withdrawn soon.
+  series.push_back({.fault = SoakFault::kEvacuate,
+                    .at = Millis(draw(0, whole / 4)),
+                    .times = 1,
+                    .length = Millis(draw(whole * 2 / 3, whole))});
+  if (draw(0, 1) == 0) {
+    series.push_back({.fault = SoakFault::kEvacuate,
+                      .at = Millis(draw(0, whole / 2)),
+                      .times = static_cast<int>(draw(1, 4)),
+                      .gap = Millis(draw(300, 3000)),
+                      .length = Millis(draw(20, 2000))});
+  }
+  if (draw(0, 1) == 0) {
+    series.push_back({.fault = SoakFault::kKillDataCentre,
+                      .at = Millis(draw(0, whole / 2)),
+                      .times = 1,
+                      .length = Millis(draw(300, 4000))});
+  }
+  return series;
+}
+
 std::vector<SoakSeries> ParseSeries(const std::string& text) {
   std::vector<SoakSeries> series;
   std::istringstream all(text);
--- a/testing/test/soak_test.cc
+++ b/testing/test/soak_test.cc
@@ -133,6 +133,18 @@
   }
 }
 
+// Guards against servers of an evacuated data centre that get requests from
+// daemons that have just started, lost the store or all of their data centre.
+TEST_CASE("Evacuated data centres get nothing through kills and silence") {
+  SoakOptions options = Options(1);
+  options.length = seconds(14);
+  options.series = ParseSeries(
+      "evacuate:500:1:0:1:13000,evacuate:1000:4:1500:1:300,"
+      "kill:3000:3:3000:0.4:0,store_silent:6500:1:0:1:1500,"
+      "kill_data_centre:9500:1:0:1:2000");
+  CheckHeld(options);
+}
+
 void CheckDrawnHeld(std::uint64_t seed) {
   SoakOptions options = Options(seed);
   options.length = seconds(8);
