--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -444,6 +444,9 @@
   std::optional<Shortage> waits_for;  // as last logged
   std::string placer;  // peer address of the last placer used; empty: none
   bool placer_responded = false;
+  // A placer doesn't know the allowed regions, so that this daemon places the
+  // request itself.
+  bool places_locally = false;
   // The last placement request and when it was sent.
   std::uint64_t placement_sequence = 0;
   Time placement_requested_at{};
@@ -451,9 +454,6 @@
   // against, and until when it may be sent to them.
   std::vector<BackendId> warm_up_grants;
   Time warm_up_grants_until{};
-  // A placer doesn't know the allowed regions, so that this daemon places the
-  // request itself.
-  bool places_locally = false;
   std::uint64_t attempt_number = 0;  // placements tried so far
   Duration prefill_time{};
 
