--- a/serving/test/cold_servers_test.cc
+++ b/serving/test/cold_servers_test.cc
@@ -35,6 +35,8 @@
 
 std::vector<std::string> ServersOf(const SimulatedFleetOptions& options) {
   std::vector<std::string> servers;
+  servers.reserve(static_cast<std::size_t>(options.engines) +
+                  static_cast<std::size_t>(options.plain_servers));
   for (int i = 0; i < options.engines; ++i)
     servers.push_back("llm" + std::to_string(i));
   for (int i = 0; i < options.plain_servers; ++i)
@@ -90,8 +92,8 @@
       fault(fleet);
     });
     CheckBound(fleet);
-    const auto servers =
-        static_cast<std::size_t>(options.engines + options.plain_servers);
+    const auto servers = static_cast<std::size_t>(options.engines) +
+                         static_cast<std::size_t>(options.plain_servers);
     CHECK(RateAt(fleet, servers, start + seconds(2), fault_at) >
           0.6 * kPerSecond);
     if (recovery < seconds(5)) {
@@ -174,8 +176,8 @@
       if (fleet.now() >= away + seconds(5)) fleet.SetStoreUnreachable(false);
     });
     CheckBound(fleet);
-    const auto servers =
-        static_cast<std::size_t>(options.engines + options.plain_servers);
+    const auto servers = static_cast<std::size_t>(options.engines) +
+                         static_cast<std::size_t>(options.plain_servers);
     CHECK(RateAt(fleet, servers, away + seconds(2), away + seconds(5)) == 0);
     CHECK(RateAt(fleet, servers, away + milliseconds(8200),
                  away + seconds(10)) > 0.6 * kPerSecond);
@@ -221,8 +223,8 @@
                       fleet.MakeCold(it, kCold);
                   });
     CheckBound(fleet);
-    const auto servers =
-        static_cast<std::size_t>(options.engines + options.plain_servers);
+    const auto servers = static_cast<std::size_t>(options.engines) +
+                         static_cast<std::size_t>(options.plain_servers);
     CHECK(RateAt(fleet, servers, cold_at + seconds(3), cold_at + seconds(6)) >
           0.6 * 20);
   }
