--- a/testing/test/cold_servers_test.cc
+++ b/testing/test/cold_servers_test.cc
@@ -43,8 +43,10 @@
   const int before = worker.runs();
   const Time end = fleet.loop().Now() + seconds(2);
   for (int i = 0; fleet.loop().Now() < end; ++i) {
+    constexpr int kAtOnce = 10;
     std::vector<std::shared_ptr<Asked>> asked;
-    for (int n = 0; n < 10; ++n) {
+    asked.reserve(kAtOnce);
+    for (int n = 0; n < kAtOnce; ++n) {
       asked.push_back(
           fleet.Send("/plain/safe/x", {}, static_cast<std::size_t>(n % 2)));
     }
