Cold servers: their order by tokens, which nothing used any more, is gone

DecideByWarmUp() sorts the servers by id again, as BuildPoolView() needs, so the sort in ChooseByWarmUp() had no effect, and the design note named an order that placement doesn't have.

--- a/serving/src/warm_ups.cc
+++ b/serving/src/warm_ups.cc
@@ -145,24 +145,19 @@
 WarmUpChoice ChooseByWarmUp(State& state, const PlacementDemand& demand,
                             const std::vector<const Backend*>& open) {
   WarmUpChoice choice;
-  std::vector<std::pair<double, const Backend*>> cold;
   const bool grants = GrantsWarmUps(state);
   double tokens = 0;
   for (const Backend* it : open) {
     if (!IsCold(state, *it)) {
       choice.warm.push_back(it);
     } else if (grants && MeterOf(state, *it).HasToken(state.now)) {
-      cold.emplace_back(MeterOf(state, *it).TokensAt(state.now), it);
-      tokens += cold.back().first;
+      choice.granted.push_back(it);
+      tokens += MeterOf(state, *it).TokensAt(state.now);
     }
   }
   // Tokens go first to the requests that already wait for them.
   const std::size_t ahead = AheadOf(state, demand, Shortage::kWarmUp);
-  if (cold.empty() || static_cast<double>(ahead) + 1 > tokens) return choice;
-  std::stable_sort(cold.begin(), cold.end(), [](const auto& a, const auto& b) {
-    return a.first > b.first;
-  });
-  for (const auto& [left, it] : cold) choice.granted.push_back(it);
+  if (static_cast<double>(ahead) + 1 > tokens) choice.granted.clear();
   return choice;
 }
 
