Whether a request has an open server is decided in one place

evacuations.cc and relays.cc each had the same test of the servers of a request, one over all servers and one by a sorted list.

--- a/serving/src/evacuations.cc
+++ b/serving/src/evacuations.cc
@@ -65,16 +65,6 @@
   return servers;
 }
 
-bool HasOpenBackend(const State& state, const Request& request) {
-  const SendTerms terms{.allowed_regions = &request.allowed_regions,
-                        .has_warm_up_grant = true};
-  return std::any_of(state.backends.begin(), state.backends.end(),
-                     [&](const auto& it) {
-                       return it.second.server.service == request.service &&
-                              !FindSendBlock(state, it.second, terms);
-                     });
-}
-
 // Returns those of the attempt's servers that are in `servers`.
 std::vector<BackendId> UsedAmong(const Request& request,
                                  const std::set<BackendId>& servers) {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -304,6 +304,8 @@
 std::optional<SendBlock> FindSendBlock(const State& state,
                                        const Backend& backend,
                                        const SendTerms& terms);
+// Whether any server of the request's service may get it, cold ones included.
+bool HasOpenBackend(const State& state, const Request& request);
 // Returns the refusal of a request for which no server of its service is open.
 Refusal RefusalWithoutServer(const State& state, const std::string& service,
                              const AllowedRegions& allowed_regions);
@@ -396,8 +398,7 @@
 bool AnyCold(const State& state, const std::string& service);
 bool AnyCold(const State& state);
 // The servers that may get a request now, by what is known of their warm-ups:
-// the warm ones, and the cold ones for which this daemon has a grant, those
-// with most tokens first.
+// the warm ones, and the cold ones for which this daemon has a grant.
 struct WarmUpChoice {
   std::vector<const Backend*> warm;
   std::vector<const Backend*> granted;
--- a/serving/src/relays.cc
+++ b/serving/src/relays.cc
@@ -21,13 +21,6 @@
 // without a send, if no daemon is known to reach the service.
 constexpr std::size_t kMissedServersToRefuse = 6;
 
-bool HasServerInRegions(const State& state, const Request& request) {
-  return !OpenBackends(state, request.service,
-                       {.allowed_regions = &request.allowed_regions,
-                        .has_warm_up_grant = true})
-              .empty();
-}
-
 bool MayRelayTo(const State& state, const Request& request,
                 const std::string& address, const Member& member) {
   const bool usable = IsLive(state, member) && member.snapshot.serving &&
@@ -114,8 +107,7 @@
 bool RelayOrRefuse(State& state, Request& request) {
   if (!IsPathDoubtful(state, request.service)) return false;
   // Such a request is refused, and its body goes nowhere.
-  if (request.allowed_regions && !HasServerInRegions(state, request))
-    return false;
+  if (request.allowed_regions && !HasOpenBackend(state, request)) return false;
   const bool is_relayed = !request.metadata.relayed_by.empty();
   const bool may_try = !is_relayed && MayRunAgain(request.route.kind) &&
                        request.possible_runs + request.declined_sends == 0;
--- a/serving/src/send_blocks.cc
+++ b/serving/src/send_blocks.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "internal/steps.h"
 
 // Decides whether a backend server may get a request. Every step that sends
@@ -48,6 +50,16 @@
   return std::nullopt;
 }
 
+bool HasOpenBackend(const State& state, const Request& request) {
+  const SendTerms terms{.allowed_regions = &request.allowed_regions,
+                        .has_warm_up_grant = true};
+  return std::any_of(state.backends.begin(), state.backends.end(),
+                     [&](const auto& it) {
+                       return it.second.server.service == request.service &&
+                              !FindSendBlock(state, it.second, terms);
+                     });
+}
+
 Refusal RefusalWithoutServer(const State& state, const std::string& service,
                              const AllowedRegions& allowed_regions) {
   std::set<SendBlock> blocks;
