A fleet that starts at once has placers in half a second, not in 1.4

What callers saw: after a kill of all daemons, short prompts were late for eight seconds, though all daemons were back within one (57 of 139 of those that began 6 s after the start).

Cause: no daemon was a hub before the store pollers are determined, 1.35 s after the start. Until then each daemon placed its prompts without knowing those of the others, and long prompts got their parts at the same engines, whose streams stood still for 400 to 900 ms.

Change: a daemon takes the duty of a hub once it knows three quarters of the listed daemons of its data centre. Until a placer is known, at most 0.4 s after the start, long prompts wait.

Test: fleet_start_test; without the change of hubs 27 of its 60 checks fail. serving_fleet_test passes (92 cases).

--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -89,8 +89,9 @@
   kBackoff,     // the sender backs off from all eligible servers
   kWarmUp,      // all eligible servers are cold and get what they bear
   kRegions,     // no backend server is in a region that is allowed
+  kPlacers,     // the fleet has just started and has no placer yet
 };
-inline constexpr NameTable<Shortage, 11> kShortageNames{{
+inline constexpr NameTable<Shortage, 12> kShortageNames{{
     {Shortage::kQueueOrder, "turn"},
     {Shortage::kEngines, "engines"},
     {Shortage::kMemory, "memory"},
@@ -102,6 +103,7 @@
     {Shortage::kBackoff, "rest"},
     {Shortage::kWarmUp, "warm_up"},
     {Shortage::kRegions, "regions"},
+    {Shortage::kPlacers, "placers"},
 }};
 
 // The prompt can't be placed now; capacity is expected later.
--- a/serving/src/audience.cc
+++ b/serving/src/audience.cc
@@ -23,6 +23,9 @@
 // by several milliseconds.
 constexpr std::size_t kMaxDaemonsPlacingLocally = 16;
 constexpr std::size_t kHubsPerDataCentre = 2;
+// The share of the listed daemons of its data centre that a daemon has to know
+// in order to take the duty of a hub right after the start of a whole fleet.
+constexpr double kKnownShareOfDataCentre = 0.75;
 // Limit on the hubs that a daemon sends placement requests to, while no placer
 // responds, before it places locally. A dead placer is detected only after 2 s
 // without a snapshot. If half of the daemons die at once and both placers are
@@ -47,6 +50,27 @@
   return std::find(hubs.begin(), end, state.options.peer_address) != end;
 }
 
+// Whether this daemon knows the daemons of its data centre well enough to tell
+// that it is among the strongest. After the start of a whole fleet that is so
+// long before the store pollers are determined. Waiting for them would let each
+// daemon place its prompts without knowing those of the others.
+bool KnowsDataCentre(const State& state) {
+  if (state.store.has_role) return true;
+  if (!state.peers_listed) return false;
+  std::size_t listed = 0;
+  std::size_t serving = 0;
+  for (const auto& [address, data_centre] : state.listed_peers) {
+    if (data_centre != state.options.data_centre) continue;
+    ++listed;
+    const auto member = state.members.find(address);
+    if (member != state.members.end() &&
+        ServesInThisDataCentre(state, member->second))
+      ++serving;
+  }
+  return static_cast<double>(serving) >=
+         kKnownShareOfDataCentre * static_cast<double>(listed);
+}
+
 // Returns all live hubs in order of preference as placers.
 std::vector<std::string> RankedHubs(const State& state) {
   return StrongestOf(
@@ -155,7 +179,7 @@
   const bool was_hub = dispatch.is_hub;
   // This daemon takes a duty only once it knows the other daemons, but it uses
   // the placers at once.
-  dispatch.is_hub = state.store.has_role && !dispatch.place_locally &&
+  dispatch.is_hub = !dispatch.place_locally && KnowsDataCentre(state) &&
                     IsAmongStrongestHubs(state);
   const auto hubs =
       dispatch.place_locally ? std::vector<std::string>{} : RankedHubs(state);
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -38,6 +38,14 @@
 constexpr Duration kRemotePlacementRetryInterval = milliseconds(10);
 constexpr Duration kQueueEstimateInterval = milliseconds(100);
 
+// After its start a daemon keeps long prompts for this time if no placer is
+// known. The daemons of a fleet that starts at once would otherwise use the
+// same engines for the parts of many prompts, and streams there would stand
+// still.
+constexpr Duration kMaxWaitForFirstPlacers = milliseconds(400);
+// The interval at which these prompts look for a placer.
+constexpr Duration kFirstPlacersRetryInterval = milliseconds(10);
+
 using RemotePlacementKey = std::pair<std::string, std::uint64_t>;
 
 // The first placer that isn't suspected, otherwise the first such fallback
@@ -281,6 +289,14 @@
   return true;
 }
 
+bool AwaitsFirstPlacers(const State& state, const Request& request) {
+  const EngineTiming* timing = TimingOf(state, request.service);
+  return timing != nullptr &&
+         state.now - state.started_at < kMaxWaitForFirstPlacers &&
+         PrefillTime(*timing, request.metadata.prompt_tokens) >
+             kShortPromptPrefillLimit;
+}
+
 void DropExpiredPlacements(State& state) {
   std::erase_if(state.dispatch.remote_placements, [&](const auto& it) {
     const RemotePlacement& remote = it.second;
@@ -310,6 +326,12 @@
     PlaceLocally(state, request);
     return;
   }
+  if (request.placer.empty() && dispatch.placers.empty() &&
+      AwaitsFirstPlacers(state, request)) {
+    QueueRequest(state, request, kFirstPlacersRetryInterval,
+                 Shortage::kPlacers);
+    return;
+  }
   if (request.placer.empty()) {
     state.effects.emplace_back(IncrementCounter{Counter::kPlacedLocally});
     // Logged once, not at each retry of a request that waits for capacity.
