An old unanswered store query doesn't prolong what a daemon knows

Cause: a query that failed stays noted as unanswered until the store responds to this daemon, also while relays confirm the state. When the store responded to a later query, slowly, the daemon took that for the end of an outage, and used its state for another 0.4 of the limit, though it was nearly too old.

Change: the state is used for longer only if nobody confirmed it since the unanswered query. Ending the unanswered query with a relay's confirmation was tried; it makes a daemon that alone doesn't reach the store stop serving (the test for that fails).

--- a/serving/src/proofs.cc
+++ b/serving/src/proofs.cc
@@ -109,7 +109,10 @@
 void RecordStoreResponse(State& state) {
   StoreFollowing& store = state.store;
   if (IsStoreUnresponsive(state)) {
-    store.recovered_at = state.now;
+    // If others have confirmed the state since the unanswered query, only this
+    // daemon was cut off, and its state isn't used for longer.
+    if (StoreConfirmedAt(state) <= *store.unanswered_query_since)
+      store.recovered_at = state.now;
     store.poll_due = state.now;
     Log(state, "store_speaks",
         {{"silent_ms", Millis(state.now - store.last_response_at)},
--- a/serving/test/store_following_test.cc
+++ b/serving/test/store_following_test.cc
@@ -344,6 +344,24 @@
   CHECK(daemon.FirstEffect<PollStore>() != nullptr);
 }
 
+// Guards against a query that failed long ago: when the store responded to the
+// next one, the daemon took that for the end of an outage, and used for longer
+// what relays had confirmed.
+TEST_CASE("An old unanswered query doesn't prolong what relays confirmed") {
+  NonPoller non_poller;
+  Daemon& daemon = non_poller.daemon();
+  non_poller.Relay(non_poller.Confirmation());
+  // The daemon's own query is not answered.
+  CHECK(non_poller.QueriesWithin(seconds(2), /*confirmations=*/false));
+  CHECK_FALSE(non_poller.QueriesWithin(seconds(1), /*confirmations=*/true));
+  // Relays cease; the next query is answered slowly.
+  non_poller.QueriesWithin(milliseconds(1700), /*confirmations=*/false);
+  daemon.Feed(StoreResponded{});
+  CHECK(IsServing(daemon.state()));
+  daemon.AdvanceTime(milliseconds(300));
+  CHECK_FALSE(IsServing(daemon.state()));
+}
+
 TEST_CASE(
     "A daemon lists the store if its entries stay different from a poller's") {
   NonPoller non_poller;
