A late report brings back no evacuation that is known to be gone

Cause: a request that is older than all that is known of the store was dropped only if the daemon had no record of the data centre at all. A record of an earlier withdrawal, heard from another daemon, let it through.

Change: it is dropped if the daemon knows the data centre as open. What is known as complete covers evacuations, as relays raise it only where the digests of evacuations are equal.

The new unit test fails without the change.

--- a/serving/src/evacuations.cc
+++ b/serving/src/evacuations.cc
@@ -206,11 +206,14 @@
                  const std::string& told_by) {
   const bool is_valid = !told.data_centre.empty() && told.revision.number != 0;
   if (!is_valid || !IsNews(state, told)) return;
-  // A request that is unknown here although it is older than all that is known
-  // of the store was withdrawn, or lost in a restore.
+  // If this daemon knows the data centre as open, although the request is older
+  // than all that is known of the store, it was withdrawn, or lost in a
+  // restore.
   const StoreRevision complete = state.store.complete_up_to;
-  const bool is_gone = told.in_force && told.revision < complete &&
-                       !state.evacuations.contains(told.data_centre);
+  const auto known = state.evacuations.find(told.data_centre);
+  const bool is_open =
+      known == state.evacuations.end() || !known->second.in_force;
+  const bool is_gone = told.in_force && told.revision < complete && is_open;
   const bool is_lost = told.revision.epoch != complete.epoch;
   if (is_gone && (!is_lost || IsRestoreSettled(state))) return;
   Apply(state, told, told_by);
--- a/serving/test/evacuations_test.cc
+++ b/serving/test/evacuations_test.cc
@@ -147,6 +147,18 @@
 }
 
 // Guards against a daemon that the store rejects, or whose pollers are gone.
+// Guards against a data centre that is evacuated again at a daemon that missed
+// both a request and its withdrawal and hears of the request late.
+TEST_CASE("A late report brings back no request that is known to be gone") {
+  Deployment deployment;
+  deployment.Store(Withdrawn(42));
+  deployment.daemon().Feed(BackendChangesComplete{.revision = {kEpoch, 50}});
+  deployment.Hear(Requested(45));
+  CHECK_FALSE(deployment.IsEvacuated());
+  deployment.Hear(Requested(51));
+  CHECK(deployment.IsEvacuated());
+}
+
 TEST_CASE("A snapshot tells of an evacuation, and is passed on at once") {
   Deployment it;
   // Older than all that is known: it was withdrawn while a peer was cut off.
