Soak: requests in a rest are counted for the daemon that sent them

Cause: the ledger took the daemon that the caller had chosen for the sender. Since daemons relay requests whose servers they don't reach, another daemon may have sent them, which nobody had asked for rest; and the chosen one never saw the server's wish.

Change: while a server asks for rest, the stand-in asks the kernel which daemon holds the connection. A rest, and the requests in it, count for that daemon. The bound is the same. Where the connection is gone by then, nothing is counted.

--- a/serving/test/simulated_fleet.h
+++ b/serving/test/simulated_fleet.h
@@ -636,7 +636,8 @@
                      .after = now_,
                      .now = now_,
                      .server = start.instance,
-                     .daemon = PeerOf(daemon)});
+                     .daemon = PeerOf(daemon),
+                     .sender = PeerOf(daemon)});
     engine.attempts.push_back({.daemon = daemon, .id = start.attempt});
     if (deadly) {
       engine.dies = std::min(engine.dies, now_ + kDeathAfter);
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -191,6 +191,7 @@
   std::string path;
   std::string expected;  // the life that it names
   bool ran = false;      // it began to work on it
+  std::string client;    // the address at the other end of its connection
 };
 
 // A backend server of the platform: streams of numbered events, or plain
--- a/testing/include/scaleshed/testing/server_ledger.h
+++ b/testing/include/scaleshed/testing/server_ledger.h
@@ -19,8 +19,11 @@
   Time now{};            // and not later than this
   std::string server;    // the life that got it
   std::string expected;  // the one that it names
-  std::string daemon;
+  std::string daemon;    // the one that its caller chose
   std::string request;
+  // The daemon that sent it to the server. It is another one if the request was
+  // relayed. Empty: not known, or not needed as no server asks for rest.
+  std::string sender;
 };
 
 // What backend servers said of themselves and got all the same, as they saw it.
@@ -33,7 +36,7 @@
 //     daemon had passed on that this server leaves: none, whichever life has
 //     its address when they arrive;
 //   - requests from kHeed after a server asked a daemon for rest until that is
-//     over, from that daemon: kMostInRest.
+//     over, sent by that daemon: kMostInRest.
 // Times never fall. Where the process that counts was kept from looking, an
 // arrival is known to lie between two times only; what counts is what is
 // certain.
@@ -56,9 +59,12 @@
   // A daemon has passed on an answer in which that server says that it leaves.
   void ToldLeaving(Time now, const std::string& server,
                    const std::string& daemon);
-  // That server has refused a daemon's request and asked it for rest.
+  // That server has refused a request that a daemon sent, and asked it for
+  // rest.
   void AskRest(Time now, const std::string& server, const std::string& daemon,
                Duration length);
+  // Whether a daemon was asked for rest by that server that isn't over.
+  bool IsInRest(Time now, const std::string& server) const;
   void Arrived(const ServerArrival& arrival);
   // The daemon was restarted, frozen or cut off: what it was told before is not
   // expected of it.
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -167,7 +167,8 @@
   tell_({.request_id = exchange.Header("X-Request-Id"),
          .path = exchange.path(),
          .expected = exchange.Header("X-Expect-Instance"),
-         .ran = ran});
+         .ran = ran,
+         .client = exchange.remote_address()});
 }
 
 void FakeWorker::AnswerLater(const std::shared_ptr<HttpExchange>& exchange) {
--- a/testing/src/server_ledger.cc
+++ b/testing/src/server_ledger.cc
@@ -43,6 +43,12 @@
                     .until = now + length});
 }
 
+bool ServerLedger::IsInRest(Time now, const std::string& server) const {
+  return std::any_of(rests_.begin(), rests_.end(), [&](const Rest& it) {
+    return it.server == server && now < it.until;
+  });
+}
+
 void ServerLedger::Arrived(const ServerArrival& arrival) {
   CountLimited(arrival);
   CountLate(arrival);
@@ -73,7 +79,7 @@
 void ServerLedger::CountInRest(const ServerArrival& arrival) {
   for (Rest& it : rests_) {
     const bool counts =
-        it.server == arrival.server && it.daemon == arrival.daemon &&
+        it.server == arrival.server && it.daemon == arrival.sender &&
         arrival.after >= it.asked + kHeed && arrival.now < it.until;
     if (counts) ++it.requests;
   }
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <random>
 
 #include "internal/configuration_prober.h"
@@ -240,21 +241,26 @@
       ledger_.Arrived(after, loop_.Now(), service, arrival.request_id,
                       arrival.ran);
       const std::string& daemon = callers_->DaemonOf(arrival.request_id);
+      const std::string& rest = said_[n].rest;
+      const bool rests =
+          !rest.empty() || words_.IsInRest(loop_.Now(), servers_[n]->id());
+      const std::string sender =
+          rests ? SenderOf(arrival.client, servers_[n]->address()) : "";
       words_.Arrived({.sent = callers_->SentAt(arrival.request_id),
                       .after = after,
                       .now = loop_.Now(),
                       .server = servers_[n]->id(),
                       .expected = arrival.expected,
                       .daemon = daemon,
-                      .request = arrival.request_id});
-      const std::string& rest = said_[n].rest;
+                      .request = arrival.request_id,
+                      .sender = sender});
       const bool is_meant = arrival.expected == servers_[n]->id();
       if (is_meant) {
         evacuations_.Arrived(after, servers_[n]->data_centre(), daemon,
                              arrival.request_id);
       }
       if (arrival.ran || rest.empty() || !is_meant) return;
-      words_.AskRest(loop_.Now(), servers_[n]->id(), daemon,
+      words_.AskRest(loop_.Now(), servers_[n]->id(), sender,
                      std::chrono::duration_cast<Duration>(
                          std::chrono::duration<double>(std::stod(rest))));
     });
@@ -467,21 +473,39 @@
     }
   }
 
+  // The daemon among `daemons` that holds the connection; nothing if none does.
+  std::optional<std::size_t> OwnerAmong(const std::vector<std::size_t>& daemons,
+                                        const std::string& client,
+                                        const std::string& server) {
+    const auto local = SocketAddress(client);
+    const auto remote = SocketAddress(server);
+    if (daemons.empty() || !local || !remote) return std::nullopt;
+    std::vector<pid_t> processes;
+    for (const std::size_t it : daemons) processes.push_back(daemons_.pid(it));
+    const auto owner = OwnerOfConnection(*local, *remote, processes);
+    const auto found = std::find_if(
+        daemons.begin(), daemons.end(),
+        [&](std::size_t it) { return owner && daemons_.pid(it) == *owner; });
+    if (found == daemons.end()) return std::nullopt;
+    return *found;
+  }
+
   // How the link of the daemon that holds the connection treats what the daemon
   // sends to the server.
   WorkerMode LinkBetween(const std::string& client, const std::string& server) {
-    const auto local = SocketAddress(client);
-    const auto remote = SocketAddress(server);
-    if (links_.empty() || !local || !remote) return WorkerMode::kServing;
-    std::vector<pid_t> cut_off;
-    for (const auto& [daemon, mode] : links_) {
-      cut_off.push_back(daemons_.pid(daemon));
-    }
-    const auto owner = OwnerOfConnection(*local, *remote, cut_off);
-    for (const auto& [daemon, mode] : links_) {
-      if (owner && daemons_.pid(daemon) == *owner) return mode;
-    }
-    return WorkerMode::kServing;
+    std::vector<std::size_t> cut_off;
+    for (const auto& [daemon, mode] : links_) cut_off.push_back(daemon);
+    const auto owner = OwnerAmong(cut_off, client, server);
+    return owner ? links_.at(*owner) : WorkerMode::kServing;
+  }
+
+  // The listen address of the daemon that holds the connection; empty if none
+  // does any more.
+  std::string SenderOf(const std::string& client, const std::string& server) {
+    std::vector<std::size_t> all(daemons_.size());
+    std::iota(all.begin(), all.end(), 0);
+    const auto owner = OwnerAmong(all, client, server);
+    return owner ? daemons_.listen_address(*owner) : "";
   }
 
   void CutOff(std::size_t daemon, WorkerMode mode, Duration length) {
--- a/testing/test/server_ledger_test.cc
+++ b/testing/test/server_ledger_test.cc
@@ -40,5 +40,21 @@
   }
 }
 
+// Guards against the requests of one daemon being counted as another's: a
+// relayed request is sent by a daemon that its caller doesn't know.
+TEST_CASE("Requests in a rest are counted for the daemon that sent them") {
+  ServerLedger ledger;
+  ledger.AskRest(kStart, "b", "d", seconds(3));
+  ServerArrival arrival = Late("b", "b", seconds(1));
+  arrival.sender = "other";
+  for (int i = 0; i < 5; ++i) ledger.Arrived(arrival);
+  CHECK(ledger.Broken().empty());
+  arrival.daemon = "other";
+  arrival.sender = "d";
+  for (std::size_t i = 0; i <= ServerLedger::kMostInRest; ++i)
+    ledger.Arrived(arrival);
+  CHECK(ledger.Broken().size() == 1);
+}
+
 }  // namespace
 }  // namespace scaleshed::testing
