Soak: servers that become cold, and a ledger of what they get

The soak drew evacuations and lost data centres, but no cold servers. The ledger counts at the servers, over all daemons, what each gets within one second, from 3 s after the daemons can know of it.

--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -210,6 +210,8 @@
     data_centre_ = std::move(data_centre);
   }
   const std::string& data_centre() const { return data_centre_; }
+  // Its entry says that it is cold for that long; zero: warm.
+  void SetWarmUpLeft(Duration left) { warm_up_left_ = left; }
   void SetMode(WorkerMode mode) { mode_ = mode; }
   // Each request is treated as that draws.
   void DrawModes(std::function<WorkerMode()> draw) { draw_ = std::move(draw); }
@@ -285,6 +287,7 @@
   std::unique_ptr<HttpServer> server_;  // nothing: it has ended
   std::string address_;
   std::string id_;
+  Duration warm_up_left_{};
   std::string data_centre_ = "z1";
   std::string deadly_;
   std::string deadly_part_;
--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -40,8 +40,9 @@
   kCutSilent,       // the same, but the links say nothing
   kEvacuate,        // the operators have a data centre evacuated for `length`
   kKillDataCentre,  // all daemons of one are killed, and back after `length`
+  kServersCold,     // a share becomes cold for `length`
 };
-inline constexpr NameTable<SoakFault, 26> kSoakFaultNames{{
+inline constexpr NameTable<SoakFault, 27> kSoakFaultNames{{
     {SoakFault::kKill, "kill"},
     {SoakFault::kRestart, "restart"},
     {SoakFault::kRoll, "roll"},
@@ -68,6 +69,7 @@
     {SoakFault::kCutSilent, "cut_silent"},
     {SoakFault::kEvacuate, "evacuate"},
     {SoakFault::kKillDataCentre, "kill_data_centre"},
+    {SoakFault::kServersCold, "servers_cold"},
 }};
 
 // One fault, again and again. Series overlap as they come.
@@ -81,6 +83,12 @@
 };
 
 struct SoakOptions {
+  // What a cold server bears, and the bound on what it gets within one second:
+  // kColdPerSecond x kColdOverage + kColdSlack.
+  static constexpr double kColdPerSecond = 8;
+  static constexpr double kColdOverage = 1.5;
+  static constexpr double kColdSlack = 3;
+
   std::string daemon;  // the program
   std::uint64_t seed = 1;
   std::size_t daemons = 8;
@@ -121,6 +129,9 @@
 // Series that are drawn from the seed: in most of them backend servers refuse
 // or fail much, so that repeats are asked for, while other faults come beside.
 std::vector<SoakSeries> DrawSeries(std::uint64_t seed, Duration length);
+// Series of servers that become cold, drawn from the seed, to be added to
+// these.
+std::vector<SoakSeries> DrawColdSeries(std::uint64_t seed, Duration length);
 // Series that concern whole data centres, drawn from the seed, to be added to
 // these: evacuations, and the loss of all daemons of one.
 std::vector<SoakSeries> DrawDataCentreSeries(std::uint64_t seed,
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -65,10 +65,17 @@
 
 std::string FakeWorker::Entry(const std::string& service,
                               const std::string& state) const {
-  return Json{
-      {"service", service},     {"address", address()}, {"zone", data_centre_},
-      {"version", "v1"},        {"slots", 16},          {"state", state},
-      {"cold_remaining_ms", 0}, {"sequence", 1},        {"born", born_}}
+  const auto warm_up_left =
+      std::chrono::duration_cast<milliseconds>(warm_up_left_).count();
+  return Json{{"service", service},
+              {"address", address()},
+              {"zone", data_centre_},
+              {"version", "v1"},
+              {"slots", 16},
+              {"state", state},
+              {"cold_remaining_ms", warm_up_left},
+              {"sequence", 1},
+              {"born", born_}}
       .dump();
 }
 
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -24,6 +24,7 @@
 #include "scaleshed/testing/fleet_stand_ins.h"
 #include "scaleshed/testing/path_ledger.h"
 #include "scaleshed/testing/server_ledger.h"
+#include "scaleshed/testing/warm_up_ledger.h"
 
 namespace scaleshed::testing {
 namespace {
@@ -166,6 +167,7 @@
     if (store_.mode() != StoreMode::kUp || writers_.LackAnything()) {
       configurations_.StoreDisturbed(now);
       evacuations_.StoreDisturbed(now);
+      warm_ups_.StoreDisturbed(now);
     }
   }
 
@@ -181,6 +183,8 @@
     configuration["version"] = ++version_;
     auto& keys = configuration["tenants"][0]["api_keys"];
     keys.push_back(ConfigurationLedger::KeyOf(version_));
+    for (auto& it : configuration["services"])
+      it["cold_per_s"] = SoakOptions::kColdPerSecond;
     writers_.Write(kConfigurationKey, configuration.dump());
     configurations_.Acknowledged(loop_.Now(), version_);
   }
@@ -210,6 +214,28 @@
     });
   }
 
+  void Cool(const Serving& serving, Duration length) {
+    FakeWorker& server = *servers_[serving.server];
+    const auto write = [this, &server,
+                        service = serving.service](Duration left) {
+      server.SetWarmUpLeft(left);
+      writers_.Write("servers/" + server.id(), server.Entry(service));
+    };
+    write(length);
+    warm_ups_.BecameCold(loop_.Now(), server.id(), length);
+    AfterIn(serving.server, length, [this, n = serving.server, write] {
+      if (said_[n].leaving) return;
+      warm_ups_.BecameWarm(servers_[n]->id());
+      write(Duration::zero());
+    });
+  }
+
+  void CoolSome(double share, Duration length) {
+    for (const Serving& it : serving_) {
+      if (Draw() < share) Cool(it, length);
+    }
+  }
+
   void KillDataCentre(Duration pause) {
     const std::string chosen = DataCentreOf(random_());
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
@@ -258,6 +284,7 @@
       if (is_meant) {
         evacuations_.Arrived(after, servers_[n]->data_centre(), daemon,
                              arrival.request_id);
+        warm_ups_.Arrived(after, loop_.Now(), servers_[n]->id());
       }
       if (arrival.ran || rest.empty() || !is_meant) return;
       words_.AskRest(loop_.Now(), servers_[n]->id(), sender,
@@ -470,6 +497,8 @@
         return Evacuate(series.length);
       case SoakFault::kKillDataCentre:
         return KillDataCentre(series.length);
+      case SoakFault::kServersCold:
+        return CoolSome(series.share, series.length);
     }
   }
 
@@ -584,6 +613,8 @@
     for (const std::string& it : words_.Broken()) report.broken.push_back(it);
     for (const std::string& it : evacuations_.Broken())
       report.broken.push_back(it);
+    for (const std::string& it : warm_ups_.Broken())
+      report.broken.push_back(it);
     for (const std::string& it : configurations_.Broken()) {
       report.broken.push_back(it);
     }
@@ -627,6 +658,9 @@
   std::map<std::size_t, Words> said_;  // by server
   std::size_t words_said_ = 0;
   EvacuationLedger evacuations_;
+  WarmUpLedger warm_ups_{SoakOptions::kColdPerSecond *
+                             SoakOptions::kColdOverage +
+                         SoakOptions::kColdSlack};
   PathLedger paths_;
   std::map<std::size_t, WorkerMode> links_;  // by daemon; those that are cut
   std::deque<Time> looks_;
--- a/testing/src/soak_daemons.cc
+++ b/testing/src/soak_daemons.cc
@@ -56,6 +56,8 @@
       << "  repeat_slack: " << options.bound.slack << "\n"
       << "  repeat_window_s: " << window << "\n"
       << "  evacuated_within_ms: " << (evacuates ? "5000" : "") << "\n"
+      << "  warm_up_overage: " << SoakOptions::kColdOverage << "\n"
+      << "  warm_up_slack: " << SoakOptions::kColdSlack << "\n"
       << "  grace_s: " << kGraceSeconds << "\n";
 }
 
--- a/testing/src/soak_main.cc
+++ b/testing/src/soak_main.cc
@@ -25,6 +25,7 @@
           "FAULT:AT_MS:TIMES:GAP_MS:SHARE:LENGTH_MS,...; empty: drawn");
 ABSL_FLAG(bool, data_centre_faults, false,
           "draw evacuations and losses of data centres too");
+ABSL_FLAG(bool, cold_servers, false, "draw servers that become cold too");
 ABSL_FLAG(bool, keep_logs, false, "leave the daemons' logs where they are");
 
 namespace {
@@ -59,6 +60,10 @@
     for (const SoakSeries& it : DrawDataCentreSeries(seed, options.length))
       options.series.push_back(it);
   }
+  if (absl::GetFlag(FLAGS_cold_servers)) {
+    for (const SoakSeries& it : DrawColdSeries(seed, options.length))
+      options.series.push_back(it);
+  }
   return options;
 }
 
--- a/testing/src/soak_series.cc
+++ b/testing/src/soak_series.cc
@@ -94,6 +94,23 @@
   return series;
 }
 
+std::vector<SoakSeries> DrawColdSeries(std::uint64_t seed, Duration length) {
+  // Differs from the sequences of the other series.
+  std::mt19937_64 random(seed * 2 + 1);
+  const auto draw = [&](std::int64_t from, std::int64_t to) {
+    return from + static_cast<std::int64_t>(
+                      random() % static_cast<std::uint64_t>(to - from + 1));
+  };
+  const auto whole = std::chrono::duration_cast<milliseconds>(length).count();
+  // Long enough to count beyond the time in which the daemons may learn of it.
+  return {{.fault = SoakFault::kServersCold,
+           .at = Millis(draw(0, whole / 4)),
+           .times = static_cast<int>(draw(1, 2)),
+           .gap = Millis(draw(whole / 4, whole / 2)),
+           .share = static_cast<double>(draw(20, 100)) / 100,
+           .length = Millis(draw(whole / 2, whole))}};
+}
+
 std::vector<SoakSeries> DrawDataCentreSeries(std::uint64_t seed,
                                              Duration length) {
   // Differs from the sequence that DrawSeries() takes from the same seed.
--- a/testing/test/soak_test.cc
+++ b/testing/test/soak_test.cc
@@ -99,6 +99,17 @@
   CheckHeld(options);
 }
 
+// Guards against daemons that don't share what a cold server bears, also while
+// the granter is killed with all others.
+TEST_CASE("Cold servers get what they bear while daemons are killed") {
+  SoakOptions options = Options(1);
+  options.length = seconds(10);
+  options.requests_per_second = 400;
+  options.series =
+      ParseSeries("servers_cold:200:1:0:1:9500,kill:6000:1:0:1:300");
+  CheckHeld(options);
+}
+
 // New configurations were never in force after a restore, and keys that they
 // had dropped were accepted for good; see store_restore_test.cc.
 TEST_CASE("Configurations and entries outlast a store's restore from a copy") {
