--- a/serving/test/evacuations_test.cc
+++ b/serving/test/evacuations_test.cc
@@ -316,5 +316,53 @@
   CHECK(it.IsEvacuated());
 }
 
+// Guards against a daemon that doesn't know of the evacuation yet and refuses a
+// prompt as invalid for good because the placer has too few servers left.
+TEST_CASE("A placer calls no prompt too large because of an evacuation") {
+  Deployment it;
+  const bool evacuated = GENERATE(true, false);
+  if (evacuated) it.Store(Requested(50));
+  auto& state = it.daemon().state();
+  state.dispatch.placers = {state.options.peer_address};
+  it.daemon().Feed(PlacementRequestReceived{
+      {.peer_address = "2.2.2.2:2",
+       .id = 1,
+       .attempt_number = 1,
+       .request = "r",
+       .service = "llm",
+       .prompt_tokens = 10'000'000,
+       .arrived = it.daemon().now(),
+       .due = it.daemon().now() + seconds(3600),
+       .deadline = it.daemon().now() + seconds(3600)}});
+  const auto* told = it.daemon().FirstEffect<RespondToPlacement>();
+  REQUIRE(told != nullptr);
+  CHECK(told->response.outcome ==
+        (evacuated ? PlacementOutcome::kRefused : PlacementOutcome::kTooLarge));
+  CHECK((told->response.retry_after > Duration::zero()) == evacuated);
+}
+
+// Guards against a refusal as overload, which hides the evacuation.
+TEST_CASE("A prompt that a placer can't fit is refused as evacuated") {
+  Deployment it;
+  it.Store(Requested(50));
+  auto& state = it.daemon().state();
+  state.dispatch.place_locally = false;
+  state.dispatch.placers = {"2.2.2.2:2"};
+  const RequestKey key = it.daemon().SendRequest("stream");
+  const auto* asked = it.daemon().FirstEffect<RequestPlacement>();
+  REQUIRE(asked != nullptr);
+  it.daemon().Feed(PlacementResponseReceived{
+      {.peer_address = "2.2.2.2:2",
+       .incarnation = state.options.incarnation,
+       .id = key,
+       .attempt_number = asked->request.attempt_number,
+       .outcome = PlacementOutcome::kRefused,
+       .shortage = Shortage::kBackends,
+       .retry_after = seconds(1)}});
+  const auto* refused = it.daemon().FirstEffect<Refuse>();
+  REQUIRE(refused != nullptr);
+  CHECK(refused->reason == Refusal::kEvacuated);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving
