--- a/serving/test/evacuations_test.cc
+++ b/serving/test/evacuations_test.cc
@@ -146,7 +146,6 @@
   CHECK(it.IsEvacuated());
 }
 
-// Guards against a daemon that the store rejects, or whose pollers are gone.
 // Guards against a data centre that is evacuated again at a daemon that missed
 // both a request and its withdrawal and hears of the request late.
 TEST_CASE("A late report brings back no request that is known to be gone") {
@@ -159,6 +158,7 @@
   CHECK(deployment.IsEvacuated());
 }
 
+// Guards against a daemon that the store rejects, or whose pollers are gone.
 TEST_CASE("A snapshot tells of an evacuation, and is passed on at once") {
   Deployment it;
   // Older than all that is known: it was withdrawn while a peer was cut off.
