Placers ask the warm-up granter for cold servers

A placer that isn't the granter decided about its own clients' requests alone and so never used cold servers. It now requests a placement from the granter when only a cold server could take the request, as daemons that place locally do. With all servers cold, 10 of 10 prompts at the second placer are answered (0 of 10 before).

--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -77,11 +77,11 @@
   state.has_unpublished_changes = true;
 }
 
-// In a fleet that places locally, only the warm-up granter is requested to
-// place, and only what needs a cold server.
+// A daemon that places by itself, also a placer, requests only the warm-up
+// granter to place, and only what needs a cold server.
 std::string NextPlacerFor(const State& state) {
-  return state.dispatch.place_locally ? FindWarmUpGranter(state)
-                                      : NextPlacer(state);
+  return ReceivesAllActiveRequests(state) ? FindWarmUpGranter(state)
+                                          : NextPlacer(state);
 }
 
 PlacementRequest PlacementRequestFor(const State& state,
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -338,7 +338,7 @@
 // decided so, and another daemon grants the use of these.
 bool NeedsWarmUpGranter(const State& state, const Request& request,
                         const PlacementDecision& decision) {
-  if (state.warm_ups.empty() || !state.dispatch.place_locally) return false;
+  if (state.warm_ups.empty() || !ReceivesAllActiveRequests(state)) return false;
   if (GrantsWarmUps(state) || !AnyCold(state, request.service)) return false;
   const auto* lacks = std::get_if<NoCapacityNow>(&decision);
   const auto* refused = std::get_if<DeadlineUnreachable>(&decision);
@@ -353,7 +353,7 @@
 // Starts a request at servers that this daemon itself has chosen.
 void StartLocally(State& state, Request& request, const Placement& placement) {
   // The warm-up granter was requested to place it.
-  if (state.dispatch.place_locally) WithdrawPlacement(state, request);
+  if (ReceivesAllActiveRequests(state)) WithdrawPlacement(state, request);
   request.warm_up_grants = TakeWarmUpGrants(state, placement);
   request.warm_up_grants_until = state.now + kWarmUpGrantLifetime;
   StartPlacedAttempt(state, request, placement);
--- a/serving/test/cold_servers_test.cc
+++ b/serving/test/cold_servers_test.cc
@@ -314,5 +314,28 @@
   CHECK(result.answered == result.sent);
 }
 
+// Guards against a second placer that refuses the requests of its own clients
+// while the granter could place them.
+TEST_CASE("Requests at a placer that isn't the granter get cold servers") {
+  const SimulatedFleetOptions& options = kFleets[1];
+  SimulatedFleet fleet(options);
+  StartAllCold(fleet, options);
+  fleet.AdvanceTime(seconds(3));
+  const auto& placers = fleet.state(0).dispatch.placers;
+  REQUIRE(placers.size() > 1);
+  const int second = std::stoi(placers[1].substr(1));
+  REQUIRE(second != fleet.granter());
+  std::vector<RequestKey> sent;
+  for (int i = 0; i < 10; ++i) {
+    sent.push_back(fleet.SendPrompt(second, 3000, seconds(10)));
+    fleet.AdvanceTime(milliseconds(200));
+  }
+  fleet.AdvanceTime(seconds(3));
+  std::size_t answered = 0;
+  for (const RequestKey it : sent) answered += fleet.answered().count(it);
+  CHECK(answered == sent.size());
+  CheckBound(fleet);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
