A server that is cold again starts with an empty meter

After a health check that showed a warm server, its record and meter stayed. A second warm-up then got grants from the full bucket at once, although other daemons may still send as to a warm server for 1 s. A new warm-up now drops the old meter, so that grants begin 1 s later. The new test fails without this.

--- a/serving/src/warm_ups.cc
+++ b/serving/src/warm_ups.cc
@@ -84,6 +84,8 @@
   warm_up.presumed_until = Time{};
   // A reopened server got nothing while it was evacuated.
   if (!was_cold) {
+    // A meter of an earlier warm-up would grant before `grants_from`.
+    state.warm_up_granting.meters.erase(backend.id);
     warm_up.grants_from =
         source == WarmUpSource::kReopened ? state.now : state.now + kSpreadTime;
   }
--- a/serving/test/cold_servers_test.cc
+++ b/serving/test/cold_servers_test.cc
@@ -314,6 +314,79 @@
   CHECK(result.answered == result.sent);
 }
 
+// A daemon that holds the lease, before one engine with a report of a restart
+// that its entry doesn't name yet.
+class PresumingGranter {
+ public:
+  PresumingGranter() {
+    Configuration configuration = MakeConfiguration(2);
+    configuration.services["llm"].warm_up = {.duration = seconds(30),
+                                             .per_second = kPerSecond};
+    daemon_.Feed(ConfigurationReceived{.configuration = configuration,
+                                       .queried_at = daemon_.now()});
+    for (int i = 1; i < 6; ++i)
+      daemon_.ListBackend("llm", i, /*leaving=*/true);
+    List(Duration::zero());
+    PassTime(milliseconds(500), /*takes_lease=*/true);
+    PassTime(seconds(4));
+    daemon_.Feed(
+        EngineReportReceived{.backend = backend(), .start_unix_ms = 8});
+    PassTime(seconds(2));
+  }
+
+  Daemon& daemon() { return daemon_; }
+  BackendId backend() const {
+    return daemon_.state().backends.at("llm0").id;
+  }
+
+  // Applies a new revision of the entry.
+  void List(Duration warm_up_left) {
+    daemon_.Feed(BackendListed{{.id = "llm0",
+                                .service = "llm",
+                                .address = "llm0:1",
+                                .slots = 16,
+                                .revision = {.number = ++revision_},
+                                .start_unix_ms = 7,
+                                .warm_up_left = warm_up_left}});
+  }
+
+  // Keeps the lease and what is known of the store fresh.
+  void PassTime(Duration time, bool takes_lease = false) {
+    constexpr Duration kStep = milliseconds(100);
+    for (Duration gone{}; gone < time; gone += kStep) {
+      daemon_.AdvanceTime(kStep);
+      daemon_.Feed(ConfigurationConfirmed{.revision = {.number = 2},
+                                          .queried_at = daemon_.now()});
+      daemon_.Feed(BackendsConfirmed{.queried_at = daemon_.now()});
+      daemon_.Feed(
+          WarmUpLeaseHeld{.valid_until = daemon_.now() + seconds(2),
+                          .newly_taken = takes_lease && gone == Duration{}});
+    }
+  }
+
+ private:
+  Daemon daemon_;
+  std::uint64_t revision_ = 50;
+};
+
+// The record and the meter of a presumed warm-up outlast a health check that
+// shows a warm server. Guards against grants from that meter in the second in
+// which other daemons may still send as to a warm server.
+TEST_CASE("A server that is cold again gets no grants from its old meter") {
+  PresumingGranter granter;
+  Daemon& daemon = granter.daemon();
+  daemon.Feed(HealthChecked{.backend = granter.backend(),
+                            .warm_up_left = Duration::zero()});
+  granter.PassTime(seconds(2));
+  REQUIRE(daemon.state().warm_ups.contains(granter.backend()));
+  granter.List(seconds(20));
+  daemon.SendRequest("stream", 3000);
+  CHECK(daemon.FirstEffect<StartAttempt>() == nullptr);
+  granter.PassTime(milliseconds(1200));
+  daemon.SendRequest("stream", 3000);
+  CHECK(daemon.FirstEffect<StartAttempt>() != nullptr);
+}
+
 // Guards against a second placer that refuses the requests of its own clients
 // while the granter could place them.
 TEST_CASE("Requests at a placer that isn't the granter get cold servers") {
