A presumed warm-up outlasts a health check that shows a shorter one

A health check that showed a shorter warm-up cleared the time until which other daemons presume a longer one. After the shorter one, the granter placed without grants, and those daemons returned these placements. The time is now kept, as for a health check that shows a warm server. The new test fails without this.

--- a/serving/src/warm_ups.cc
+++ b/serving/src/warm_ups.cc
@@ -77,11 +77,15 @@
   WarmUp& warm_up = state.warm_ups[backend.id];
   const bool was_cold = warm_up.until > state.now;
   const bool is_news = !was_cold || warm_up.source != source;
+  const Time known_until = warm_up.until;
   const Time until = state.now + left;
   warm_up.until = IsPresumed(source) ? std::max(warm_up.until, until) : until;
   warm_up.source = source;
   warm_up.learned_at = state.now;
-  warm_up.presumed_until = Time{};
+  // Other daemons may presume a longer warm-up than the health check showed.
+  warm_up.presumed_until = source == WarmUpSource::kHealth
+                               ? std::max(warm_up.presumed_until, known_until)
+                               : Time{};
   // A reopened server got nothing while it was evacuated.
   if (!was_cold) {
     // A meter of an earlier warm-up would grant before `grants_from`.
--- a/serving/test/cold_servers_test.cc
+++ b/serving/test/cold_servers_test.cc
@@ -387,6 +387,18 @@
   CHECK(daemon.FirstEffect<StartAttempt>() != nullptr);
 }
 
+// A health check may show that a warm-up ends earlier than presumed. Guards
+// against placements without a grant that daemons which still presume the
+// warm-up return again and again.
+TEST_CASE("A server that was cold for less than presumed stays granted") {
+  PresumingGranter granter;
+  Daemon& daemon = granter.daemon();
+  daemon.Feed(HealthChecked{.backend = granter.backend(),
+                            .warm_up_left = seconds(2)});
+  granter.PassTime(seconds(3));
+  CHECK(daemon.state().warm_ups.contains(granter.backend()));
+}
+
 // Guards against a second placer that refuses the requests of its own clients
 // while the granter could place them.
 TEST_CASE("Requests at a placer that isn't the granter get cold servers") {
