Test of a lost data centre while another one is evacuated

The loss of a data centre of daemons was tested only without an evacuation. The new test evacuates the second placer's data centre before or after the first placer's is killed, frozen or (evacuated before) partitioned.

--- a/serving/test/lost_data_centre_test.cc
+++ b/serving/test/lost_data_centre_test.cc
@@ -59,6 +59,35 @@
       fleet_.KillDaemon(i);
     }
   }
+  // Requests the evacuation of a data centre. The remaining daemons learn of it
+  // from the store. Their effects at that moment aren't carried out; sends and
+  // placement requests among them would be lost.
+  void Evacuate(const std::string& data_centre) {
+    constexpr std::uint64_t kRequestedAt = 100;
+    const StoredEvacuation requested{.data_centre = data_centre,
+                                     .in_force = true,
+                                     .revision = {.number = kRequestedAt}};
+    for (int i = 0; i < daemons_; ++i) {
+      if (IsLost(i)) continue;
+      const auto effects =
+          Reduce(fleet_.state(i),
+                 {.now = fleet_.now(), .body = EvacuationStored{requested}});
+      for (const Effect& it : effects) {
+        REQUIRE_FALSE(std::holds_alternative<StartAttempt>(it));
+        REQUIRE_FALSE(std::holds_alternative<RequestPlacement>(it));
+      }
+    }
+  }
+  // Returns the number of sends to servers of a data centre.
+  int SendsTo(const std::string& data_centre) {
+    int sends = 0;
+    for (const auto& [server, count] : fleet_.sends()) {
+      constexpr std::size_t kPrefixLength = 3;  // "llm" or "app"
+      const int index = std::stoi(server.substr(kPrefixLength));
+      if (fleet_.CentreOf(index) == data_centre) sends += count;
+    }
+    return sends;
+  }
   void PowerOn() {
     for (const int it : lost_) fleet_.FreezeDaemon(it, false);
     lost_.clear();
@@ -153,6 +182,40 @@
   CHECK(test.ServedShare(later) >= kServedShare);
 }
 
+// Guards against sends to an evacuated data centre, and against requests that
+// fail, while another data centre loses its daemons with the first placer.
+// Partitioned daemons don't learn of an evacuation that is requested later.
+TEST_CASE("A data centre is lost while another one is evacuated") {
+  const auto loss = GENERATE(Loss::kKilled, Loss::kFrozen, Loss::kPartitioned);
+  const bool evacuated_first =
+      loss == Loss::kPartitioned || GENERATE(true, false);
+  CAPTURE(static_cast<int>(loss), evacuated_first);
+  LossTest test;
+  const auto placers = test.fleet().state(0).dispatch.placers;
+  REQUIRE(placers.size() == 2);
+  const auto centre_of = [&](const std::string& peer) {
+    return test.fleet().CentreOf(std::stoi(peer.substr(1)));
+  };
+  const std::string evacuated = centre_of(placers[1]);
+  REQUIRE(test.SendsTo(evacuated) > 0);
+  if (evacuated_first) test.Evacuate(evacuated);
+  const int sends_if_first = test.SendsTo(evacuated);
+  if (evacuated_first) test.Send(seconds(1));
+  test.LoseDataCentre(centre_of(placers[0]), loss);
+  if (!evacuated_first) {
+    test.Send(seconds(1));
+    test.Evacuate(evacuated);
+  }
+  const int sends_before =
+      evacuated_first ? sends_if_first : test.SendsTo(evacuated);
+  test.Send(kContactTime);
+  const auto after = test.Send(kForgottenTime - kContactTime);
+  test.CheckForgotten();
+  test.fleet().AdvanceTime(seconds(3));
+  CHECK(test.ServedShare(after) >= kServedShare);
+  CHECK(test.SendsTo(evacuated) == sends_before);
+}
+
 // Guards against requests that fail while the remaining daemons, now few enough
 // to place locally, stop using placers.
 TEST_CASE("Few remaining daemons change to placing locally without a loss") {
