--- a/serving/test/cold_servers_test.cc
+++ b/serving/test/cold_servers_test.cc
@@ -324,8 +324,7 @@
                                              .per_second = kPerSecond};
     daemon_.Feed(ConfigurationReceived{.configuration = configuration,
                                        .queried_at = daemon_.now()});
-    for (int i = 1; i < 6; ++i)
-      daemon_.ListBackend("llm", i, /*leaving=*/true);
+    for (int i = 1; i < 6; ++i) daemon_.ListBackend("llm", i, /*leaving=*/true);
     List(Duration::zero());
     PassTime(milliseconds(500), /*takes_lease=*/true);
     PassTime(seconds(4));
@@ -335,9 +334,7 @@
   }
 
   Daemon& daemon() { return daemon_; }
-  BackendId backend() const {
-    return daemon_.state().backends.at("llm0").id;
-  }
+  BackendId backend() const { return daemon_.state().backends.at("llm0").id; }
 
   // Applies a new revision of the entry.
   void List(Duration warm_up_left) {
@@ -393,8 +390,8 @@
 TEST_CASE("A server that was cold for less than presumed stays granted") {
   PresumingGranter granter;
   Daemon& daemon = granter.daemon();
-  daemon.Feed(HealthChecked{.backend = granter.backend(),
-                            .warm_up_left = seconds(2)});
+  daemon.Feed(
+      HealthChecked{.backend = granter.backend(), .warm_up_left = seconds(2)});
   granter.PassTime(seconds(3));
   CHECK(daemon.state().warm_ups.contains(granter.backend()));
 }
