--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -510,6 +510,7 @@
     const auto remote = SocketAddress(server);
     if (daemons.empty() || !local || !remote) return std::nullopt;
     std::vector<pid_t> processes;
+    processes.reserve(daemons.size());
     for (const std::size_t it : daemons) processes.push_back(daemons_.pid(it));
     const auto owner = OwnerOfConnection(*local, *remote, processes);
     const auto found = std::find_if(
