State: what belongs to one attempt stands in a struct of its own

A request's attempt was a set of members between those of the request itself. They move into Attempt (Request::current), so that a request can hold more than one. No change of behaviour.

--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -426,6 +426,30 @@
     {Phase::kRelayed, "relayed"},
 }};
 
+// One attempt at a request: at a backend server, or at the daemon that it was
+// relayed to.
+struct Attempt {
+  AttemptId id = 0;  // zero: none
+  BackendId backend = 0;
+  std::string backend_name;
+  ActiveRequest active_request;
+  std::vector<MemoryReservation> memory_reservations;  // by helper
+  std::string relay;  // peer address of the daemon that it was relayed to
+  Time progress_deadline{};
+  Time sent_at{};
+  Duration expected_time_to_first_token{};  // computed at the send
+  Time first_event_at{};                    // zero: none has come
+  // Prompt parts that were crash-suspected at the send.
+  std::set<std::uint64_t> suspected_at_send;
+  // Last liveness signal of the backend server; at first the send.
+  Time backend_alive_at{};
+  bool answered = false;    // some part of a response has come
+  bool connecting = false;  // no byte was sent, as no connection stands yet
+  // The response has got past its beginning, which clears the prompt's parts.
+  bool cleared_parts = false;
+  Time probe_due{};  // earliest next liveness probe of the backend server
+};
+
 // A client's request that this daemon serves, from its admission until the
 // response ends or fails. It has one attempt at a time and may have several in
 // sequence.
@@ -457,32 +481,11 @@
   std::uint64_t attempt_number = 0;  // placements tried so far
   Duration prefill_time{};
 
-  AttemptId attempt = 0;  // zero: none
-  BackendId backend = 0;
-  std::string backend_name;
-  ActiveRequest active_request;
-  std::vector<MemoryReservation> memory_reservations;  // by helper
-  std::string relay;  // peer address of the daemon that it was relayed to
+  Attempt current;
   std::set<std::string> tried_relays;  // daemons not to relay it to again
-  Time progress_deadline{};
-  // Times of the current attempt; the expected time was computed at the send.
-  Time sent_at{};
-  Duration expected_time_to_first_token{};
-  Duration time_to_first_token{};
+  Duration time_to_first_token{};      // of the last attempt that brought one
   Duration longest_event_gap{};
   Time last_event_at{};
-  // First event of the current attempt; zero: none has come.
-  Time first_event_at{};
-  // Prompt parts that were crash-suspected when the current attempt was sent.
-  std::set<std::uint64_t> suspected_at_send;
-  // Last liveness signal of the request's backend server; at first the send.
-  Time backend_alive_at{};
-  bool answered = false;    // some part of a response has come
-  bool connecting = false;  // no byte was sent, as no connection stands yet
-  // The current attempt's response has got past its beginning, which clears the
-  // prompt's parts.
-  bool cleared_parts = false;
-  Time probe_due{};       // earliest next liveness probe of that server
   int possible_runs = 0;  // sends that may have run, with the current one
   // Counts the first event of each stream and each end of an attempt that may
   // have reached a backend server; zero if no send has reached one.
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -294,12 +294,12 @@
 
 void EndAttempt(State& state, Request& request, bool cancel) {
   ReleaseReservations(state, request);
-  if (request.attempt == 0) return;
+  if (request.current.id == 0) return;
   if (cancel) {
-    state.effects.emplace_back(CancelAttempt{.attempt = request.attempt});
+    state.effects.emplace_back(CancelAttempt{.attempt = request.current.id});
   }
-  state.attempts.erase(request.attempt);
-  request.attempt = 0;
+  state.attempts.erase(request.current.id);
+  request.current.id = 0;
   state.has_unpublished_changes = true;
 }
 
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -31,12 +31,13 @@
       {{"request", request.metadata.id},
        {"route", request.route.name},
        {"account", request.account},
-       {"backend", request.backend_name},
+       {"backend", request.current.backend_name},
        {"runs", std::to_string(request.possible_runs)},
        {"prompt", std::to_string(request.metadata.prompt_tokens)},
-       {"helpers", std::to_string(request.active_request.helpers.size())},
-       {"waited_ms", Millis(request.sent_at - request.arrived)},
-       {"expected_ms", Millis(request.expected_time_to_first_token)},
+       {"helpers",
+        std::to_string(request.current.active_request.helpers.size())},
+       {"waited_ms", Millis(request.current.sent_at - request.arrived)},
+       {"expected_ms", Millis(request.current.expected_time_to_first_token)},
        {"first_ms", Millis(request.time_to_first_token)},
        {"pause_ms", Millis(request.longest_event_gap)},
        {"after_ms", Millis(state.now - request.arrived)}},
@@ -54,7 +55,7 @@
 }
 
 void RetryNow(State& state, Request& request) {
-  request.excluded.insert(request.backend);
+  request.excluded.insert(request.current.backend);
   EndAttempt(state, request, true);
   request.phase = Phase::kWaiting;
   request.retry_at = state.now;
@@ -65,7 +66,7 @@
 
 void OnFailureResponse(State& state, Request& request,
                        const AttemptAnswered& event) {
-  RecordFailedResponse(state, request.backend);
+  RecordFailedResponse(state, request.current.backend);
   request.may_have_run = true;
   constexpr int kFirstServerError = 500;
   const bool may_retry = event.status >= kFirstServerError &&
@@ -85,7 +86,7 @@
   Log(state, "delivered_failure",
       {{"request", request.metadata.id},
        {"status", std::to_string(event.status)},
-       {"backend", request.backend_name},
+       {"backend", request.current.backend_name},
        {"runs", std::to_string(request.possible_runs)}});
   FinishRequest(state, request);
 }
@@ -93,7 +94,7 @@
 void OnSuccess(State& state, Request& request, const AttemptAnswered& event) {
   ClearAfterSuccess(state, request);
   ClearPartsAfterSuccess(state, request);
-  RecordSuccess(state, request.backend);
+  RecordSuccess(state, request.current.backend);
   if (!IsStream(request.route.kind)) {
     ObserveFirstResponse(state, request);
     state.effects.emplace_back(
@@ -121,17 +122,18 @@
 
 // Records that an attempt has failed without any part of a response.
 void RecordNoResponse(State& state, const Request& request) {
-  if (!request.answered) RecordMissed(state, request.backend, request.sent_at);
+  if (!request.current.answered)
+    RecordMissed(state, request.current.backend, request.current.sent_at);
 }
 
 // Records what an attempt shows of the path that has waited too long for any
 // part of a response. A server that takes connections and is slow is reached.
 void RecordSilence(State& state, const Request& request) {
-  if (request.answered) return;
-  if (request.connecting) {
-    RecordMissed(state, request.backend, request.sent_at);
+  if (request.current.answered) return;
+  if (request.current.connecting) {
+    RecordMissed(state, request.current.backend, request.current.sent_at);
   } else {
-    RecordSilent(state, request.backend, request.sent_at);
+    RecordSilent(state, request.current.backend, request.current.sent_at);
   }
 }
 
@@ -150,16 +152,16 @@
 void HandleLostAttempt(State& state, Request& request,
                        const std::string& reason) {
   request.may_have_run = true;
-  CheckLiveness(state, request, request.backend);
-  for (const BackendId it : request.active_request.helpers)
+  CheckLiveness(state, request, request.current.backend);
+  for (const BackendId it : request.current.active_request.helpers)
     CheckLiveness(state, request, it);
   const RetryDenial denial = ReserveRerun(state, request);
   Log(state, "lost",
       {{"request", request.metadata.id},
-       {"attempt", std::to_string(request.attempt)},
+       {"attempt", std::to_string(request.current.id)},
        {"content", FingerprintText(request.metadata.fingerprint)},
        {"parts", PartsText(request.metadata)},
-       {"backend", request.backend_name},
+       {"backend", request.current.backend_name},
        {"why", reason},
        {"begun", request.response_started ? "true" : "false"},
        {"last_event", request.last_event_id},
@@ -182,23 +184,23 @@
 }
 
 void RecordResponse(State& state, Request& request) {
-  if (std::exchange(request.answered, true)) return;
+  if (std::exchange(request.current.answered, true)) return;
   if (request.phase == Phase::kRelayed)
     RecordRelayAnswered(state, request.service);
-  RecordAnswered(state, request.backend, request.sent_at);
+  RecordAnswered(state, request.current.backend, request.current.sent_at);
 }
 
 void OnStreamEvent(State& state, const StreamEvent& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr) return;
   RecordResponse(state, *request);
-  if (!request->active_request.decoding) {
+  if (!request->current.active_request.decoding) {
     ++request->delivered_sends;
-    request->time_to_first_token = state.now - request->sent_at;
-    request->active_request.decoding = true;
-    request->first_event_at = state.now;
+    request->time_to_first_token = state.now - request->current.sent_at;
+    request->current.active_request.decoding = true;
+    request->current.first_event_at = state.now;
     state.has_unpublished_changes = true;
-    RecordSuccess(state, request->backend);
+    RecordSuccess(state, request->current.backend);
   }
   if (!request->response_started) {
     request->response_started = true;
@@ -210,14 +212,14 @@
     request->longest_event_gap = std::max(request->longest_event_gap,
                                           state.now - request->last_event_at);
   }
-  RecordAlive(state, request->backend);
+  RecordAlive(state, request->current.backend);
   request->last_event_at = state.now;
   ClearPartsOnProgress(state, *request);
-  request->backend_alive_at = state.now;
+  request->current.backend_alive_at = state.now;
   if (!event.id.empty()) request->last_event_id = event.id;
   state.effects.emplace_back(
       ForwardEvent{.key = request->key, .bytes = event.bytes});
-  request->progress_deadline =
+  request->current.progress_deadline =
       state.now +
       std::max(kStallTimeoutInEventGaps * request->route.max_event_gap,
                kMinStallTimeout);
@@ -236,7 +238,7 @@
       OnFailureResponse(state, *request, event);
       return;
     case AnswerKind::kReplaced:
-      RecordBackendGone(state, request->backend, "address_taken");
+      RecordBackendGone(state, request->current.backend, "address_taken");
       break;
     case AnswerKind::kNotRun:
       RecordRefusingAddress(state, *request, event.refusing_address);
@@ -245,7 +247,7 @@
   Log(state, "declined",
       {{"request", request->metadata.id},
        {"attempt", std::to_string(event.attempt)},
-       {"backend", request->backend_name},
+       {"backend", request->current.backend_name},
        {"status", std::to_string(event.status)},
        {"kind", std::string(NameIn(kAnswerKindNames, event.kind))},
        {"at_fault", event.refusing_address}});
@@ -255,18 +257,18 @@
 void OnConnecting(State& state, const AttemptConnecting& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr || request->phase != Phase::kRunning) return;
-  request->connecting = true;
+  request->current.connecting = true;
   if (CancelIfEvacuated(state, *request)) return;
-  RecordMissed(state, request->backend, request->sent_at);
+  RecordMissed(state, request->current.backend, request->current.sent_at);
   if (!IsPathDoubtful(state, request->service)) {
-    if (HasMissed(state, request->service, request->backend))
+    if (HasMissed(state, request->service, request->current.backend))
       ProbePathNow(state, request->service);
     return;
   }
   // No byte has left, so that another daemon may send the request.
   Log(state, "not_sent",
       {{"request", request->metadata.id},
-       {"backend", request->backend_name},
+       {"backend", request->current.backend_name},
        {"why", "connecting"}});
   HandleDeclinedAttempt(state, *request);
 }
@@ -274,25 +276,25 @@
 void OnConnected(State& state, const AttemptConnected& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr) return;
-  request->connecting = false;
-  RecordConnected(state, request->backend, request->sent_at);
+  request->current.connecting = false;
+  RecordConnected(state, request->current.backend, request->current.sent_at);
 }
 
 void OnFailed(State& state, const AttemptFailed& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr) return;
-  if (request->phase == Phase::kRelayed && !request->answered)
+  if (request->phase == Phase::kRelayed && !request->current.answered)
     RecordRelayFailure(state, *request);
   if (event.has_bytes) {
-    RecordAnswered(state, request->backend, request->sent_at);
+    RecordAnswered(state, request->current.backend, request->current.sent_at);
   } else {
     RecordNoResponse(state, *request);
   }
-  RecordFailure(state, request->backend, event.detail);
+  RecordFailure(state, request->current.backend, event.detail);
   if (event.error == AttemptError::kNotSent) {
     Log(state, "not_sent",
         {{"request", request->metadata.id},
-         {"backend", request->backend_name},
+         {"backend", request->current.backend_name},
          {"why", event.detail}});
     HandleDeclinedAttempt(state, *request);
     return;
@@ -308,17 +310,18 @@
   const Time sent_before = state.now - state.options.propagation_limit;
   std::vector<RequestKey> lost;
   for (auto& [key, request] : state.requests) {
-    const auto& helpers = request.active_request.helpers;
-    for (std::size_t i = 0; i < request.memory_reservations.size(); ++i) {
+    const auto& helpers = request.current.active_request.helpers;
+    for (std::size_t i = 0; i < request.current.memory_reservations.size();
+         ++i) {
       // If the reservation were renewed, the new incarnation, which doesn't
       // know it, would reserve memory for it.
       if (helpers[i] == incarnation)
-        request.memory_reservations[i].reservation_id.clear();
+        request.current.memory_reservations[i].reservation_id.clear();
     }
     const bool is_helper =
         std::find(helpers.begin(), helpers.end(), incarnation) != helpers.end();
     const bool is_assigned =
-        request.attempt != 0 && request.backend == incarnation;
+        request.current.id != 0 && request.current.backend == incarnation;
     if (request.phase == Phase::kReserving && (is_assigned || is_helper)) {
       lost.push_back(key);
       continue;
@@ -327,7 +330,7 @@
     // failed by mistake, it would be aborted while it runs, and nothing would
     // be gained.
     const bool may_retry = MayRunAgain(request.route.kind) &&
-                           request.backend_alive_at < sent_before;
+                           request.current.backend_alive_at < sent_before;
     if (request.phase == Phase::kRunning && is_assigned && may_retry)
       lost.push_back(key);
   }
@@ -351,7 +354,7 @@
     Request& request = it->second;
     const bool running =
         request.phase == Phase::kRelayed ||
-        (request.phase == Phase::kRunning && !request.connecting);
+        (request.phase == Phase::kRunning && !request.current.connecting);
     const Duration grace = running ? kResponseGracePeriod : Duration::zero();
     if (state.now >= request.deadline + grace) {
       request.may_have_run = request.may_have_run || running;
@@ -359,23 +362,23 @@
       continue;
     }
     if (request.phase == Phase::kReserving &&
-        state.now >= request.progress_deadline) {
+        state.now >= request.current.progress_deadline) {
       Requeue(state, request, Duration::zero());
       continue;
     }
     RenewReservations(state, request);
     const Duration silence_limit =
-        2 * request.expected_time_to_first_token + kSilenceGrace;
+        2 * request.current.expected_time_to_first_token + kSilenceGrace;
     if (request.phase == Phase::kRunning &&
-        state.now >= request.sent_at + silence_limit) {
+        state.now >= request.current.sent_at + silence_limit) {
       RecordSilence(state, request);
     }
-    const bool stalled =
-        state.now >= request.progress_deadline || IsRelayGone(state, request);
+    const bool stalled = state.now >= request.current.progress_deadline ||
+                         IsRelayGone(state, request);
     if (running && MayRunAgain(request.route.kind) && stalled) {
       ++request.delivered_sends;
       RecordSilence(state, request);
-      RecordFailure(state, request.backend, "silent");
+      RecordFailure(state, request.current.backend, "silent");
       HandleLostAttempt(state, request, "silent");
     }
   }
--- a/serving/src/crashing_parts.cc
+++ b/serving/src/crashing_parts.cc
@@ -91,29 +91,30 @@
 }  // namespace
 
 bool IsPastBeginning(const Request& request) {
-  return request.first_event_at != Time{} &&
-         request.last_event_at >= request.first_event_at + kBeginning;
+  return request.current.first_event_at != Time{} &&
+         request.last_event_at >= request.current.first_event_at + kBeginning;
 }
 
 void ClearPartsOnProgress(State& state, Request& request) {
-  if (request.cleared_parts || !IsPastBeginning(request)) return;
-  request.cleared_parts = true;
-  request.active_request.suspected_parts.clear();
+  if (request.current.cleared_parts || !IsPastBeginning(request)) return;
+  request.current.cleared_parts = true;
+  request.current.active_request.suspected_parts.clear();
   for (const PromptPart& it : request.metadata.shared_parts)
-    ClearPart(state, it, request.first_event_at, request.metadata.id);
+    ClearPart(state, it, request.current.first_event_at, request.metadata.id);
 }
 
 void ClearPartsAfterSuccess(State& state, const Request& request) {
   const RequestMetadata& metadata = request.metadata;
   // The daemon that a request was relayed to clears the parts.
   const bool is_settled =
-      request.cleared_parts || request.phase == Phase::kRelayed;
+      request.current.cleared_parts || request.phase == Phase::kRelayed;
   if (metadata.shared_parts.empty() || is_settled) return;
-  const Time began = request.first_event_at == Time{} ? request.sent_at
-                                                      : request.first_event_at;
+  const Time began = request.current.first_event_at == Time{}
+                         ? request.current.sent_at
+                         : request.current.first_event_at;
   state.pending_clearances.push_back({.parts = metadata.shared_parts,
                                       .request = metadata.id,
-                                      .backend = request.backend,
+                                      .backend = request.current.backend,
                                       .began = began,
                                       .due = state.now + kBeginning});
 }
@@ -149,8 +150,9 @@
   for (const PromptPart& it : request.metadata.shared_parts) {
     SuspectedPart& part = check.parts[it.fingerprint];
     part.id = it.id;
-    part.under_suspicion = part.under_suspicion ||
-                           request.suspected_at_send.contains(it.fingerprint);
+    part.under_suspicion =
+        part.under_suspicion ||
+        request.current.suspected_at_send.contains(it.fingerprint);
   }
 }
 
@@ -255,7 +257,7 @@
   for (auto& [key, request] : state.requests) {
     if (!IsAtBackend(request) || IsPastBeginning(request)) continue;
     const auto parts = SuspectedParts(state, request.metadata);
-    auto& published = request.active_request.suspected_parts;
+    auto& published = request.current.active_request.suspected_parts;
     const bool same = std::equal(parts.begin(), parts.end(), published.begin(),
                                  published.end());
     if (same) continue;
--- a/serving/src/endings.cc
+++ b/serving/src/endings.cc
@@ -175,7 +175,7 @@
   Log(state, "acquitted",
       {{"request", request.metadata.id},
        {"content", FingerprintText(fingerprint)},
-       {"backend", request.backend_name}});
+       {"backend", request.current.backend_name}});
 }
 
 void ApplyCrashes(State& state, const std::vector<Crash>& crashes) {
--- a/serving/src/evacuations.cc
+++ b/serving/src/evacuations.cc
@@ -55,8 +55,8 @@
 // Returns those of the attempt's servers that are evacuated.
 std::vector<BackendId> EvacuatedServersOf(State& state,
                                           const Request& request) {
-  std::vector<BackendId> servers = request.active_request.helpers;
-  servers.push_back(request.backend);
+  std::vector<BackendId> servers = request.current.active_request.helpers;
+  servers.push_back(request.current.backend);
   std::erase_if(servers, [&](BackendId it) {
     const Backend* backend = FindBackend(state, it);
     return backend == nullptr ||
@@ -69,9 +69,10 @@
 std::vector<BackendId> UsedAmong(const Request& request,
                                  const std::set<BackendId>& servers) {
   std::vector<BackendId> used;
-  if (request.attempt == 0 || !IsAtBackend(request)) return used;
-  if (servers.contains(request.backend)) used.push_back(request.backend);
-  for (const BackendId it : request.active_request.helpers) {
+  if (request.current.id == 0 || !IsAtBackend(request)) return used;
+  if (servers.contains(request.current.backend))
+    used.push_back(request.current.backend);
+  for (const BackendId it : request.current.active_request.helpers) {
     if (servers.contains(it)) used.push_back(it);
   }
   return used;
@@ -104,7 +105,7 @@
 void LogMoved(State& state, const Request& request, const std::string& step) {
   Log(state, "moved",
       {{"request", request.metadata.id},
-       {"backend", request.backend_name},
+       {"backend", request.current.backend_name},
        {"why", "evacuated"},
        {"step", step}});
 }
@@ -137,7 +138,7 @@
     if (it == state.requests.end()) continue;
     if (it->second.phase == Phase::kReserving) {
       ReturnIfEvacuated(state, it->second, Duration::zero());
-    } else if (it->second.connecting) {
+    } else if (it->second.current.connecting) {
       CancelIfEvacuated(state, it->second);
     }
   }
--- a/serving/src/life_checks.cc
+++ b/serving/src/life_checks.cc
@@ -91,7 +91,7 @@
       LivenessCheck{.address = backend->server.address, .since = state.now});
   const bool is_new_fingerprint =
       fingerprint != 0 && it->second.attempts_by_fingerprint
-                              .try_emplace(fingerprint, request.attempt)
+                              .try_emplace(fingerprint, request.current.id)
                               .second;
   SuspectParts(request, it->second);
   state.suspected_parts_changed = true;
--- a/serving/src/relays.cc
+++ b/serving/src/relays.cc
@@ -57,17 +57,17 @@
 
 void StartRelayed(State& state, Request& request, const std::string& relay) {
   BeginAttempt(state, request);
-  request.relay = relay;
-  request.backend = 0;
-  request.backend_name = "relay " + relay;
-  request.active_request = {.id = request.key};
-  request.memory_reservations.clear();
-  request.expected_time_to_first_token = Duration::zero();
-  request.progress_deadline = Time::max();
+  request.current.relay = relay;
+  request.current.backend = 0;
+  request.current.backend_name = "relay " + relay;
+  request.current.active_request = {.id = request.key};
+  request.current.memory_reservations.clear();
+  request.current.expected_time_to_first_token = Duration::zero();
+  request.current.progress_deadline = Time::max();
   if (!CommitRetryOrRefuse(state, request)) return;
   request.phase = Phase::kRelayed;
   RecordSend(state, request);
-  StartRelay effect{.attempt = request.attempt,
+  StartRelay effect{.attempt = request.current.id,
                     .key = request.key,
                     .to = relay,
                     .time_left = request.deadline - state.now,
@@ -76,7 +76,7 @@
   state.effects.emplace_back(IncrementCounter{Counter::kRelayed});
   Log(state, "relayed",
       {{"request", request.metadata.id},
-       {"attempt", std::to_string(request.attempt)},
+       {"attempt", std::to_string(request.current.id)},
        {"to", relay},
        {"service", request.service},
        {"waited_ms", Millis(state.now - request.arrived)},
@@ -142,13 +142,14 @@
 
 bool IsRelayGone(const State& state, const Request& request) {
   if (request.phase != Phase::kRelayed) return false;
-  const auto it = state.members.find(request.relay);
+  const auto it = state.members.find(request.current.relay);
   return it == state.members.end() || !IsLive(state, it->second);
 }
 
 void RecordRelayFailure(State& state, Request& request) {
-  request.tried_relays.insert(request.relay);
-  state.relays_avoided_until[request.relay] = state.now + kRelayAvoidance;
+  request.tried_relays.insert(request.current.relay);
+  state.relays_avoided_until[request.current.relay] =
+      state.now + kRelayAvoidance;
   state.effects.emplace_back(IncrementCounter{Counter::kRelaysFailed});
 }
 
@@ -158,7 +159,7 @@
   Log(state, "relay_refused",
       {{"request", request->metadata.id},
        {"attempt", std::to_string(event.attempt)},
-       {"by", request->relay},
+       {"by", request->current.relay},
        {"why", std::string(NameIn(kRefusalNames, event.reason))},
        {"may_have_run", event.may_have_run ? "true" : "false"}});
   if (event.may_have_run) {
--- a/serving/src/reports.cc
+++ b/serving/src/reports.cc
@@ -74,8 +74,8 @@
 // requests which wait for a first event see that it is alive.
 void RecordEngineAlive(State& state, BackendId engine) {
   for (auto& [key, request] : state.requests) {
-    if (request.attempt != 0 && request.backend == engine) {
-      request.backend_alive_at = state.now;
+    if (request.current.id != 0 && request.current.backend == engine) {
+      request.current.backend_alive_at = state.now;
     }
   }
 }
--- a/serving/src/server_words.cc
+++ b/serving/src/server_words.cc
@@ -28,17 +28,18 @@
 // `request` and logs a change.
 void ApplyAdvertisedRateLimit(State& state, const Request& request,
                               std::optional<double> advertised) {
-  const auto previous = RateLimitOf(state, request.backend);
+  const auto previous = RateLimitOf(state, request.current.backend);
   if (!previous && !advertised) return;
   // A response without a rate limit ends the known limit only if its request
   // was sent after the limit was received. The server may have begun any
   // earlier response before it advertised the limit.
   const bool may_be_outdated =
       !advertised &&
-      request.sent_at <= state.limits.at(request.backend).limit.received_at;
+      request.current.sent_at <=
+          state.limits.at(request.current.backend).limit.received_at;
   if (may_be_outdated) return;
   ApplyRateLimit(state,
-                 {.backend = request.backend,
+                 {.backend = request.current.backend,
                   .per_second = advertised,
                   .received_at = state.now},
                  /*received_directly=*/true);
@@ -47,28 +48,28 @@
                              : !advertised ? "ended"
                                            : "changed";
   Log(state, "server_limit",
-      {{"backend", request.backend_name},
-       {"life", FingerprintText(request.backend)},
+      {{"backend", request.current.backend_name},
+       {"life", FingerprintText(request.current.backend)},
        {"what", change},
        {"per_second", RateText(advertised)},
        {"before", RateText(previous)},
        {"request", request.metadata.id},
-       {"sent_ms_ago", Millis(state.now - request.sent_at)}});
+       {"sent_ms_ago", Millis(state.now - request.current.sent_at)}});
 }
 
 // Records that the server of `request` asked for a backoff, and avoids the
 // server.
 void RecordBackoff(State& state, const Request& request, Duration backoff) {
-  Time& until = state.backoffs[request.backend];
+  Time& until = state.backoffs[request.current.backend];
   const bool is_new = until <= state.now;
   until = std::max(until, state.now + backoff);
   Log(state, "server_rest",
-      {{"backend", request.backend_name},
-       {"life", FingerprintText(request.backend)},
+      {{"backend", request.current.backend_name},
+       {"life", FingerprintText(request.current.backend)},
        {"what", is_new ? "asked" : "renewed"},
        {"for_ms", Millis(until - state.now)},
        {"request", request.metadata.id}});
-  Backend* backend = FindBackend(state, request.backend);
+  Backend* backend = FindBackend(state, request.current.backend);
   if (backend == nullptr) return;
   ApplyBackoff(state, *backend, std::min(backoff, kMaxPublishedAvoidance));
 }
@@ -85,7 +86,7 @@
     ApplyAdvertisedRateLimit(state, request, signals.rate_limit);
   }
   if (signals.leaving) {
-    ApplyLeaving(state, request.backend, request.metadata.id,
+    ApplyLeaving(state, request.current.backend, request.metadata.id,
                  /*received_directly=*/true);
   }
   if (signals.backoff > Duration::zero())
--- a/serving/src/snapshots.cc
+++ b/serving/src/snapshots.cc
@@ -100,14 +100,14 @@
   for (const auto& [key, request] : state.requests) {
     if (!IsAtBackend(request)) continue;
     const auto published =
-        state.published_requests.find(request.active_request.id);
+        state.published_requests.find(request.current.active_request.id);
     if (published != state.published_requests.end() &&
-        published->second == request.active_request) {
+        published->second == request.current.active_request) {
       continue;
     }
-    snapshot.active_requests.push_back(request.active_request);
-    state.published_requests[request.active_request.id] =
-        request.active_request;
+    snapshot.active_requests.push_back(request.current.active_request);
+    state.published_requests[request.current.active_request.id] =
+        request.current.active_request;
   }
   std::erase_if(state.published_requests, [&](const auto& it) {
     const auto found = state.requests.find(it.first);
@@ -315,7 +315,8 @@
   header_only.snapshot.leaving.clear();
   for (const auto& [key, request] : state.requests) {
     if (IsAtBackend(request)) {
-      with_requests.snapshot.active_requests.push_back(request.active_request);
+      with_requests.snapshot.active_requests.push_back(
+          request.current.active_request);
     }
   }
   RecordSnapshotSent(state);
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -56,16 +56,17 @@
   request.places_locally = true;
   state.effects.emplace_back(IncrementCounter{Counter::kPlacedOutsideRegions});
   Log(state, "placed_outside_regions",
-      {{"request", request.metadata.id}, {"backend", request.backend_name}});
+      {{"request", request.metadata.id},
+       {"backend", request.current.backend_name}});
 }
 
 void SendAttempt(State& state, Request& request) {
   if (ReturnIfEvacuated(state, request, kLocalPlacementRetryInterval)) return;
-  Backend* backend = FindBackend(state, request.backend);
+  Backend* backend = FindBackend(state, request.current.backend);
   // Reserving memory took a while. A helper that is leaving by now would refuse
   // its part, and the whole prompt would fail.
   std::vector<const Backend*> helpers;
-  for (const BackendId it : request.active_request.helpers) {
+  for (const BackendId it : request.current.active_request.helpers) {
     helpers.push_back(FindBackend(state, it));
   }
   const auto takes_work = [&](const Backend* it) {
@@ -84,7 +85,7 @@
     const bool lacks_grant =
         backend != nullptr && !HasWarmUpGrant(state, request, *backend);
     if (!takes_work(backend) && !lacks_grant)
-      request.excluded.insert(request.backend);
+      request.excluded.insert(request.current.backend);
     if (lacks_grant) {
       state.effects.emplace_back(IncrementCounter{Counter::kWarmUpGrantsVoid});
       Log(state, "warm_up_void",
@@ -104,7 +105,7 @@
   if (!CommitRetryOrRefuse(state, request)) return;
   request.phase = Phase::kRunning;
   RecordSend(state, request);
-  StartAttempt effect{.attempt = request.attempt,
+  StartAttempt effect{.attempt = request.current.id,
                       .key = request.key,
                       .address = backend->server.address,
                       .instance = backend->server.id,
@@ -116,8 +117,8 @@
   for (std::size_t i = 0; i < helpers.size(); ++i) {
     const BackendServer& helper = helpers[i]->server;
     const std::string reservation_id =
-        i < request.memory_reservations.size()
-            ? request.memory_reservations[i].reservation_id
+        i < request.current.memory_reservations.size()
+            ? request.current.memory_reservations[i].reservation_id
             : "";
     effect.helpers.push_back(
         {.address = helper.address, .reservation_id = reservation_id});
@@ -131,14 +132,14 @@
       {{"request", request.metadata.id},
        {"content", FingerprintText(request.metadata.fingerprint)},
        {"parts", PartsText(request.metadata)},
-       {"attempt", std::to_string(request.attempt)},
+       {"attempt", std::to_string(request.current.id)},
        {"backend", backend->server.id},
        {"address", backend->server.address},
        {"helpers", std::to_string(effect.helpers.size())},
        {"helped_by", helper_names},
        {"prompt", std::to_string(request.metadata.prompt_tokens)},
        {"waited_ms", Millis(state.now - request.arrived)},
-       {"expected_ms", Millis(request.expected_time_to_first_token)},
+       {"expected_ms", Millis(request.current.expected_time_to_first_token)},
        {"time_left_ms", Millis(effect.time_left)},
        {"version", std::to_string(StampOf(state).version)},
        {"revision", std::to_string(StampOf(state).revision.number)},
@@ -152,10 +153,10 @@
 void ReserveHelperMemory(State& state, Request& request,
                          const Placement& placement) {
   request.phase = Phase::kReserving;
-  request.progress_deadline = state.now + kReservationTimeout;
-  request.memory_reservations.assign(placement.helpers.size(), {});
+  request.current.progress_deadline = state.now + kReservationTimeout;
+  request.current.memory_reservations.assign(placement.helpers.size(), {});
   for (std::size_t i = 0; i < placement.helpers.size(); ++i) {
-    MemoryReservation& reservation = request.memory_reservations[i];
+    MemoryReservation& reservation = request.current.memory_reservations[i];
     reservation.tokens = placement.helper_tokens[i];
     const Backend* helper = FindBackend(state, placement.helpers[i]);
     if (reservation.tokens == 0 || helper == nullptr) {
@@ -164,12 +165,12 @@
     }
     reservation.address = helper->server.address;
     reservation.reservation_id = std::to_string(state.options.incarnation) +
-                                 "-" + std::to_string(request.attempt) + "-" +
-                                 std::to_string(i);
+                                 "-" + std::to_string(request.current.id) +
+                                 "-" + std::to_string(i);
     reservation.renew_at = state.now + kReservationRenewInterval;
     state.effects.emplace_back(IncrementCounter{Counter::kMemoryReservations});
     state.effects.emplace_back(
-        ReserveMemory{.attempt = request.attempt,
+        ReserveMemory{.attempt = request.current.id,
                       .helper_index = i,
                       .address = reservation.address,
                       .reservation_id = reservation.reservation_id,
@@ -191,10 +192,10 @@
 }  // namespace
 
 void BeginAttempt(State& state, Request& request) {
-  request.attempt = ++state.last_attempt_id;
+  request.current.id = ++state.last_attempt_id;
   ++request.attempt_number;
   request.placer.clear();
-  state.attempts[request.attempt] = request.key;
+  state.attempts[request.current.id] = request.key;
 }
 
 bool CommitRetryOrRefuse(State& state, Request& request) {
@@ -208,37 +209,38 @@
 }
 
 void RecordSend(State& state, Request& request) {
-  request.sent_at = state.now;
-  request.backend_alive_at = state.now;
-  request.answered = false;
-  request.connecting = false;
-  request.first_event_at = Time{};
-  request.cleared_parts = false;
-  const auto& suspected = request.active_request.suspected_parts;
-  request.suspected_at_send = {suspected.begin(), suspected.end()};
+  request.current.sent_at = state.now;
+  request.current.backend_alive_at = state.now;
+  request.current.answered = false;
+  request.current.connecting = false;
+  request.current.first_event_at = Time{};
+  request.current.cleared_parts = false;
+  const auto& suspected = request.current.active_request.suspected_parts;
+  request.current.suspected_at_send = {suspected.begin(), suspected.end()};
   ++request.possible_runs;
 }
 
 void StartPlacedAttempt(State& state, Request& request,
                         const Placement& placement) {
   BeginAttempt(state, request);
-  request.backend = placement.backend;
+  request.current.backend = placement.backend;
   const Backend* backend = FindBackend(state, placement.backend);
-  request.backend_name = backend == nullptr ? "" : backend->server.id;
-  request.active_request = {.id = request.key,
-                            .backend = placement.backend,
-                            .helpers = placement.helpers,
-                            .prompt_tokens = request.metadata.prompt_tokens,
-                            .answer_tokens = request.metadata.answer_tokens,
-                            .started_at = state.now,
-                            .decoding = false,
-                            .max_event_gap = request.route.max_event_gap,
-                            .helper_tokens = placement.helper_tokens,
-                            .fingerprint = request.metadata.fingerprint};
+  request.current.backend_name = backend == nullptr ? "" : backend->server.id;
+  request.current.active_request = {
+      .id = request.key,
+      .backend = placement.backend,
+      .helpers = placement.helpers,
+      .prompt_tokens = request.metadata.prompt_tokens,
+      .answer_tokens = request.metadata.answer_tokens,
+      .started_at = state.now,
+      .decoding = false,
+      .max_event_gap = request.route.max_event_gap,
+      .helper_tokens = placement.helper_tokens,
+      .fingerprint = request.metadata.fingerprint};
   const auto suspected_parts = SuspectedParts(state, request.metadata);
-  request.active_request.suspected_parts.assign(suspected_parts.begin(),
-                                                suspected_parts.end());
-  request.expected_time_to_first_token = placement.first_token;
+  request.current.active_request.suspected_parts.assign(suspected_parts.begin(),
+                                                        suspected_parts.end());
+  request.current.expected_time_to_first_token = placement.first_token;
   RecordStart(state, placement);
   state.has_unpublished_changes = true;
   const bool needs_reservations = std::any_of(
@@ -249,8 +251,9 @@
     ReserveHelperMemory(state, request, placement);
     return;
   }
-  request.memory_reservations.clear();
-  request.progress_deadline = state.now + ProgressTimeout(request, placement);
+  request.current.memory_reservations.clear();
+  request.current.progress_deadline =
+      state.now + ProgressTimeout(request, placement);
   SendAttempt(state, request);
 }
 
@@ -407,27 +410,29 @@
   const auto found = state.attempts.find(event.attempt);
   if (found == state.attempts.end()) return;
   Request& request = state.requests.at(found->second);
-  if (event.helper_index >= request.memory_reservations.size()) return;
+  if (event.helper_index >= request.current.memory_reservations.size()) return;
   if (request.phase != Phase::kReserving) return;
   if (!event.granted) {
     Log(state, "memory_refused",
         {{"request", request.metadata.id},
-         {"address", request.memory_reservations[event.helper_index].address},
+         {"address",
+          request.current.memory_reservations[event.helper_index].address},
          {"tokens",
-          std::to_string(
-              request.memory_reservations[event.helper_index].tokens)}});
+          std::to_string(request.current.memory_reservations[event.helper_index]
+                             .tokens)}});
     EndAttempt(state, request, false);
     QueueRequest(state, request, kMemoryRetryInterval,
                  Shortage::kCombinedMemory);
     return;
   }
-  request.memory_reservations[event.helper_index].granted = true;
-  const bool all_granted = std::all_of(
-      request.memory_reservations.begin(), request.memory_reservations.end(),
-      [](const MemoryReservation& it) { return it.granted; });
+  request.current.memory_reservations[event.helper_index].granted = true;
+  const bool all_granted =
+      std::all_of(request.current.memory_reservations.begin(),
+                  request.current.memory_reservations.end(),
+                  [](const MemoryReservation& it) { return it.granted; });
   if (!all_granted) return;
-  request.active_request.started_at = state.now;
-  request.progress_deadline =
+  request.current.active_request.started_at = state.now;
+  request.current.progress_deadline =
       state.now + 2 * request.prefill_time +
       std::max(kFirstEventGrace, request.route.objective / 2);
   SendAttempt(state, request);
@@ -439,14 +444,15 @@
 // its report as a liveness probe.
 bool IsBackendAlive(State& state, Request& request) {
   const bool alive =
-      state.now - request.backend_alive_at <= kMaxLivenessSignalAge;
+      state.now - request.current.backend_alive_at <= kMaxLivenessSignalAge;
   if (request.phase != Phase::kRunning || alive) return true;
-  const Backend* backend = FindBackend(state, request.backend);
-  if (backend != nullptr && request.probe_due <= state.now) {
-    request.probe_due = state.now + kAliveReportInterval;
-    RecordStart(state, request.backend);
-    state.effects.emplace_back(FetchEngineReport{
-        .backend = request.backend, .address = backend->server.address});
+  const Backend* backend = FindBackend(state, request.current.backend);
+  if (backend != nullptr && request.current.probe_due <= state.now) {
+    request.current.probe_due = state.now + kAliveReportInterval;
+    RecordStart(state, request.current.backend);
+    state.effects.emplace_back(
+        FetchEngineReport{.backend = request.current.backend,
+                          .address = backend->server.address});
   }
   return false;
 }
@@ -454,20 +460,21 @@
 }  // namespace
 
 void RenewReservations(State& state, Request& request) {
-  const bool due = std::any_of(
-      request.memory_reservations.begin(), request.memory_reservations.end(),
-      [&](const MemoryReservation& it) {
-        return !it.reservation_id.empty() && it.renew_at <= state.now;
-      });
+  const bool due = std::any_of(request.current.memory_reservations.begin(),
+                               request.current.memory_reservations.end(),
+                               [&](const MemoryReservation& it) {
+                                 return !it.reservation_id.empty() &&
+                                        it.renew_at <= state.now;
+                               });
   if (!due || !IsBackendAlive(state, request)) return;
-  for (std::size_t i = 0; i < request.memory_reservations.size(); ++i) {
-    MemoryReservation& reservation = request.memory_reservations[i];
+  for (std::size_t i = 0; i < request.current.memory_reservations.size(); ++i) {
+    MemoryReservation& reservation = request.current.memory_reservations[i];
     if (reservation.reservation_id.empty() || reservation.renew_at > state.now)
       continue;
     reservation.renew_at = state.now + kReservationRenewInterval;
-    RecordStart(state, request.active_request.helpers[i]);
+    RecordStart(state, request.current.active_request.helpers[i]);
     state.effects.emplace_back(
-        ReserveMemory{.attempt = request.attempt,
+        ReserveMemory{.attempt = request.current.id,
                       .helper_index = i,
                       .address = reservation.address,
                       .reservation_id = reservation.reservation_id,
@@ -477,12 +484,12 @@
 }
 
 void ReleaseReservations(State& state, Request& request) {
-  for (const MemoryReservation& it : request.memory_reservations) {
+  for (const MemoryReservation& it : request.current.memory_reservations) {
     if (it.reservation_id.empty()) continue;
     state.effects.emplace_back(ReleaseMemory{
         .address = it.address, .reservation_id = it.reservation_id});
   }
-  request.memory_reservations.clear();
+  request.current.memory_reservations.clear();
 }
 
 }  // namespace scaleshed::serving::internal
--- a/serving/test/evacuations_test.cc
+++ b/serving/test/evacuations_test.cc
@@ -267,7 +267,7 @@
   it.Store(Requested(50));
   // Another request there would make a probe admissible.
   for (auto& [key, request] : it.daemon().state().requests) {
-    if (request.attempt != sent.attempt) request.phase = Phase::kWaiting;
+    if (request.current.id != sent.attempt) request.phase = Phase::kWaiting;
   }
   it.daemon().Feed(AttemptFailed{.attempt = sent.attempt});
   const auto* resumed = it.daemon().FirstEffect<StartAttempt>();
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -335,7 +335,8 @@
   const std::string first = daemon.FirstEffect<StartAttempt>()->instance;
   // The expired entries of all others are dropped when the first attempt counts
   // as lost.
-  const Time lost_at = daemon.state().requests.at(key).progress_deadline;
+  const Time lost_at =
+      daemon.state().requests.at(key).current.progress_deadline;
   daemon.AdvanceTime(lost_at - milliseconds(1600) - daemon.now());
   for (int i = 0; i < 6; ++i) {
     const std::string id = "llm" + std::to_string(i);
--- a/serving/test/server_words_test.cc
+++ b/serving/test/server_words_test.cc
@@ -68,7 +68,8 @@
   Daemon daemon;
   for (int i = 1; i < 6; ++i) daemon.ListBackend("llm", i, /*leaving=*/true);
   const AttemptId first = SendOne(daemon);
-  const BackendId engine = daemon.state().requests.begin()->second.backend;
+  const BackendId engine =
+      daemon.state().requests.begin()->second.current.backend;
   daemon.Feed(HeadWithRateLimit(first, 50));
   const Time received_at = daemon.now();
   daemon.AdvanceTime(milliseconds(200));
@@ -92,7 +93,8 @@
 TEST_CASE("No reports are fetched from a rate-limited engine") {
   Daemon daemon;
   daemon.SendRequest("stream");
-  const BackendId engine = daemon.state().requests.begin()->second.backend;
+  const BackendId engine =
+      daemon.state().requests.begin()->second.current.backend;
   daemon.Feed(
       HeadWithRateLimit(daemon.FirstEffect<StartAttempt>()->attempt, 1));
   std::size_t others = 0;
@@ -205,7 +207,8 @@
 TEST_CASE("A repeated backoff lasts until the later of the two ends") {
   Daemon daemon;
   const AttemptId first = SendOne(daemon);
-  const BackendId server = daemon.state().requests.begin()->second.backend;
+  const BackendId server =
+      daemon.state().requests.begin()->second.current.backend;
   daemon.Feed(ResponseHeadReceived{.attempt = first,
                                    .signals = {.backoff = seconds(3)}});
   CHECK(FirstLogFields(daemon, "server_rest")["what"] == "asked");
