Connections that end in the middle of something are logged and counted

What callers saw: answers that ended early, and requests without any answer, of which no log of any daemon had a word: a connection that the front end closed with a request open, with unsent bytes or in the middle of a body left no line, and `lost`, `broken` and `refused` did not say whether the connection to the backend server stood.

HttpServer::OnCut tells what a connection was in the middle of and who ended it: line `connection_cut`, counters connections_cut_*. `lost` has `stands` and `silent_ms`, `broken` and `refused` have `stands`. An answer that is to be passed on and isn't kept leaves `answer_missing`. No decision changes.

--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -20,6 +20,7 @@
 class BackendCalls;
 class FleetMetrics;
 enum class DatagramKind;
+struct HttpResponse;
 class StoreFollower;
 
 // One entry instance on the users' platform: takes clients' requests, answers
@@ -60,6 +61,8 @@
     void AddOutcome(HttpHeaders& headers, const RelayOutcome& outcome) const;
   };
 
+  // The answer that is kept for an attempt; logs it if there is none.
+  const HttpResponse* AnswerOf(AttemptId attempt) const;
   void Deliver(const serving::DeliverAnswer& effect);
   void Begin(const serving::BeginStream& effect);
   void Answer(const serving::Refuse& effect);
@@ -74,6 +77,9 @@
   void OnLookUp(HttpExchange& exchange);
   void OnReadyCheck(HttpExchange& exchange);
   void OnMetrics(HttpExchange& exchange);
+  // A client's connection, or another daemon's, ended in the middle of
+  // something.
+  void OnCut(const CutConnection& cut);
   void ApplyLimits(const serving::RequestLimits& limits);
   void Exit();
   // Whether clients are to open their next connections to other daemons.
@@ -87,11 +93,11 @@
   std::unique_ptr<BackendCalls> backends_;
   std::unique_ptr<StoreFollower> store_;
   DatagramSocket peers_;
-  HttpServer peer_calls_;  // from other daemons
+  std::unique_ptr<FleetMetrics> metrics_;  // counts as the servers end, too
+  HttpServer peer_calls_;                  // from other daemons
   HttpServer front_;
   HttpServer ready_;
   HttpServer look_ups_;
-  std::unique_ptr<FleetMetrics> metrics_;
   std::unique_ptr<HttpServer> metrics_server_;  // where it has an address
   std::map<RequestKey, ServedExchange> exchanges_;
   RequestKey last_key_ = 0;
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -63,6 +63,7 @@
                auto body = DecodeDatagram(bytes, loop_.Now());
                if (body) Feed(std::move(*body));
              }),
+      metrics_(std::make_unique<FleetMetrics>()),
       peer_calls_(loop, {.address = settings.peer_listen},
                   [this](const auto& exchange) { OnPeerCall(exchange); }),
       front_(loop, {.address = settings.listen},
@@ -71,9 +72,10 @@
              [this](const auto& exchange) { OnReadyCheck(*exchange); }),
       look_ups_(loop, {.address = settings.fleet->look_up_listen},
                 [this](const auto& exchange) { OnLookUp(*exchange); }),
-      metrics_(std::make_unique<FleetMetrics>()),
       tick_(loop, [this] { OnTick(); }),
       exit_(loop, [this] { loop_.Stop(); }) {
+  for (HttpServer* it : {&front_, &peer_calls_})
+    it->OnCut([this](const CutConnection& cut) { OnCut(cut); });
   if (!settings.fleet->metrics_listen.empty()) {
     metrics_server_ = std::make_unique<HttpServer>(
         loop, HttpServerOptions{.address = settings.fleet->metrics_listen},
@@ -240,8 +242,15 @@
   return served;
 }
 
+const HttpResponse* FleetDaemon::AnswerOf(AttemptId attempt) const {
+  const HttpResponse* answer = backends_->AnswerOf(attempt);
+  if (answer == nullptr)
+    LogInfo("answer_missing", {{"attempt", std::to_string(attempt)}});
+  return answer;
+}
+
 void FleetDaemon::Deliver(const serving::DeliverAnswer& effect) {
-  const HttpResponse* answer = backends_->AnswerOf(effect.attempt);
+  const HttpResponse* answer = AnswerOf(effect.attempt);
   const auto served = Take(effect.key);
   if (!served || answer == nullptr) return;
   HttpHeaders headers = platform::ClientHeaders(*answer);
@@ -251,7 +260,7 @@
 }
 
 void FleetDaemon::Begin(const serving::BeginStream& effect) {
-  const HttpResponse* answer = backends_->AnswerOf(effect.attempt);
+  const HttpResponse* answer = AnswerOf(effect.attempt);
   const auto found = exchanges_.find(effect.key);
   if (found == exchanges_.end() || answer == nullptr) return;
   const ServedExchange& served = found->second;
@@ -284,6 +293,7 @@
   serving::RequestMetadata facts = platform::ReadRequest(served.request());
   facts.fingerprint = platform::ContentOf(served.request());
   facts.relayed_by = relayed_by;
+  served.exchange->SetName(facts.id);
   exchanges_[key] = std::move(served);
   Feed(serving::RequestArrived{.key = key, .metadata = std::move(facts)});
 }
@@ -355,6 +365,23 @@
                  metrics_->Render(state_));
 }
 
+void FleetDaemon::OnCut(const CutConnection& cut) {
+  metrics_->CountCut(cut.stage);
+  // The reducer logs `client_gone` and `broken`.
+  const bool is_logged =
+      cut.stage == ConnectionStage::kAnswering &&
+      (cut.end == ConnectionEnd::kClient || cut.end == ConnectionEnd::kAborted);
+  if (is_logged) return;
+  LogInfo("connection_cut",
+          {{"request", cut.request},
+           {"stage", std::string(NameIn(kConnectionStageNames, cut.stage))},
+           {"by", std::string(NameIn(kConnectionEndNames, cut.end))},
+           {"unsent_bytes", std::to_string(cut.unsent_bytes)},
+           {"after_ms",
+            std::to_string(
+                std::chrono::duration_cast<milliseconds>(cut.age).count())}});
+}
+
 void FleetDaemon::ApplyLimits(const serving::RequestLimits& limits) {
   HttpServerOptions options;
   const auto set = [](auto value, auto& to) {
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -77,6 +77,10 @@
   sent.bytes += bytes;
 }
 
+void FleetMetrics::CountCut(ConnectionStage stage) {
+  ++cut_[static_cast<std::size_t>(stage)];
+}
+
 void FleetMetrics::KeepOnly(const serving::Configuration& configuration) {
   std::set<std::string> routes;
   for (const auto& it : configuration.routes) routes.insert(it.name);
@@ -100,6 +104,11 @@
     RenderCounter(out, "datagrams_" + what, sent.datagrams);
     RenderCounter(out, "datagram_bytes_" + what, sent.bytes);
   }
+  for (const auto& [stage, name] : kConnectionStageNames) {
+    if (stage == ConnectionStage::kIdle) continue;
+    RenderCounter(out, "connections_cut_" + std::string(name),
+                  cut_[static_cast<std::size_t>(stage)]);
+  }
   RenderGauge(out, "serving", serving::IsServing(state) ? 1 : 0);
   if (state.configuration) {
     const auto& configuration = state.configuration->configuration();
--- a/daemon/src/internal/fleet_metrics.h
+++ b/daemon/src/internal/fleet_metrics.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "scaleshed/runtime/http_server.h"
 #include "scaleshed/runtime/metrics.h"
 #include "scaleshed/serving/state.h"
 
@@ -30,6 +31,8 @@
   void Observe(const serving::ObserveLatency& observed);
 
   void CountDatagram(DatagramKind kind, std::size_t bytes);
+  // Counts a connection that ended in the middle of something.
+  void CountCut(ConnectionStage stage);
   // How long after it was due the loop came to a tick: what waits for a
   // processor that is short waits as long.
   void ObserveLate(Duration late) { loop_late_.Add(late); }
@@ -50,6 +53,7 @@
   std::array<std::uint64_t, serving::kCounterNames.size()> counters_{};
   std::map<std::pair<std::string, std::string>, LatencyHistogram> latencies_;
   std::array<Sent, kDatagramKindNames.size()> sent_{};
+  std::array<std::uint64_t, kConnectionStageNames.size()> cut_{};
   LatencyHistogram loop_late_;
 };
 
--- a/runtime/include/scaleshed/runtime/http_server.h
+++ b/runtime/include/scaleshed/runtime/http_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/runtime/http_headers.h"
@@ -20,6 +21,45 @@
 class ServerConnection;
 }  // namespace internal
 
+// What a client's connection is in the middle of.
+enum class ConnectionStage {
+  kIdle,       // no request is being read or answered
+  kHead,       // reads the head of a request
+  kBody,       // reads the body
+  kAnswering,  // the handler has the request; its answer isn't complete
+  kSending,    // the answer is complete, and bytes of it are unsent
+};
+inline constexpr NameTable<ConnectionStage, 5> kConnectionStageNames{{
+    {ConnectionStage::kIdle, "idle"},
+    {ConnectionStage::kHead, "head"},
+    {ConnectionStage::kBody, "body"},
+    {ConnectionStage::kAnswering, "answering"},
+    {ConnectionStage::kSending, "sending"},
+}};
+
+// Who or what ended a client's connection.
+enum class ConnectionEnd {
+  kClient,   // the client closed or reset it
+  kTimeout,  // a time limit of the server
+  kAborted,  // the handler, see HttpExchange::Abort()
+  kServer,   // the server itself ends
+};
+inline constexpr NameTable<ConnectionEnd, 4> kConnectionEndNames{{
+    {ConnectionEnd::kClient, "client"},
+    {ConnectionEnd::kTimeout, "timeout"},
+    {ConnectionEnd::kAborted, "aborted"},
+    {ConnectionEnd::kServer, "server"},
+}};
+
+// A connection that ended in the middle of something.
+struct CutConnection {
+  ConnectionStage stage = ConnectionStage::kIdle;
+  ConnectionEnd end = ConnectionEnd::kClient;
+  std::string request;  // HttpExchange::SetName(); empty: not read yet
+  std::size_t unsent_bytes = 0;
+  Duration age{};  // since the first byte of the request that it was about
+};
+
 // A request as it was read, whole.
 struct HttpRequest {
   std::string method;
@@ -50,6 +90,8 @@
   std::string TakeBody() { return std::move(request_.body); }
   // The client's end of the connection, "ip:port"; empty if that has closed.
   std::string remote_address() const;
+  // How a CutConnection calls the request.
+  void SetName(const std::string& name);
 
   // The connection closes after this answer; to be said before it begins.
   void CloseAfter() { close_after_ = true; }
@@ -104,6 +146,7 @@
 class HttpServer {
  public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+  using CutHandler = std::function<void(const CutConnection&)>;
 
   // Throws std::runtime_error where the address can't be listened on.
   HttpServer(EventLoop& loop, const HttpServerOptions& options,
@@ -113,6 +156,9 @@
   ~HttpServer();
 
   std::uint16_t port() const { return port_; }
+  // Calls `handler` for each connection that ends in the middle of something,
+  // whoever ends it.
+  void OnCut(CutHandler handler) { cut_ = std::move(handler); }
   // For requests that begin from now on.
   void SetLimits(const HttpServerOptions& options);
   // Accepts no new connections; those open go on.
@@ -129,6 +175,7 @@
   EventLoop& loop_;
   HttpServerOptions options_;
   Handler handler_;
+  CutHandler cut_;
   evconnlistener* listener_ = nullptr;
   std::uint16_t port_ = 0;
   std::map<const internal::ServerConnection*,
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -80,6 +80,10 @@
   return connection == nullptr ? "" : connection->RemoteAddress();
 }
 
+void HttpExchange::SetName(const std::string& name) {
+  if (const auto connection = Usable()) connection->SetRequestName(name);
+}
+
 std::shared_ptr<internal::ServerConnection> HttpExchange::Usable() const {
   return finished_ || gone_ ? nullptr : connection_.lock();
 }
@@ -149,7 +153,7 @@
   const auto connection = Usable();
   finished_ = true;
   closed_ = nullptr;
-  if (connection != nullptr) connection->Break();
+  if (connection != nullptr) connection->Break(ConnectionEnd::kAborted);
 }
 
 void HttpExchange::ConnectionClosed() {
@@ -181,7 +185,8 @@
 
 HttpServer::~HttpServer() {
   StopAccepting();
-  while (!connections_.empty()) connections_.begin()->second->Break();
+  while (!connections_.empty())
+    connections_.begin()->second->Break(ConnectionEnd::kServer);
 }
 
 void HttpServer::SetLimits(const HttpServerOptions& options) {
--- a/runtime/src/internal/server_connection.h
+++ b/runtime/src/internal/server_connection.h
@@ -26,11 +26,12 @@
   // The answer is complete; `close` ends the connection after it.
   void AnswerDone(bool close);
   // Ends the connection without waiting for anything.
-  void Break();
+  void Break(ConnectionEnd end);
   void CloseIfIdle();
   bool client_keeps() const { return client_keeps_; }
   // See HttpExchange::remote_address().
   std::string RemoteAddress() const;
+  void SetRequestName(const std::string& name) { request_name_ = name; }
 
  private:
   using Parser =
@@ -40,6 +41,9 @@
   static void OnWritten(bufferevent* bev, void* arg);
   static void OnEvent(bufferevent* bev, short what, void* arg);
   void OnTime();
+  // Of the answers' bytes, those that the buffer holds.
+  std::size_t UnsentBytes() const;
+  ConnectionStage Stage() const;
   void ReadRequests();
   // False where nothing more can be done with the bytes that are there.
   bool ReadSome();
@@ -54,6 +58,9 @@
   Timer timer_;
   std::optional<Parser> parser_;
   std::weak_ptr<HttpExchange> exchange_;
+  // Of the request that is read or was read last.
+  std::string request_name_;
+  Time request_began_{};
   bool reading_head_ = false;
   bool answering_ = false;
   bool client_keeps_ = true;
--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -88,7 +88,7 @@
 void ServerConnection::OnEvent(bufferevent* /*bev*/, short /*what*/,
                                void* arg) {
   const auto self = static_cast<ServerConnection*>(arg)->shared_from_this();
-  self->Break();
+  self->Break(ConnectionEnd::kClient);
 }
 
 void ServerConnection::OnTime() {
@@ -97,7 +97,7 @@
     Refuse(kRequestTimeout, "the head of the request took too long\n");
     return;
   }
-  Break();
+  Break(ConnectionEnd::kTimeout);
 }
 
 std::string ServerConnection::RemoteAddress() const {
@@ -117,6 +117,17 @@
   if (!closed_) bufferevent_write(bev_, bytes.data(), bytes.size());
 }
 
+std::size_t ServerConnection::UnsentBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(bev_));
+}
+
+ConnectionStage ServerConnection::Stage() const {
+  if (answering_) return ConnectionStage::kAnswering;
+  if (UnsentBytes() > 0) return ConnectionStage::kSending;
+  if (parser_) return ConnectionStage::kBody;
+  return reading_head_ ? ConnectionStage::kHead : ConnectionStage::kIdle;
+}
+
 void ServerConnection::ReadRequests() {
   if (closing_) {
     // What comes after the last answer belongs to no request.
@@ -167,6 +178,8 @@
   const auto most =
       static_cast<std::size_t>(server_->options_.max_header_bytes);
   if (!std::exchange(reading_head_, true)) {
+    request_name_.clear();
+    request_began_ = server_->loop_.Now();
     timer_.Once(server_->options_.header_timeout);
   }
   const evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, nullptr);
@@ -250,9 +263,7 @@
   if (close || !client_keeps_) {
     closing_ = true;
     timer_.Once(kLinger);
-    if (evbuffer_get_length(bufferevent_get_output(bev_)) == 0) {
-      CloseAfterWriting();
-    }
+    if (UnsentBytes() == 0) CloseAfterWriting();
     return;
   }
   timer_.Once(server_->options_.idle_timeout);
@@ -270,14 +281,21 @@
   timer_.Once(kLinger);
 }
 
-void ServerConnection::Break() {
+void ServerConnection::Break(ConnectionEnd end) {
   if (std::exchange(closed_, true)) return;
   const auto self = shared_from_this();
+  const CutConnection cut{.stage = Stage(),
+                          .end = end,
+                          .request = request_name_,
+                          .unsent_bytes = UnsentBytes(),
+                          .age = server_->loop_.Now() - request_began_};
   timer_.Cancel();
   bufferevent_free(std::exchange(bev_, nullptr));
   if (const auto exchange = exchange_.lock(); exchange && answering_) {
     exchange->ConnectionClosed();
   }
+  const bool is_cut = cut.stage != ConnectionStage::kIdle;
+  if (is_cut && server_->cut_) server_->cut_(cut);
   if (server_ != nullptr) {
     server_->loop_.Defer([self] {});
     server_->connections_.erase(this);
@@ -286,7 +304,8 @@
 
 void ServerConnection::CloseIfIdle() {
   const bool idle = !answering_ && !parser_ && !reading_head_ && !closing_;
-  if (idle && evbuffer_get_length(bufferevent_get_input(bev_)) == 0) Break();
+  if (idle && evbuffer_get_length(bufferevent_get_input(bev_)) == 0)
+    Break(ConnectionEnd::kServer);
 }
 
 }  // namespace scaleshed::internal
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -443,6 +443,7 @@
   std::set<std::uint64_t> suspected_at_send;
   // Last liveness signal of the backend server; at first the send.
   Time backend_alive_at{};
+  bool stands = false;  // was sent, and neither it nor its connection has ended
   bool answered = false;    // some part of a response has come
   bool connecting = false;  // no byte was sent, as no connection stands yet
   // The response has got past its beginning, which clears the prompt's parts.
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -259,6 +259,7 @@
 
 void RefuseRequest(State& state, Request& request, Refusal reason,
                    Duration retry_after) {
+  const bool stands = request.current.id != 0 && request.current.stands;
   WithdrawPlacement(state, request);
   EndAttempt(state, request, true);
   const int status = StatusOf(reason, request.may_have_run);
@@ -286,6 +287,7 @@
        {"runs", std::to_string(request.possible_runs)},
        {"refusals", std::to_string(request.declined_sends)},
        {"may_have_run", request.may_have_run ? "true" : "false"},
+       {"stands", stands ? "true" : "false"},
        {"confirmed_ms_ago", Millis(state.now - state.confirmed_at)},
        {"listed_ms_ago",
         Millis(state.now - state.store.backends_confirmed_at)}});
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -164,6 +164,8 @@
        {"backend", request.current.backend_name},
        {"why", reason},
        {"begun", request.response_started ? "true" : "false"},
+       {"stands", request.current.stands ? "true" : "false"},
+       {"silent_ms", Millis(state.now - request.current.backend_alive_at)},
        {"last_event", request.last_event_id},
        {"no_repeat_for", std::string(NameIn(kRetryDenialNames, denial))}});
   if (denial == RetryDenial::kNothing) {
@@ -228,6 +230,7 @@
 void OnAnswered(State& state, const AttemptAnswered& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr) return;
+  request->current.stands = false;
   RecordResponse(state, *request);
   ++request->delivered_sends;
   switch (event.kind) {
@@ -283,6 +286,7 @@
 void OnFailed(State& state, const AttemptFailed& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr) return;
+  request->current.stands = false;
   if (request->phase == Phase::kRelayed && !request->current.answered)
     RecordRelayFailure(state, *request);
   if (event.has_bytes) {
--- a/serving/src/relays.cc
+++ b/serving/src/relays.cc
@@ -156,6 +156,7 @@
 void OnRelayRefused(State& state, const RelayRefused& event) {
   Request* request = RequestOf(state, event.attempt);
   if (request == nullptr || request->phase != Phase::kRelayed) return;
+  request->current.stands = false;
   Log(state, "relay_refused",
       {{"request", request->metadata.id},
        {"attempt", std::to_string(event.attempt)},
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -211,6 +211,7 @@
 void RecordSend(State& state, Request& request) {
   request.current.sent_at = state.now;
   request.current.backend_alive_at = state.now;
+  request.current.stands = true;
   request.current.answered = false;
   request.current.connecting = false;
   request.current.first_event_at = Time{};
