--- a/runtime/test/http_test.cc
+++ b/runtime/test/http_test.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <thread>
 
+#include "loopback_client.h"
 #include "scaleshed/runtime/address.h"
 #include "scaleshed/runtime/http_client.h"
 #include "scaleshed/runtime/http_server.h"
@@ -23,26 +24,6 @@
 // Ends a test that hangs; no test's verdict depends on how long it takes.
 constexpr Duration kHangLimit = seconds(20);
 
-int ConnectTo(std::uint16_t port) {
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(port);
-  inet_pton(AF_INET, "127.0.0.1", &name.sin_addr);
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0);
-  return fd;
-}
-
-std::string ReadToEnd(int fd) {
-  std::string text;
-  char buf[4096];
-  for (;;) {
-    const auto n = recv(fd, buf, sizeof(buf), 0);
-    if (n <= 0) return text;
-    text.append(buf, static_cast<std::size_t>(n));
-  }
-}
-
 // Answers every request with its method, path and body.
 class EchoServer {
  public:
--- /dev/null
+++ b/runtime/test/loopback_client.h
@@ -0,0 +1,39 @@
+#ifndef SCALESHED_RUNTIME_TEST_LOOPBACK_CLIENT_H_
+#define SCALESHED_RUNTIME_TEST_LOOPBACK_CLIENT_H_
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <string>
+
+// Blocking sockets for tests of the HTTP server, to be used from a thread other
+// than that of its loop.
+namespace scaleshed {
+
+// Returns a connected socket.
+inline int ConnectTo(std::uint16_t port) {
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(port);
+  inet_pton(AF_INET, "127.0.0.1", &name.sin_addr);
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0);
+  return fd;
+}
+
+// Returns what comes until the connection ends.
+inline std::string ReadToEnd(int fd) {
+  std::string text;
+  char buf[4096];
+  for (;;) {
+    const auto n = recv(fd, buf, sizeof(buf), 0);
+    if (n <= 0) return text;
+    text.append(buf, static_cast<std::size_t>(n));
+  }
+}
+
+}  // namespace scaleshed
+
+#endif  // SCALESHED_RUNTIME_TEST_LOOPBACK_CLIENT_H_
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -223,6 +223,12 @@
   }
   // Answers and reports begin so long after their request.
   void SetWork(Duration work) { work_ = work; }
+  // Between two events of a stream.
+  void SetEventGap(Duration gap) { event_gap_ = gap; }
+  // Until GoOn() it takes connections, and reads and sends nothing; what it was
+  // in the middle of goes on then.
+  void Pause() { paused_ = true; }
+  void GoOn();
   void OnArrival(std::function<void(const BackendArrival&)> tell) {
     tell_ = std::move(tell);
   }
@@ -270,10 +276,13 @@
   bool IsLostOnLink(const std::shared_ptr<HttpExchange>& exchange);
   void OnOrder(HttpExchange& exchange);
   void OnStream(const std::shared_ptr<HttpExchange>& exchange);
+  // Sends the events from that one on, and ends the stream.
+  void SendEvents(const std::shared_ptr<HttpExchange>& exchange, int next);
   void Answer(const std::shared_ptr<HttpExchange>& exchange);
   // Answers after the time that its work takes.
   void AnswerInTime(const std::shared_ptr<HttpExchange>& exchange);
-  void AnswerLater(const std::shared_ptr<HttpExchange>& exchange);
+  // Takes a step after that time; if the worker is paused then, as it goes on.
+  void Later(Duration after, std::function<void()> step);
   void Listen(const std::string& address);
   // True where that request is its end.
   bool EndsUnder(const HttpRequest& request);
@@ -299,6 +308,9 @@
   HttpHeaders said_;
   std::function<void(const BackendArrival&)> tell_;
   Duration work_{};
+  Duration event_gap_{};
+  bool paused_ = false;
+  std::vector<std::function<void()>> paused_steps_;
   std::list<std::unique_ptr<Timer>> at_work_;
   std::uint64_t born_ = 1'700'000'000'000;  // Unix ms
   WorkerMode mode_ = WorkerMode::kServing;
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "scaleshed/testing/fleet_stand_ins.h"
 
 namespace scaleshed::testing {
@@ -32,6 +34,7 @@
   end_.reset();
   at_work_.clear();
   held_.clear();
+  paused_steps_.clear();
   tickets_.clear();
   // Not from within its own callbacks.
   server_->StopAccepting();
@@ -117,7 +120,19 @@
   return true;
 }
 
+void FakeWorker::GoOn() {
+  paused_ = false;
+  for (const auto& step : std::exchange(paused_steps_, {})) step();
+}
+
 void FakeWorker::Handle(const std::shared_ptr<HttpExchange>& exchange) {
+  if (paused_) {
+    paused_steps_.emplace_back([this, exchange] {
+      const bool has_gone = exchange->remote_address().empty();
+      if (!has_gone) Handle(exchange);
+    });
+    return;
+  }
   if (IsLostOnLink(exchange)) return;
   if (exchange->path() == "/v1/order") return OnOrder(*exchange);
   if (exchange->path() == kReportPath) return AnswerInTime(exchange);
@@ -163,7 +178,7 @@
 
 void FakeWorker::AnswerInTime(const std::shared_ptr<HttpExchange>& exchange) {
   if (work_ > Duration::zero()) {
-    AnswerLater(exchange);
+    Later(work_, [this, exchange] { Answer(exchange); });
   } else {
     Answer(exchange);
   }
@@ -178,13 +193,17 @@
          .client = exchange.remote_address()});
 }
 
-void FakeWorker::AnswerLater(const std::shared_ptr<HttpExchange>& exchange) {
+void FakeWorker::Later(Duration after, std::function<void()> step) {
   const auto at = at_work_.emplace(at_work_.end());
-  *at = std::make_unique<Timer>(loop_, [this, exchange, at] {
+  *at = std::make_unique<Timer>(loop_, [this, step = std::move(step), at] {
     at_work_.erase(at);
-    Answer(exchange);
+    if (paused_) {
+      paused_steps_.push_back(step);
+    } else {
+      step();
+    }
   });
-  (*at)->Once(work_);
+  (*at)->Once(after);
 }
 
 void FakeWorker::Answer(const std::shared_ptr<HttpExchange>& exchange) {
@@ -212,7 +231,12 @@
     EndSoon();
     return;
   }
-  for (int i = first; i <= events_; ++i) {
+  SendEvents(exchange, first);
+}
+
+void FakeWorker::SendEvents(const std::shared_ptr<HttpExchange>& exchange,
+                            int next) {
+  for (int i = next; i <= events_; ++i) {
     const std::string event = EventText(i);
     if (mode_ == WorkerMode::kCutting && i == 3) {
       exchange->SendChunk(event.substr(0, event.size() / 2));
@@ -225,6 +249,10 @@
       held_.push_back(exchange);
       return;
     }
+    if (event_gap_ > Duration::zero() && i < events_) {
+      Later(event_gap_, [this, exchange, i] { SendEvents(exchange, i + 1); });
+      return;
+    }
   }
   exchange->EndStream();
 }
