A request that has come isn't closed as idle

What callers saw: a close without an answer to a whole request on a kept connection.

Cause: the idle time ends a connection of which nothing has been read, without a look whether something has come. Where the loop was busy (a large configuration, a burst) the request can have waited in the socket for as long as the loop took. CloseIdle() looked at what had been read only.

Evidence: slow_clients_test, a loop that is busy for 0.2 and 0.3 s about the end of an idle time of 0.1 s: closed without an answer on the code before; answered now.

Change: neither closes a connection whose socket holds unread bytes.

--- a/runtime/src/internal/server_connection.h
+++ b/runtime/src/internal/server_connection.h
@@ -45,6 +45,7 @@
   // Of the answers' bytes, those that the buffer holds.
   std::size_t UnsentBytes() const;
   std::uint64_t BytesTaken() const;
+  bool HasUnreadBytes() const;
   // Waits for the client to take some of the unsent bytes.
   void AwaitClient();
   ConnectionStage Stage() const;
--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -116,6 +116,8 @@
     Refuse(kRequestTimeout, "the " + part + " of the request took too long\n");
     return;
   }
+  // Its bytes came while the loop was busy, and are read next.
+  if (!closing_ && HasUnreadBytes()) return;
   if (Stage() == ConnectionStage::kSending && BytesTaken() > taken_before_) {
     AwaitClient();
     return;
@@ -150,6 +152,12 @@
   return written_ - UnsentBytes();
 }
 
+bool ServerConnection::HasUnreadBytes() const {
+  char first = 0;
+  return evbuffer_get_length(bufferevent_get_input(bev_)) > 0 ||
+         recv(bufferevent_getfd(bev_), &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void ServerConnection::AwaitClient() {
   taken_before_ = BytesTaken();
   timer_.Once(kUnsentLimit);
@@ -348,7 +356,7 @@
 
 void ServerConnection::CloseIfIdle() {
   const bool idle = !answering_ && !parser_ && !reading_head_ && !closing_;
-  if (!idle || evbuffer_get_length(bufferevent_get_input(bev_)) > 0) return;
+  if (!idle || HasUnreadBytes()) return;
   closing_ = true;
   if (UnsentBytes() == 0) Break(ConnectionEnd::kServer);
 }
--- a/runtime/test/slow_clients_test.cc
+++ b/runtime/test/slow_clients_test.cc
@@ -136,6 +136,43 @@
   CHECK(server.cut().empty());
 }
 
+// Guards against a request that ends with a close and nothing else: it came
+// after the idle time was over, before a busy loop got to close the connection.
+TEST_CASE("A request that has come isn't closed as idle") {
+  EventLoop loop;
+  HttpServer server(loop, {.idle_timeout = milliseconds(100)},
+                    [](const auto& exchange) {
+                      if (exchange->path() == "/slow")
+                        std::this_thread::sleep_for(milliseconds(300));
+                      exchange->Reply(200, {}, "");
+                    });
+  const int idle = ConnectTo(server.port());
+  const int slow = ConnectTo(server.port());
+  std::string answer;
+  std::atomic<bool> ended = false;
+  Timer busy(loop, [&] {
+    // Both the other connection's request and the idle time are due next.
+    Send(slow, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(200));
+  });
+  busy.Once(milliseconds(50));
+  std::thread client([&] {
+    std::this_thread::sleep_for(milliseconds(400));
+    Send(idle, std::string(kGet) + "\r\n");
+    ReadSome(idle, answer);
+    ended = true;
+  });
+  Timer poll(loop, [&] {
+    if (ended) loop.Stop();
+  });
+  poll.Every(milliseconds(1));
+  loop.Run();
+  client.join();
+  close(idle);
+  close(slow);
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
 std::string PostOf(std::size_t bytes) {
   return "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
          "Content-Length: " +
