A stopping daemon exits once its answers are sent, and refuses what comes then

The process ended 150 ms after its last request, whatever clients had still to take of their answers; and a request that came in these 150 ms on an open connection was sent to a server and left without an answer.

Evidence: reducer_test, "A request that comes as the daemon exits is refused": sent on the code before, 503 now.

Change: FleetDaemon waits for HttpServer::IsSending() up to 0.98 of the grace; the reducer refuses requests after Exit.

--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -82,6 +82,8 @@
   void OnCut(const CutConnection& cut);
   void ApplyLimits(const serving::RequestLimits& limits);
   void Exit();
+  // Stops the loop once all answers are sent, or the grace is nearly over.
+  void ExitIfSent();
   // Whether clients are to open their next connections to other daemons.
   bool ShedsClients() const;
   // The request's exchange, which is forgotten; nothing if the client has gone.
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -13,8 +13,13 @@
 namespace scaleshed {
 namespace {
 
-// Bytes of the last answers leave within this after the last request.
+// From the last request's end to the process's end, at least: other requests
+// may be on their way on open connections, and are refused.
 constexpr Duration kExitDelay = milliseconds(150);
+// Longer, up to this share of the grace, while clients still take their
+// answers.
+constexpr double kExitShareOfGrace = 0.98;
+constexpr Duration kExitPoll = milliseconds(20);
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -73,7 +78,7 @@
       look_ups_(loop, {.address = settings.fleet->look_up_listen},
                 [this](const auto& exchange) { OnLookUp(*exchange); }),
       tick_(loop, [this] { OnTick(); }),
-      exit_(loop, [this] { loop_.Stop(); }) {
+      exit_(loop, [this] { ExitIfSent(); }) {
   for (HttpServer* it : {&front_, &peer_calls_})
     it->OnCut([this](const CutConnection& cut) { OnCut(cut); });
   if (!settings.fleet->metrics_listen.empty()) {
@@ -405,4 +410,16 @@
   exit_.Once(kExitDelay);
 }
 
+void FleetDaemon::ExitIfSent() {
+  const Time latest =
+      *state_.stop_at + std::chrono::duration_cast<Duration>(
+                            state_.options.shutdown_grace * kExitShareOfGrace);
+  const bool is_sending = front_.IsSending() || peer_calls_.IsSending();
+  if (is_sending && loop_.Now() < latest) {
+    exit_.Once(kExitPoll);
+  } else {
+    loop_.Stop();
+  }
+}
+
 }  // namespace scaleshed
--- a/runtime/include/scaleshed/runtime/http_server.h
+++ b/runtime/include/scaleshed/runtime/http_server.h
@@ -167,6 +167,8 @@
   // Closes the connections on which no request is being read or answered; those
   // with unsent bytes of an answer once these are sent.
   void CloseIdle();
+  // Whether bytes of a complete answer are unsent on any connection.
+  bool IsSending() const;
   std::size_t connections() const { return connections_.size(); }
 
  private:
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/beast/http/status.hpp>
 #include <optional>
 #include <sstream>
@@ -208,6 +209,13 @@
   for (const auto& it : open) it->CloseIfIdle();
 }
 
+bool HttpServer::IsSending() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& it) {
+                       return it.second->Stage() == ConnectionStage::kSending;
+                     });
+}
+
 void HttpServer::OnAccept(evconnlistener* /*listener*/, int fd,
                           sockaddr* /*from*/, int /*length*/, void* arg) {
   auto* self = static_cast<HttpServer*>(arg);
--- a/runtime/src/internal/server_connection.h
+++ b/runtime/src/internal/server_connection.h
@@ -29,6 +29,7 @@
   void Break(ConnectionEnd end);
   void CloseIfIdle();
   bool client_keeps() const { return client_keeps_; }
+  ConnectionStage Stage() const;
   // See HttpExchange::remote_address().
   std::string RemoteAddress() const;
   void SetRequestName(const std::string& name) { request_name_ = name; }
@@ -48,7 +49,6 @@
   bool HasUnreadBytes() const;
   // Waits for the client to take some of the unsent bytes.
   void AwaitClient();
-  ConnectionStage Stage() const;
   void ReadRequests();
   // False where nothing more can be done with the bytes that are there.
   bool ReadSome();
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -147,6 +147,12 @@
 }
 
 void AcceptRequest(State& state, const RequestArrived& event, Time arrived) {
+  // The process may end before the request does.
+  if (state.exited) {
+    RefuseImmediately(state, event, Refusal::kStopping,
+                      kRetryAfterOtherDaemonServes);
+    return;
+  }
   const bool over_relay_limit =
       !event.metadata.relayed_by.empty() && IsOverRelayLimit(state);
   if (over_relay_limit) {
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -327,6 +327,23 @@
   CHECK(daemon.state().requests.empty());
 }
 
+// Guards against a request without an answer: it came on an open connection in
+// the moment between the daemon's decision to exit and the process's end.
+TEST_CASE("A request that comes as the daemon exits is refused") {
+  Daemon daemon;
+  daemon.Feed(StopRequested{});
+  for (int i = 0; i < 14; ++i) {
+    daemon.ConfirmStore();
+    daemon.AdvanceTime(milliseconds(500));
+  }
+  REQUIRE(daemon.state().exited);
+  daemon.ConfirmStore();
+  daemon.SendRequest("once");
+  CHECK(daemon.FirstEffect<StartAttempt>() == nullptr);
+  REQUIRE(daemon.FirstEffect<Refuse>() != nullptr);
+  CHECK(daemon.FirstEffect<Refuse>()->status == 503);
+}
+
 TEST_CASE(
     "Nothing is sent to a backend server once its expired entry is dropped") {
   Daemon daemon;
