A request is left to any attempt whose connection stands or may come about

- A hedge that answers with a failure ended the request and cancelled the silent attempt: it goes back to that one now.
- A failure that came after the first event of a stream was written into the middle of it, with a head of its own; it is cut now.
- A server that is listed as started again ended what ran there, without a further run by a cut or a 502.
The request is hedged, and left to its connection where it may not run again.
- A connection that takes long was given up on a doubtful path even if no further send was allowed.

The check in backend_lives_test that the attempt at an ended incarnation is cancelled stands where the hedge goes on: the same cancel, later.

By reading, without a test: a hedge that is still connecting as it is left takes no run; a late answer of a placer is none to the next request; a client that sends no more while an answer is unsent leaves no half-read request; bytes of a body that wait in the socket prolong it; a stream whose head is gone is cut. Plain requests that stall count for placement, as they hold their slots.

--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -267,7 +267,11 @@
 void FleetDaemon::Begin(const serving::BeginStream& effect) {
   const HttpResponse* answer = AnswerOf(effect.attempt);
   const auto found = exchanges_.find(effect.key);
-  if (found == exchanges_.end() || answer == nullptr) return;
+  if (found == exchanges_.end()) return;
+  if (answer == nullptr) {
+    Take(effect.key)->exchange->Abort();
+    return;
+  }
   const ServedExchange& served = found->second;
   if (ShedsClients()) served.exchange->CloseAfter();
   HttpHeaders headers = platform::ClientHeaders(*answer);
--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -95,6 +95,8 @@
   // A client that has said all may still read; if not, the next bytes fail.
   const bool says_no_more = (what & BEV_EVENT_EOF) != 0;
   if (says_no_more && self->Stage() == ConnectionStage::kSending) {
+    self->parser_.reset();
+    self->reading_head_ = false;
     self->closing_ = true;
     return;
   }
@@ -111,13 +113,14 @@
 
 void ServerConnection::OnTime() {
   const auto self = shared_from_this();
+  // Bytes that came while the loop was busy are read next. They don't prolong
+  // the reading of a head.
+  if (!closing_ && !reading_head_ && HasUnreadBytes()) return;
   if (reading_head_ || parser_) {
     const std::string part = reading_head_ ? "head" : "body";
     Refuse(kRequestTimeout, "the " + part + " of the request took too long\n");
     return;
   }
-  // Its bytes came while the loop was busy, and are read next.
-  if (!closing_ && HasUnreadBytes()) return;
   if (Stage() == ConnectionStage::kSending && BytesTaken() > taken_before_) {
     AwaitClient();
     return;
--- a/serving/src/attempts.cc
+++ b/serving/src/attempts.cc
@@ -76,9 +76,13 @@
     RetryNow(state, request);
     return;
   }
-  if (StatusMeansNotRun(event.status)) {
-    // The status would tell the client that the request didn't run, which the
-    // backend server hasn't said.
+  // A status that means not run would tell the client what the backend server
+  // hasn't said; a response that has started can't become another one; and an
+  // attempt that stalls may still succeed.
+  const bool is_deliverable = !StatusMeansNotRun(event.status) &&
+                              !request.response_started &&
+                              request.stalled.empty();
+  if (!is_deliverable) {
     RefuseRequest(state, request, Refusal::kUnknown, {});
     return;
   }
@@ -164,11 +168,12 @@
   LogDeclined(state, request, attempt, event);
 }
 
-// Whether the answer would be delivered to the client.
-bool IsFinal(const AttemptAnswered& event) {
+// Whether the answer to a stalled attempt is to be delivered to the client.
+bool IsFinal(const Request& request, const AttemptAnswered& event) {
   if (event.kind == AnswerKind::kSuccess) return true;
   return event.kind == AnswerKind::kFailure &&
-         event.status < kFirstServerError && !StatusMeansNotRun(event.status);
+         event.status < kFirstServerError && !StatusMeansNotRun(event.status) &&
+         !request.response_started;
 }
 
 // Processes the answer to a stalled attempt that serves nobody: its hedge goes
@@ -211,7 +216,9 @@
 }
 
 bool CountsForPlacement(const Request& request) {
-  return IsAtBackend(request) && !IsStalled(request.current);
+  const bool holds_up_probation =
+      IsStream(request.route.kind) && IsStalled(request.current);
+  return IsAtBackend(request) && !holds_up_probation;
 }
 
 void HandleLostAttempt(State& state, Request& request,
@@ -292,7 +299,7 @@
   RecordResponse(state, *request, attempt);
   ++request->delivered_sends;
   const bool is_stalled = event.attempt != request->current.id;
-  if (is_stalled && !IsFinal(event)) {
+  if (is_stalled && !IsFinal(*request, event)) {
     OnStalledAnswered(state, *request, event);
     return;
   }
@@ -324,12 +331,16 @@
       ProbePathNow(state, request->service);
     return;
   }
-  // No byte has left, so that another daemon may send the request.
+  // No byte has left, so that another daemon may send the request. Without one
+  // more send it is left to this connection, which may still come about.
+  if (ReserveRetry(state, *request) != RetryDenial::kNothing) return;
+  --request->possible_runs;
+  ++request->declined_sends;
   Log(state, "not_sent",
       {{"request", request->metadata.id},
        {"backend", request->current.backend_name},
        {"why", "connecting"}});
-  HandleDeclinedAttempt(state, *request);
+  RetryNow(state, *request);
 }
 
 void OnConnected(State& state, const AttemptConnected& event) {
@@ -414,8 +425,7 @@
       Requeue(state, request, Duration::zero());
       continue;
     }
-    ++request.delivered_sends;
-    HandleLostAttempt(state, request, "started_again");
+    HedgeAttempt(state, request, "started_again");
   }
 }
 
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -239,8 +239,8 @@
 // daemon's own attempt.
 bool IsAtBackend(const Request& request);
 // Whether the current attempt is counted for placement, here and by the daemons
-// that it is published to. One that stalls isn't: it would keep a server that
-// is on probation from getting the prompt that shows whether it works.
+// that it is published to. A stream that stalls isn't: it would keep an engine
+// that is on probation from getting the prompt that shows whether it works.
 bool CountsForPlacement(const Request& request);
 // Handles an attempt that may have run but brought no complete response: reruns
 // the request if it may, else fails it.
--- a/serving/src/stalled_attempts.cc
+++ b/serving/src/stalled_attempts.cc
@@ -43,6 +43,9 @@
 void MakeCurrent(State& state, Request& request, AttemptId id,
                  const std::string& reason) {
   WithdrawPlacement(state, request);
+  // A late response to the withdrawn placement request is none to the next one.
+  ++request.attempt_number;
+  if (request.current.connecting) --request.possible_runs;
   EndAttempt(state, request, true);
   ReleaseRetry(state, request);
   const auto it = FindStalled(request, id);
--- a/serving/test/relays_test.cc
+++ b/serving/test/relays_test.cc
@@ -242,6 +242,27 @@
     CHECK(backend.avoided_until() <= daemon.now());
 }
 
+// Guards against a refusal while the connection that the request waits for may
+// still come about.
+TEST_CASE("A pending connection is kept where no further send is allowed") {
+  Daemon daemon;
+  daemon.SendRequest("once-stream", 2000, milliseconds(200));
+  for (int i = 0; i < 3; ++i) {
+    const auto* sent = daemon.FirstEffect<StartAttempt>();
+    REQUIRE(sent != nullptr);
+    daemon.Feed(AttemptFailed{.attempt = sent->attempt,
+                              .error = AttemptError::kNotSent});
+  }
+  const auto* sent = daemon.FirstEffect<StartAttempt>();
+  REQUIRE(sent != nullptr);
+  const AttemptId attempt = sent->attempt;
+  daemon.AdvanceTime(milliseconds(160));
+  daemon.Feed(AttemptConnecting{.attempt = attempt});
+  REQUIRE(daemon.state().doubtful_services.contains("llm"));
+  CHECK(daemon.FirstEffect<Refuse>() == nullptr);
+  CHECK(daemon.FirstEffect<CancelAttempt>() == nullptr);
+}
+
 TEST_CASE("An attempt that has connected late is timed like any other") {
   Daemon daemon;
   daemon.SendRequest("stream");
--- a/serving/test/silent_servers_test.cc
+++ b/serving/test/silent_servers_test.cc
@@ -228,6 +228,44 @@
   CHECK(outcome.sent.size() == 2);
 }
 
+// Guards against a failure that a hedge brings while the first server goes on,
+// and against one that is written into the middle of a stream.
+TEST_CASE("A hedge's failure leaves the request to the silent server") {
+  const std::string route = GENERATE("stream", "safe");
+  const int status = GENERATE(400, 500);
+  Hedged hedged(route);
+  Outcome& outcome = hedged.outcome;
+  hedged.daemon.Feed(AttemptAnswered{.attempt = outcome.sent[1].attempt,
+                                     .kind = AnswerKind::kFailure,
+                                     .status = status});
+  REQUIRE_FALSE(outcome.complete);
+  REQUIRE_FALSE(outcome.HasEndedEarly());
+  REQUIRE(outcome.Stands(0));
+  if (route == "stream") SendEvent(hedged.daemon, outcome.sent[0], 2);
+  Succeed(hedged.daemon, outcome.sent[0]);
+  CHECK(outcome.complete);
+  CHECK(hedged.daemon.state().attempts.empty());
+}
+
+// Guards against the head and body of a failure in the middle of a stream.
+TEST_CASE("A failure after the first event cuts the stream") {
+  Daemon daemon;
+  Outcome outcome;
+  Watch(daemon, outcome);
+  daemon.SendRequest("stream");
+  SendEvent(daemon, outcome.sent.at(0), 1);
+  daemon.Feed(AttemptFailed{.attempt = outcome.sent[0].attempt,
+                            .error = AttemptError::kInterrupted,
+                            .detail = "cut"});
+  Pass(daemon, kMore);
+  REQUIRE(outcome.sent.size() == 2);
+  daemon.Feed(AttemptAnswered{.attempt = outcome.sent[1].attempt,
+                              .kind = AnswerKind::kFailure,
+                              .status = 500});
+  CHECK(outcome.cut);
+  CHECK_FALSE(outcome.complete);
+}
+
 // Guards against servers that go on for a client that isn't there any more, or
 // got an answer.
 TEST_CASE("The end of a request ends all its attempts") {
