The soak has servers that pause, slow readers and slow bodies

Nothing in the soak met a server that falls silent and goes on, a caller that reads late, or a body in pieces beyond the idle time.

servers_pause: a share of the servers pauses; of overlapping pauses the last one counts. Events of streams then come 40 ms apart. slow_readers: a share of the requests is for 6 MB that are read after 1.6 s, half of them with Connection: close. slow_bodies: a share comes in four pieces 300 ms apart, under an idle time of 700 ms.

KeptConnection takes pieces, a gap and a pause before reading, and looks before it asks whether the other end has closed: a close that the loop hasn't told yet isn't an answer to what is asked.

--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "scaleshed/runtime/event_loop.h"
@@ -195,13 +196,20 @@
 };
 
 // A backend server of the platform: streams of numbered events, or plain
-// answers for paths that begin with "/plain/".
+// answers for paths that begin with "/plain/", of which those that end with
+// kLargePath are large.
 class FakeWorker {
  public:
+  static constexpr std::string_view kLargePath = "/large";
+  // More than a connection takes that isn't read.
+  static constexpr std::size_t kLargeBytes = 6'000'000;
+
   FakeWorker(EventLoop& loop, std::string id);
 
   std::string address() const;
   const std::string& id() const { return id_; }
+  // Of its plain answers on that path.
+  static std::string BodyOf(const std::string& id, std::string_view path);
   // The entry by which it is listed in the store.
   std::string Entry(const std::string& service,
                     const std::string& state = "ready") const;
--- a/testing/include/scaleshed/testing/kept_connection.h
+++ b/testing/include/scaleshed/testing/kept_connection.h
@@ -5,12 +5,22 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/runtime/http_client.h"
 
 namespace scaleshed::testing {
 
+// What is asked on a connection.
+struct KeptRequest {
+  std::vector<std::string> pieces;  // of a whole request, sent one by one
+  Duration gap{};                   // between two of them
+  // Nothing of the answer is read before.
+  Duration read_after{};
+  Duration timeout{};
+};
+
 // A caller's connection that is used again and again, for as long as the server
 // leaves it open: callers don't know that a process is about to end. One
 // request at a time.
@@ -31,10 +41,16 @@
   bool IsFree() const;
   // Has ended; nothing more can be asked.
   bool IsOver() const;
-  // `bytes` is a whole request. `done` is called once, from the loop: with
-  // kNotSent if no connection stood, kCut if it ended before the answer did,
-  // kTimeout after `timeout`.
-  void Ask(std::string bytes, Duration timeout, Done done);
+  // `done` is called once, from the loop: with kNotSent if no connection stood,
+  // kCut if it ended before the answer did, kTimeout after the timeout.
+  void Ask(KeptRequest request, Done done);
+  // Of the last request: the pieces that were due by its end had been sent, one
+  // at least.
+  bool has_sent_due() const;
+  // Of the last request: some of its answer has come.
+  bool has_answer_begun() const;
+  // Since when nothing has been asked.
+  Time free_since() const;
 
  private:
   struct Link;
--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -41,8 +41,15 @@
   kEvacuate,        // the operators have a data centre evacuated for `length`
   kKillDataCentre,  // all daemons of one are killed, and back after `length`
   kServersCold,     // a share becomes cold for `length`
+  kServersPause,    // a share reads and sends nothing for `length`
+  // For `length` a share of the callers' requests is for a large answer, which
+  // they begin to read late; some ask for a close after it.
+  kSlowReaders,
+  // For `length` a share comes in pieces, over longer than the idle time of the
+  // configurations, which is short then.
+  kSlowBodies,
 };
-inline constexpr NameTable<SoakFault, 27> kSoakFaultNames{{
+inline constexpr NameTable<SoakFault, 30> kSoakFaultNames{{
     {SoakFault::kKill, "kill"},
     {SoakFault::kRestart, "restart"},
     {SoakFault::kRoll, "roll"},
@@ -70,6 +77,9 @@
     {SoakFault::kEvacuate, "evacuate"},
     {SoakFault::kKillDataCentre, "kill_data_centre"},
     {SoakFault::kServersCold, "servers_cold"},
+    {SoakFault::kServersPause, "servers_pause"},
+    {SoakFault::kSlowReaders, "slow_readers"},
+    {SoakFault::kSlowBodies, "slow_bodies"},
 }};
 
 // One fault, again and again. Series overlap as they come.
@@ -106,6 +116,8 @@
   // Shorter than the users' windows, so that a run has many; the slack is to be
   // several a daemon.
   RepeatBound bound{.ratio = 0.2, .slack = 80, .window = seconds(3)};
+  // Bounds the attempts that the routes of the configurations allow.
+  int max_attempts = 2;
   std::vector<SoakSeries> series;
   bool keep_logs = false;
 };
@@ -120,6 +132,8 @@
   std::size_t faults = 0;    // that were injected
   std::size_t ends = 0;      // of servers, under a deadly request
   std::size_t words = 0;     // that servers said of themselves
+  std::size_t slow = 0;      // requests that were sent or read slowly
+  std::size_t checked = 0;   // of which a sound server and daemon owe an answer
   std::size_t probes = 0;    // answers by which configuration is in force
   int most_calls = 0;        // at the store, in one second
   Duration latest{};         // the stand-ins were kept from looking so long
@@ -132,6 +146,10 @@
 // Series of servers that become cold, drawn from the seed, to be added to
 // these.
 std::vector<SoakSeries> DrawColdSeries(std::uint64_t seed, Duration length);
+// Series of servers that pause, slow readers and slow bodies, and of daemons
+// and a store that have trouble, drawn from the seed. No server fails, as what
+// is owed to callers is known only where none does.
+std::vector<SoakSeries> DrawPauseSeries(std::uint64_t seed, Duration length);
 // Series that concern whole data centres, drawn from the seed, to be added to
 // these: evacuations, and the loss of all daemons of one.
 std::vector<SoakSeries> DrawDataCentreSeries(std::uint64_t seed,
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -24,6 +24,12 @@
 
 std::string FakeWorker::address() const { return address_; }
 
+std::string FakeWorker::BodyOf(const std::string& id, std::string_view path) {
+  std::string body = "body of " + id;
+  if (path.ends_with(kLargePath)) body.resize(kLargeBytes, '.');
+  return body;
+}
+
 void FakeWorker::Listen(const std::string& address) {
   server_ = std::make_unique<HttpServer>(
       loop_, HttpServerOptions{.address = address},
@@ -214,7 +220,8 @@
     return;
   }
   if (exchange->path().compare(0, 7, "/plain/") == 0) {
-    exchange->Reply(200, AnswerHeaders(*exchange), "body of " + id_);
+    exchange->Reply(200, AnswerHeaders(*exchange),
+                    BodyOf(id_, exchange->path()));
     return;
   }
   OnStream(exchange);
--- a/testing/src/internal/soak_callers.h
+++ b/testing/src/internal/soak_callers.h
@@ -12,6 +12,7 @@
 
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/runtime/http_client.h"
+#include "scaleshed/testing/answer_ledger.h"
 #include "scaleshed/testing/kept_connection.h"
 #include "scaleshed/testing/soak.h"
 #include "scaleshed/testing/soak_ledger.h"
@@ -26,7 +27,7 @@
   static constexpr std::string_view kDeadlyBody = "deadly";
 
   SoakCallers(EventLoop& loop, std::uint64_t seed, SoakLedger& ledger,
-              std::vector<std::string> look_ups);
+              AnswerLedger& answers, std::vector<std::string> look_ups);
 
   // Servers end under prompts with that part, whatever else these hold.
   static constexpr std::string_view kDeadlyPart = "bad";
@@ -63,6 +64,13 @@
   void SendDeadly();
   // A prompt with the part that ends servers; no two are of one content.
   void SendDeadlyPart();
+  // Until then that share of the requests is for a large answer that is read
+  // late.
+  void ReadSlowly(double share, Time until) { readers_ = {share, until}; }
+  // The same for requests that come in pieces.
+  void SendSlowly(double share, Time until) { bodies_ = {share, until}; }
+  // A connection of which nothing was asked for longer isn't used any more.
+  void KeepIdle(Duration longest) { longest_idle_ = longest; }
   std::size_t waiting() const { return waiting_; }
   // Adds what was seen to a report.
   void Tell(SoakReport& report) const;
@@ -73,10 +81,18 @@
     std::string daemon;
     Time at{};
   };
+  struct Slow {
+    double share = 0;
+    Time until{};
+  };
 
   void SendDue();
   void Send();
   void Send(const Kind& kind, const std::string& body);
+  // Whether the next request is one of these.
+  bool Draw(const Slow& slow);
+  void Ended(const std::string& id, const KeptConnection& connection,
+             const HttpResult& result);
   void LookUp();
   void AskAddresses();
   KeptConnection& Connection();
@@ -85,6 +101,11 @@
 
   EventLoop& loop_;
   SoakLedger& ledger_;
+  AnswerLedger& answers_;
+  Slow readers_;
+  Slow bodies_;
+  Duration longest_idle_ = Duration::max();
+  std::size_t slow_ = 0;
   std::vector<std::string> look_ups_;
   std::map<std::string, Time> named_;  // addresses, and when last
   std::mt19937_64 random_;
--- a/testing/src/kept_connection.cc
+++ b/testing/src/kept_connection.cc
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 
 #include <boost/beast/http.hpp>
+#include <cerrno>
+#include <limits>
 #include <utility>
 
 #include "scaleshed/runtime/address.h"
@@ -33,13 +35,16 @@
 
 // What libevent's callbacks refer to. It keeps itself alive through them.
 struct KeptConnection::Link : std::enable_shared_from_this<Link> {
-  explicit Link(EventLoop& loop)
-      : timer(loop, [this] { End(HttpError::kTimeout); }) {}
+  explicit Link(EventLoop& event_loop)
+      : loop(event_loop),
+        timer(loop, [this] { End(HttpError::kTimeout); }),
+        write_timer(loop, [this] { WriteNext(); }),
+        read_timer(loop, [this] { Read(); }) {}
   ~Link() {
     if (bev != nullptr) bufferevent_free(bev);
   }
 
-  void Connect(EventLoop& loop, const std::string& address) {
+  void Connect(const std::string& address) {
     const auto to = SocketAddress(address);
     bev = bufferevent_socket_new(
         loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -69,14 +74,50 @@
     self->End(self->connected ? HttpError::kCut : HttpError::kNotSent);
   }
 
+  // Whether the other end has closed, which the loop hasn't told yet.
+  bool IsClosed() const {
+    char byte = 0;
+    const auto n = recv(bufferevent_getfd(bev), &byte, sizeof(byte),
+                        MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN);
+  }
+
+  void Ask(KeptRequest asked) {
+    over = over || (connected && IsClosed());
+    request = std::move(asked);
+    written = 0;
+    begun = false;
+    sent_due = false;
+    timer.Once(over ? Duration::zero() : request.timeout);
+    if (over) return;
+    if (request.read_after > Duration::zero()) {
+      bufferevent_disable(bev, EV_READ);
+      read_timer.Once(request.read_after);
+    }
+    WriteNext();
+  }
+
+  void WriteNext() {
+    if (over) return;
+    const std::string& piece = request.pieces[written++];
+    bufferevent_write(bev, piece.data(), piece.size());
+    if (written < request.pieces.size()) write_timer.Once(request.gap);
+  }
+
+  void Read() {
+    if (!over) bufferevent_enable(bev, EV_READ);
+  }
+
   void ReadAll() {
     evbuffer* in = bufferevent_get_input(bev);
     while (done && !over) {
       const std::size_t n = evbuffer_get_length(in);
       if (n == 0) return;
+      begun = true;
       if (!parser) {
         parser.emplace();
         parser->eager(true);
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
       }
       boost::beast::error_code ec;
       const std::size_t used = parser->put(
@@ -91,8 +132,10 @@
   }
 
   void Finish() {
-    timer.Cancel();
-    over = over || !parser->keep_alive();
+    Rest();
+    sent_due = HasSentDue();
+    const bool is_sent = sent_due && written == request.pieces.size();
+    over = over || !is_sent || !parser->keep_alive();
     HttpResponse response = ResponseOf(*parser);
     parser.reset();
     const auto tell = std::exchange(done, nullptr);
@@ -101,18 +144,39 @@
   }
 
   void End(HttpError error) {
-    timer.Cancel();
+    Rest();
+    sent_due = HasSentDue();
     over = true;
     Close();
     const auto tell = std::exchange(done, nullptr);
     if (tell) tell(error);
   }
 
+  bool HasSentDue() const {
+    return bev != nullptr && written > 0 &&
+           evbuffer_get_length(bufferevent_get_output(bev)) == 0;
+  }
+
+  void Rest() {
+    timer.Cancel();
+    write_timer.Cancel();
+    read_timer.Cancel();
+    free_since = loop.Now();
+  }
+
   void Close() {
     if (bev != nullptr) bufferevent_free(std::exchange(bev, nullptr));
   }
 
+  EventLoop& loop;
   Timer timer;
+  Timer write_timer;
+  Timer read_timer;
+  KeptRequest request;
+  std::size_t written = 0;  // of its pieces
+  bool sent_due = false;
+  bool begun = false;
+  Time free_since = loop.Now();
   bufferevent* bev = nullptr;
   std::optional<Parser> parser;
   Done done;
@@ -122,12 +186,13 @@
 
 KeptConnection::KeptConnection(EventLoop& loop, const std::string& address)
     : address_(address), link_(std::make_shared<Link>(loop)) {
-  link_->Connect(loop, address);
+  link_->Connect(address);
 }
 
 KeptConnection::~KeptConnection() {
   link_->done = nullptr;
-  link_->timer.Cancel();
+  link_->Rest();
+  link_->over = true;
   link_->Close();
 }
 
@@ -135,11 +200,15 @@
 
 bool KeptConnection::IsOver() const { return link_->over && !link_->done; }
 
-void KeptConnection::Ask(std::string bytes, Duration timeout, Done done) {
+bool KeptConnection::has_sent_due() const { return link_->sent_due; }
+
+bool KeptConnection::has_answer_begun() const { return link_->begun; }
+
+Time KeptConnection::free_since() const { return link_->free_since; }
+
+void KeptConnection::Ask(KeptRequest request, Done done) {
   link_->done = std::move(done);
-  link_->timer.Once(timeout);
-  if (link_->over) return link_->timer.Once(Duration::zero());
-  bufferevent_write(link_->bev, bytes.data(), bytes.size());
+  link_->Ask(std::move(request));
 }
 
 }  // namespace scaleshed::testing
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -19,6 +19,7 @@
 #include "internal/temporary_folder.h"
 #include "scaleshed/runtime/address.h"
 #include "scaleshed/runtime/event_loop.h"
+#include "scaleshed/testing/answer_ledger.h"
 #include "scaleshed/testing/configuration_ledger.h"
 #include "scaleshed/testing/evacuation_ledger.h"
 #include "scaleshed/testing/fleet_stand_ins.h"
@@ -49,6 +50,13 @@
 // A lease is found to be over at its next renewal at the latest.
 constexpr Duration kEntryWithin = seconds(7);
 
+// Of servers that pause: the pauses begin within streams.
+constexpr Duration kEventGap = milliseconds(40);
+// Where bodies come slowly.
+constexpr int kShortIdleMs = 700;
+// A server that leaves is drained for so long.
+constexpr Duration kDrain = milliseconds(2500);
+
 // How the requests of a time are treated, by the series that are on.
 struct Trouble {
   WorkerMode mode = WorkerMode::kServing;
@@ -80,7 +88,10 @@
       look_ups.push_back(daemons_.look_up_address(i));
     }
     callers_ = std::make_unique<SoakCallers>(loop_, options.seed, ledger_,
-                                             std::move(look_ups));
+                                             answers_, std::move(look_ups));
+    if (Has(SoakFault::kSlowBodies)) {
+      callers_->KeepIdle(milliseconds(kShortIdleMs / 2));
+    }
     callers_->OnAnswer([this](const auto& daemon, const HttpResponse& it) {
       Passed(daemon, it);
     });
@@ -89,6 +100,8 @@
       return [this, group](bool served) { paths_.Ended(group, served); };
     });
     daemons_.OnDisturbed([this](const std::string& it) {
+      answers_.DaemonDisturbed(loop_.Now(), it);
+      senders_.clear();
       words_.Excuse(it);
       paths_.Disturbed(loop_.Now(), it);
       configurations_.DaemonDisturbed(loop_.Now(), it);
@@ -183,6 +196,13 @@
     configuration["version"] = ++version_;
     auto& keys = configuration["tenants"][0]["api_keys"];
     keys.push_back(ConfigurationLedger::KeyOf(version_));
+    for (auto& it : configuration["routes"]) {
+      it["max_attempts"] =
+          std::min(options_.max_attempts, it["max_attempts"].get<int>());
+    }
+    if (Has(SoakFault::kSlowBodies)) {
+      configuration["limits"]["idle_timeout_ms"] = kShortIdleMs;
+    }
     for (auto& it : configuration["services"])
       it["cold_per_s"] = SoakOptions::kColdPerSecond;
     writers_.Write(kConfigurationKey, configuration.dump());
@@ -191,10 +211,10 @@
 
   // Otherwise all servers are in a data centre of their own, as plain requests
   // prefer servers in that of their daemon.
-  bool HasEvacuations() const {
-    return std::any_of(
-        options_.series.begin(), options_.series.end(),
-        [](const SoakSeries& it) { return it.fault == SoakFault::kEvacuate; });
+  bool HasEvacuations() const { return Has(SoakFault::kEvacuate); }
+  bool Has(SoakFault fault) const {
+    return std::any_of(options_.series.begin(), options_.series.end(),
+                       [&](const SoakSeries& it) { return it.fault == fault; });
   }
   std::string DataCentreOf(std::size_t n) const {
     return daemons_.data_centre(n % options_.data_centres);
@@ -249,6 +269,7 @@
     FakeWorker& it = *servers_.back();
     const std::size_t n = servers_.size() - 1;
     it.SetWork(kWork);
+    if (Has(SoakFault::kServersPause)) it.SetEventGap(kEventGap);
     if (HasEvacuations()) it.SetDataCentre(DataCentreOf(n));
     it.DrawModes([this, n] {
       const WorkerMode mode = DrawMode();
@@ -267,6 +288,10 @@
       ledger_.Arrived(after, loop_.Now(), service, arrival.request_id,
                       arrival.ran);
       const std::string& daemon = callers_->DaemonOf(arrival.request_id);
+      if (arrival.ran) {
+        answers_.Taken(loop_.Now(), arrival.request_id, servers_[n]->id(),
+                       KnownSenderOf(arrival.client, servers_[n]->address()));
+      }
       const std::string& rest = said_[n].rest;
       const bool rests =
           !rest.empty() || words_.IsInRest(loop_.Now(), servers_[n]->id());
@@ -298,6 +323,7 @@
   // It comes back under another id.
   void OnEnd(std::size_t n, const std::string& service) {
     ends_.push_back(loop_.Now());
+    ServersDisturbed(kDownFor);
     said_[n] = {};
     Say(n);
     At(kDownFor, [this, n, service] {
@@ -370,6 +396,19 @@
     });
   }
 
+  // Until the last pause of it that has begun is over.
+  void Pause(std::size_t n, Duration length) {
+    ++pauses_[n];
+    servers_[n]->Pause();
+    At(length, [this, n] {
+      if (--pauses_[n] == 0) servers_[n]->GoOn();
+    });
+  }
+
+  void ServersDisturbed(Duration length) {
+    answers_.ServersDisturbed(loop_.Now(), loop_.Now() + length);
+  }
+
   void ForSome(double share, const std::function<void(std::size_t)>& each) {
     for (const Serving& it : serving_) {
       if (Draw() < share) each(it.server);
@@ -420,6 +459,7 @@
   void Inject(const SoakSeries& series) {
     ++faults_;
     const auto trouble = [&](WorkerMode mode) {
+      ServersDisturbed(series.length);
       troubles_.push_back({.mode = mode,
                            .share = series.share,
                            .until = loop_.Now() + series.length});
@@ -481,6 +521,7 @@
         return ForSome(series.share,
                        [&](std::size_t n) { Limit(n, series.length); });
       case SoakFault::kServersRest:
+        ServersDisturbed(series.length);
         return ForSome(series.share,
                        [&](std::size_t n) { Rest(n, series.length); });
       case SoakFault::kServersSayLeaving:
@@ -499,6 +540,13 @@
         return KillDataCentre(series.length);
       case SoakFault::kServersCold:
         return CoolSome(series.share, series.length);
+      case SoakFault::kServersPause:
+        return ForSome(series.share,
+                       [&](std::size_t n) { Pause(n, series.length); });
+      case SoakFault::kSlowReaders:
+        return callers_->ReadSlowly(series.share, loop_.Now() + series.length);
+      case SoakFault::kSlowBodies:
+        return callers_->SendSlowly(series.share, loop_.Now() + series.length);
     }
   }
 
@@ -538,7 +586,16 @@
     return owner ? daemons_.listen_address(*owner) : "";
   }
 
+  // The same, remembered until a daemon is disturbed.
+  const std::string& KnownSenderOf(const std::string& client,
+                                   const std::string& server) {
+    const auto it = senders_.try_emplace({client, server}).first;
+    if (it->second.empty()) it->second = SenderOf(client, server);
+    return it->second;
+  }
+
   void CutOff(std::size_t daemon, WorkerMode mode, Duration length) {
+    ServersDisturbed(length);
     if (!links_.try_emplace(daemon, mode).second) return;
     paths_.CutOff(loop_.Now(), daemons_.listen_address(daemon));
     At(length, [this, daemon] {
@@ -558,6 +615,7 @@
   void SayLeaving() {
     if (serving_.empty()) return;
     const Serving leaving = TakeOne();
+    ServersDisturbed(kDrain);
     said_[leaving.server].leaving = true;
     Say(leaving.server);
     AddServer(leaving.service);
@@ -575,12 +633,12 @@
   void ReplaceServer() {
     if (serving_.empty()) return;
     const Serving leaving = TakeOne();
+    ServersDisturbed(kDrain);
     said_[leaving.server].leaving = true;
     Say(leaving.server);
     FakeWorker& server = *servers_[leaving.server];
     const std::string key = "servers/" + server.id();
     writers_.Write(key, server.Entry(leaving.service, "draining"));
-    constexpr Duration kDrain = milliseconds(2500);
     At(kDrain, [this, key] { writers_.Erase(key); });
     AddServer(leaving.service);
   }
@@ -619,6 +677,8 @@
     for (const std::string& it : configurations_.Broken()) {
       report.broken.push_back(it);
     }
+    for (const std::string& it : answers_.Broken()) report.broken.push_back(it);
+    report.checked = answers_.checked();
     for (const std::string& it : paths_.Broken()) report.broken.push_back(it);
     report.probes = configurations_.answers();
     report.most_calls = most_calls_;
@@ -650,6 +710,10 @@
   FakeStore store_;
   SoakWriters writers_;
   SoakLedger ledger_;
+  AnswerLedger answers_;
+  // By both ends of a connection.
+  std::map<std::pair<std::string, std::string>, std::string> senders_;
+  std::map<std::size_t, int> pauses_;  // by server; those under way
   ConfigurationLedger configurations_;
   std::unique_ptr<ConfigurationProber> prober_;
   int calls_ = 0;  // at the store, when last counted
--- a/testing/src/soak_callers.cc
+++ b/testing/src/soak_callers.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "scaleshed/testing/fleet_stand_ins.h"
+
 namespace scaleshed::testing {
 
 // Of the stand-ins' configuration (FleetConfiguration).
@@ -12,6 +14,8 @@
   bool once = false;
   bool stream = false;
   std::string_view deadly_part = {};
+  bool reads_late = false;
+  bool in_pieces = false;
 };
 
 namespace {
@@ -44,6 +48,33 @@
          std::to_string(id) + ":860";
 }
 
+// Longer in all than the idle time of the soak's configurations, and each
+// within it.
+constexpr std::size_t kBodyPieces = 4;
+constexpr Duration kBodyGap = milliseconds(300);
+// Longer than a daemon keeps a connection that is to be closed.
+constexpr Duration kReadAfter = milliseconds(1600);
+
+// At most `n` pieces; the last one has what is left.
+std::vector<std::string> Split(const std::string& text, std::size_t n) {
+  const std::size_t length = text.size() / n;
+  std::vector<std::string> pieces;
+  for (std::size_t i = 0; i + 1 < n; ++i)
+    pieces.push_back(text.substr(i * length, length));
+  pieces.push_back(text.substr((n - 1) * length));
+  return pieces;
+}
+
+AnswerEnd EndOf(const KeptConnection& connection, const HttpResult& result) {
+  constexpr int kOk = 200;
+  if (const auto* response = ValueOf(result)) {
+    return response->status == kOk ? AnswerEnd::kWhole : AnswerEnd::kStatus;
+  }
+  if (ErrorOf(result) == HttpError::kTimeout) return AnswerEnd::kTimedOut;
+  if (connection.has_answer_begun()) return AnswerEnd::kCut;
+  return connection.has_sent_due() ? AnswerEnd::kClosed : AnswerEnd::kUnsent;
+}
+
 bool IsPromise(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -51,9 +82,11 @@
 }  // namespace
 
 SoakCallers::SoakCallers(EventLoop& loop, std::uint64_t seed,
-                         SoakLedger& ledger, std::vector<std::string> look_ups)
+                         SoakLedger& ledger, AnswerLedger& answers,
+                         std::vector<std::string> look_ups)
     : loop_(loop),
       ledger_(ledger),
+      answers_(answers),
       look_ups_(std::move(look_ups)),
       random_(seed),
       http_(loop),
@@ -97,7 +130,9 @@
   // Callers come and go, so that new ones find daemons that are new.
   constexpr std::size_t kLeavesOneIn = 40;
   connections_.remove_if([&](const auto& it) {
-    return it->IsOver() || (it->IsFree() && random_() % kLeavesOneIn == 0);
+    if (!it->IsFree()) return it->IsOver();
+    return loop_.Now() - it->free_since() > longest_idle_ ||
+           random_() % kLeavesOneIn == 0;
   });
   std::vector<KeptConnection*> free;
   for (const auto& it : connections_) {
@@ -147,8 +182,30 @@
       {.path = "/plain/safe/a", .service = "app"},
       {.path = "/plain/unsafe/a", .service = "app", .once = true}};
   // No two are of one content, but for those that are meant to be.
-  Send(kKinds[random_() % std::size(kKinds)],
-       "question " + std::to_string(last_id_));
+  const std::string body = "question " + std::to_string(last_id_);
+  if (Draw(readers_)) {
+    return Send(
+        {.path = "/plain/safe/large", .service = "app", .reads_late = true},
+        body);
+  }
+  Kind kind = kKinds[random_() % std::size(kKinds)];
+  kind.in_pieces = Draw(bodies_);
+  Send(kind, body);
+}
+
+bool SoakCallers::Draw(const Slow& slow) {
+  if (loop_.Now() >= slow.until) return false;
+  const double u = std::uniform_real_distribution<double>(0, 1)(random_);
+  if (u >= slow.share) return false;
+  ++slow_;
+  return true;
+}
+
+void SoakCallers::Ended(const std::string& id, const KeptConnection& connection,
+                        const HttpResult& result) {
+  const auto* response = ValueOf(result);
+  answers_.Ended(loop_.Now(), id, EndOf(connection, result),
+                 response == nullptr ? 0 : response->status);
 }
 
 void SoakCallers::Send(const Kind& kind, const std::string& body) {
@@ -162,18 +219,33 @@
     bytes += "X-Model: m\r\nX-Token-Usage: 1000,200\r\nX-Prefix-Hash: " +
              PartsOf(last_id_, kind.deadly_part) + "\r\n";
   }
-  bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const bool closes = kind.reads_late && last_id_ % 2 == 0;
+  if (closes) bytes += "Connection: close\r\n";
+  bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   ledger_.Sent(loop_.Now(), kind.service, id, kind.once);
   ++waiting_;
   KeptConnection& connection = Connection();
   sends_[id] = {.daemon = connection.address(), .at = loop_.Now()};
-  connection.Ask(std::move(bytes), kGivenUp,
-                 [this, kind, id,
+  answers_.Sent(loop_.Now(), id, connection.address(),
+                loop_.Now() + milliseconds(kDeadlineMs));
+  KeptRequest request{.timeout = kGivenUp};
+  if (kind.reads_late) request.read_after = kReadAfter;
+  if (kind.in_pieces) {
+    request.gap = kBodyGap;
+    request.pieces = Split(body, kBodyPieces);
+    request.pieces.insert(request.pieces.begin(), bytes);
+  } else {
+    request.pieces = {bytes + body};
+  }
+  request.timeout += request.read_after + request.gap * kBodyPieces;
+  connection.Ask(std::move(request),
+                 [this, kind, id, &connection,
                   outcome = sent_(connection.address())](const HttpResult& it) {
                    --waiting_;
                    const auto* response = ValueOf(it);
                    constexpr int kOk = 200;
                    outcome(response != nullptr && response->status == kOk);
+                   Ended(id, connection, it);
                    Check(kind, id, it);
                  });
 }
@@ -194,12 +266,15 @@
     ++answered_;
     tell_(DaemonOf(id), *response);
     const std::string seal = response->headers.Get("X-Response-Seal");
-    const std::string plain =
-        "body of " + seal.substr(std::string("seal-of-").size());
+    const std::string plain = FakeWorker::BodyOf(
+        seal.substr(std::string("seal-of-").size()), kind.path);
     if (response->headers.Get("X-Request-Id") != id) {
       Break(id, "the answer of " + response->headers.Get("X-Request-Id"));
     } else if (response->body != (kind.stream ? WholeStream() : plain)) {
-      Break(id, "not the whole answer: " + response->body);
+      constexpr std::size_t kMostShown = 500;
+      Break(id, "not the whole answer, " +
+                    std::to_string(response->body.size()) +
+                    " bytes: " + response->body.substr(0, kMostShown));
     }
   } else if (IsPromise(response->status)) {
     ++refused_;
@@ -218,6 +293,7 @@
   report.answered = answered_;
   report.refused = refused_;
   report.failed = failed_;
+  report.slow = slow_;
   report.broken.insert(report.broken.end(), broken_.begin(), broken_.end());
 }
 
--- a/testing/src/soak_main.cc
+++ b/testing/src/soak_main.cc
@@ -26,6 +26,9 @@
 ABSL_FLAG(bool, data_centre_faults, false,
           "draw evacuations and losses of data centres too");
 ABSL_FLAG(bool, cold_servers, false, "draw servers that become cold too");
+ABSL_FLAG(bool, pauses, false,
+          "draw pausing servers and slow callers, and no servers that fail");
+ABSL_FLAG(int, max_attempts, 2, "that the routes allow at most");
 ABSL_FLAG(bool, keep_logs, false, "leave the daemons' logs where they are");
 
 namespace {
@@ -49,13 +52,16 @@
       .bound = {.ratio = 0.2,
                 .slack = absl::GetFlag(FLAGS_slack),
                 .window = milliseconds(absl::GetFlag(FLAGS_window_ms))},
+      .max_attempts = absl::GetFlag(FLAGS_max_attempts),
       .keep_logs = absl::GetFlag(FLAGS_keep_logs)};
   const std::string series = absl::GetFlag(FLAGS_series);
   if (!series.empty()) {
     options.series = ParseSeries(series);
     return options;
   }
-  options.series = DrawSeries(seed, options.length);
+  options.series = absl::GetFlag(FLAGS_pauses)
+                       ? DrawPauseSeries(seed, options.length)
+                       : DrawSeries(seed, options.length);
   if (absl::GetFlag(FLAGS_data_centre_faults)) {
     for (const SoakSeries& it : DrawDataCentreSeries(seed, options.length))
       options.series.push_back(it);
@@ -74,7 +80,8 @@
             << report.requests << " requests, " << report.answered
             << " answered, " << report.refused << " refused, " << report.failed
             << " failed, " << report.faults << " faults, " << report.ends
-            << " ends, " << report.words << " words, " << report.probes
+            << " ends, " << report.words << " words, " << report.slow
+            << " slow, " << report.checked << " checked, " << report.probes
             << " probes, " << report.most_calls << " store calls in a second";
   for (const RepeatWindow& it : report.windows) {
     std::cout << ", " << it.service << " repeats " << it.repeats << " of "
--- a/testing/src/soak_series.cc
+++ b/testing/src/soak_series.cc
@@ -111,6 +111,46 @@
            .length = Millis(draw(whole / 2, whole))}};
 }
 
+std::vector<SoakSeries> DrawPauseSeries(std::uint64_t seed, Duration length) {
+  // Differs from the sequences of the other series.
+  std::mt19937_64 random(seed * 2 + 2);
+  const auto draw = [&](std::int64_t from, std::int64_t to) {
+    return from + static_cast<std::int64_t>(
+                      random() % static_cast<std::uint64_t>(to - from + 1));
+  };
+  const auto whole = std::chrono::duration_cast<milliseconds>(length).count();
+  std::vector<SoakSeries> series;
+  const std::int64_t pauses = draw(1, 3);
+  for (std::int64_t i = 0; i < pauses; ++i) {
+    series.push_back({.fault = SoakFault::kServersPause,
+                      .at = Millis(draw(0, whole / 2)),
+                      .times = static_cast<int>(draw(1, 4)),
+                      .gap = Millis(draw(300, 3000)),
+                      .share = static_cast<double>(draw(10, 100)) / 100,
+                      .length = Millis(draw(300, 3000))});
+  }
+  for (const SoakFault fault :
+       {SoakFault::kSlowReaders, SoakFault::kSlowBodies}) {
+    if (draw(0, 2) == 0) continue;
+    series.push_back({.fault = fault,
+                      .at = Millis(draw(0, whole / 4)),
+                      .times = 1,
+                      .share = static_cast<double>(draw(2, 6)) / 100,
+                      .length = Millis(draw(whole / 2, whole * 3 / 4))});
+  }
+  const std::int64_t others = draw(0, 2);
+  for (std::int64_t i = 0; i < others; ++i) {
+    const auto n = static_cast<std::size_t>(random()) % std::size(kOtherFaults);
+    series.push_back({.fault = kOtherFaults[n],
+                      .at = Millis(draw(0, whole * 3 / 4)),
+                      .times = static_cast<int>(draw(1, 2)),
+                      .gap = Millis(draw(300, 3000)),
+                      .share = static_cast<double>(draw(15, 50)) / 100,
+                      .length = Millis(draw(200, 3500))});
+  }
+  return series;
+}
+
 std::vector<SoakSeries> DrawDataCentreSeries(std::uint64_t seed,
                                              Duration length) {
   // Differs from the sequence that DrawSeries() takes from the same seed.
--- a/testing/test/soak_test.cc
+++ b/testing/test/soak_test.cc
@@ -156,6 +156,29 @@
   CheckHeld(options);
 }
 
+// Guards against requests of a server that pauses being cut or failed, with
+// another attempt left and without one.
+TEST_CASE("Requests of servers that pause are answered whole") {
+  for (const int attempts : {2, 1}) {
+    SoakOptions options = Options(1);
+    options.length = seconds(5);
+    options.max_attempts = attempts;
+    options.series = ParseSeries("servers_pause:500:2:2000:1:1400");
+    CheckHeld(options);
+  }
+}
+
+// Guards against answers that end early for clients that read late, and
+// against requests whose body comes in pieces being closed as idle.
+TEST_CASE("Slow readers and slow bodies are served while servers pause") {
+  SoakOptions options = Options(1);
+  options.length = seconds(8);
+  options.series = ParseSeries(
+      "slow_readers:200:1:0:0.05:7000,slow_bodies:200:1:0:0.1:7000,"
+      "servers_pause:1000:2:2500:0.4:1400");
+  CheckHeld(options);
+}
+
 void CheckDrawnHeld(std::uint64_t seed) {
   SoakOptions options = Options(seed);
   options.length = seconds(8);
