Callers of the soak send at once what they ask on a kept connection

The daemon's log doesn't know it: the bytes left a round of the loop after the look whether the connection stands, and that round was long. They leave right after the look now.

--- a/testing/src/kept_connection.cc
+++ b/testing/src/kept_connection.cc
@@ -100,10 +100,22 @@
   void WriteNext() {
     if (over) return;
     const std::string& piece = request.pieces[written++];
-    bufferevent_write(bev, piece.data(), piece.size());
+    const std::size_t sent = SendNow(piece);
+    bufferevent_write(bev, piece.data() + sent, piece.size() - sent);
     if (written < request.pieces.size()) write_timer.Once(request.gap);
   }
 
+  // What the socket takes at once, so that the other end can't close between
+  // IsClosed() and the next round of the loop.
+  std::size_t SendNow(const std::string& piece) const {
+    const bool is_free =
+        connected && evbuffer_get_length(bufferevent_get_output(bev)) == 0;
+    if (!is_free) return 0;
+    const auto n = send(bufferevent_getfd(bev), piece.data(), piece.size(),
+                        MSG_DONTWAIT | MSG_NOSIGNAL);
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+  }
+
   void Read() {
     if (!over) bufferevent_enable(bev, EV_READ);
   }
