--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -216,6 +216,11 @@
     return std::any_of(options_.series.begin(), options_.series.end(),
                        [&](const SoakSeries& it) { return it.fault == fault; });
   }
+  bool DisturbsDaemons() const {
+    return Has(SoakFault::kKill) || Has(SoakFault::kRestart) ||
+           Has(SoakFault::kRoll) || Has(SoakFault::kFreeze) ||
+           Has(SoakFault::kKillDataCentre);
+  }
   std::string DataCentreOf(std::size_t n) const {
     return daemons_.data_centre(n % options_.data_centres);
   }
@@ -289,8 +294,11 @@
                       arrival.ran);
       const std::string& daemon = callers_->DaemonOf(arrival.request_id);
       if (arrival.ran) {
-        answers_.Taken(loop_.Now(), arrival.request_id, servers_[n]->id(),
-                       KnownSenderOf(arrival.client, servers_[n]->address()));
+        const bool counts = DisturbsDaemons();
+        answers_.Taken(
+            loop_.Now(), arrival.request_id, servers_[n]->id(),
+            counts ? KnownSenderOf(arrival.client, servers_[n]->address())
+                   : "");
       }
       const std::string& rest = said_[n].rest;
       const bool rests =
