--- a/testing/src/soak_callers.cc
+++ b/testing/src/soak_callers.cc
@@ -11,9 +11,9 @@
 struct SoakCallers::Kind {
   const char* path;
   const char* service;
+  std::string_view deadly_part = {};
   bool once = false;
   bool stream = false;
-  std::string_view deadly_part = {};
   bool reads_late = false;
   bool in_pieces = false;
 };
@@ -170,8 +170,8 @@
   if (named_.empty()) return;
   Send({.path = "/chat/deadly-part",
         .service = "llm",
-        .stream = true,
-        .deadly_part = kDeadlyPart},
+        .deadly_part = kDeadlyPart,
+        .stream = true},
        "question " + std::to_string(last_id_));
 }
 
