--- a/review/stand_ins/cases.hpp
+++ b/review/stand_ins/cases.hpp
@@ -215,9 +215,9 @@
 // good; another one takes its place 45 s later.
 inline int LongPrompts(const std::string& self, const std::string& folder,
                        bool disturbed) {
-  Record record(folder + "/record.txt");
-  Deployment deployment(self, folder, record);
-  if (!deployment.ok()) return 2;
+  Record& record = *new Record(folder + "/record.txt");
+  Deployment& deployment = *new Deployment(self, folder, record);
+  if (!deployment.ok()) return deployment.Finish(2);
   deployment.store().Put("op/config", ConfigurationOf(3, SmallEngine()).dump());
   deployment.store().Start();
   std::vector<pid_t> engines;
@@ -237,9 +237,9 @@
   StartPlainWorkers(deployment);
   deployment.AddDaemons(3, kFleetBounds);
   for (Daemon& it : deployment.daemons()) deployment.StartDaemon(it);
-  if (!deployment.AwaitReady(10)) return 2;
+  if (!deployment.AwaitReady(10)) return deployment.Finish(2);
   SleepFor(8);
-  Clients clients(deployment, record);
+  Clients& clients = *new Clients(deployment, record);
   const double start = Now();
   record.Line("traffic starts");
   double next_long = start, next_lookup = start;
@@ -276,7 +276,7 @@
     SleepFor(0.01);
   }
   clients.AwaitAll(16);
-  return JudgeDenied(clients, record);
+  return deployment.Finish(JudgeDenied(clients, record));
 }
 
 // The lines of the record so far.
@@ -392,8 +392,8 @@
 // read parts of it. They are back 4.5 s later.
 inline int RackCrash(const std::string& self, const std::string& folder,
                      bool disturbed) {
-  LargeDeployment it(self, folder);
-  if (!it.Start()) return 2;
+  LargeDeployment& it = *new LargeDeployment(self, folder);
+  if (!it.Start()) return it.deployment.Finish(2);
   bool struck = !disturbed;
   double back_at = 1e9;
   it.Run(75, [&](double now) {
@@ -428,8 +428,8 @@
     back_at = now + 4.5;
     it.Crash(rack);
   });
-  if (!struck) return 2;
-  return JudgeDenied(it.clients, it.record);
+  if (!struck) return it.deployment.Finish(2);
+  return it.deployment.Finish(JudgeDenied(it.clients, it.record));
 }
 
 }  // namespace review
--- a/review/stand_ins/deployment.hpp
+++ b/review/stand_ins/deployment.hpp
@@ -115,10 +115,13 @@
     store_address_ = "127.0.0.9:" + std::to_string(FreePort());
     store_ = std::make_unique<Store>(store_address_);
   }
-  ~Deployment() {
+  // Ends all processes and removes the temporary folder. The deployment itself
+  // stays until the program ends, as connections' threads still use it.
+  int Finish(int code) {
     processes_.EndAll();
     const std::string command = "rm -rf '" + scratch_ + "'";
     if (getenv("KEEP_LOGS") == nullptr) (void)!system(command.c_str());
+    return code;
   }
   bool ok() const { return store_->ok(); }
   Store& store() { return *store_; }
--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -30,8 +30,11 @@
   if (argc != 3) return 2;
   const char* trouble = getenv("TROUBLE");
   const bool disturbed = trouble == nullptr || std::string(trouble) != "0";
+  int code = 2;
   if (words[1] == "long-prompts")
-    return LongPrompts(words[0], words[2], disturbed);
-  if (words[1] == "rack-crash") return RackCrash(words[0], words[2], disturbed);
-  return 2;
+    code = LongPrompts(words[0], words[2], disturbed);
+  if (words[1] == "rack-crash") code = RackCrash(words[0], words[2], disturbed);
+  // Threads of connections may still run.
+  std::cout << std::flush;
+  _exit(code);
 }
