Quarantine: servers that crash together count once

Callers of a sound prompt got 400 'quarantined', for good, after one crash of three engines: one that answered it and two that had prefilled parts of it.

Cause: the crash of each server that took part in an interrupted attempt was recorded as one crash against the request's fingerprint and its prompt parts (CheckLivenessOfAll, EndIncarnation, RecordPartCrashes), and three make a quarantine. It was told to all daemons and stored, so it outlasted them.

Change: a crash names the incarnation that the attempt was sent to. Crashes of one fingerprint that share it, or that are at most 25 ms apart, are one incident, and three incidents quarantine. All daemons and the store know the incidents; builds that don't tell them count each crash by itself.

Two ways were tried and dropped: counting all attempts sent before the first suspicion once (a fourth server crashed under 60 copies within 300 ms, in deadly_requests_test), and naming the attempt rather than the server (daemons that see the same crash never agree, and tell each other more).

Test: 'Servers of one attempt that crash together count once'. serving_test and serving_fleet_test pass, with deadly_requests_test, crashing_parts_test and innocent_requests_test as they were.

--- a/cli/src/quarantine_command.cc
+++ b/cli/src/quarantine_command.cc
@@ -60,11 +60,11 @@
   return NameIn(serving::kSuspectKindNames, endings.kind);
 }
 
+// Whether daemons that read this entry hold requests for it.
 bool IsHeld(const StoredCrashes& endings) {
-  const bool is_proved = endings.kind == serving::SuspectKind::kRequest ||
-                         !endings.under_suspicion.empty();
-  return is_proved && endings.incarnations.size() >=
-                          serving::Quarantine::kQuarantineCrashCount;
+  serving::Quarantine quarantine({.kind = endings.kind});
+  quarantine.ApplyStored(endings, Time{});
+  return quarantine.IsQuarantined(endings.fingerprint);
 }
 
 void Print(const std::vector<StoredCrashes>& endings) {
--- a/serving/include/scaleshed/serving/quarantine.h
+++ b/serving/include/scaleshed/serving/quarantine.h
@@ -23,6 +23,9 @@
   SuspectKind kind = SuspectKind::kRequest;
   // Those of `incarnations` to which Crash::under_suspicion applies.
   std::vector<BackendId> under_suspicion;
+  // The incident of each incarnation that doesn't count by itself: those with
+  // the same one count once.
+  std::map<BackendId, BackendId> incidents;
   // Revision at which the store came to hold this list. A write succeeds only
   // if the entry still has this revision, or, for revision zero, only if there
   // is no entry.
@@ -41,20 +44,21 @@
 
 // Counts, for each fingerprint of one kind, the backend incarnations that
 // crashed while they ran such a request, as far as one daemon knows, so that a
-// request that crashes servers is refused once it has crashed
-// kQuarantineCrashCount servers.
+// request that crashes servers is refused once kQuarantineIncidentCount
+// incidents count against it (see Crash::incident).
 //
 // Crashes that are published by other daemons may arrive in any order, late and
 // more than once: an incarnation counts once, and a cleared one stays cleared.
 // The store keeps what has to outlive all daemons; any daemon that knows
 // something else than the store holds may write it (Unsaved). Crashes don't
 // expire: a request that crashes one server a day is quarantined too. Beyond
-// kMaxFingerprints fingerprints, the one with the fewest crashes, and of
-// several such the one whose last change is the oldest, is cleared.
+// kMaxFingerprints fingerprints, the one with the fewest incidents, then the
+// fewest crashes, and of several such the one whose last change is the oldest,
+// is cleared.
 class Quarantine {
  public:
-  // Number of crashes from which a fingerprint is quarantined.
-  static constexpr std::size_t kQuarantineCrashCount = 3;
+  // Number of incidents from which a fingerprint is quarantined.
+  static constexpr std::size_t kQuarantineIncidentCount = 3;
   static constexpr std::size_t kMaxFingerprints = 4096;
 
   explicit Quarantine(QuarantineOptions options = {}) : options_(options) {}
@@ -65,12 +69,14 @@
   void ClearFingerprint(std::uint64_t fingerprint, Time now);
 
   std::size_t CrashCount(std::uint64_t fingerprint) const;
-  // Whether kQuarantineCrashCount crashes count against the fingerprint. A part
-  // of many prompts is at several servers that crash together for another
+  // Number of incidents to which these crashes belong.
+  std::size_t IncidentCount(std::uint64_t fingerprint) const;
+  // Whether kQuarantineIncidentCount incidents count against the fingerprint. A
+  // part of many prompts is at several servers that crash together for another
   // reason, so that one of its crashes has to be under suspicion.
   bool IsQuarantined(std::uint64_t fingerprint) const;
   // Whether one request may show whether a quarantined fingerprint still
-  // crashes servers. The interval doubles with each further crash.
+  // crashes servers. The interval doubles with each further incident.
   bool IsTrialDue(std::uint64_t fingerprint, Time now) const;
   // Incarnations whose crashes count and are under suspicion (see Crash).
   std::vector<BackendId> UnderSuspicion(std::uint64_t fingerprint) const;
@@ -115,6 +121,8 @@
   struct IncarnationRecord {
     bool cleared = false;
     bool under_suspicion = false;
+    std::set<BackendId> incidents;  // all that were told of it
+    Time interrupted_at{};
     Time learned_at{};
   };
   // All that is known of one fingerprint, here and at the store.
@@ -122,6 +130,7 @@
     std::map<BackendId, IncarnationRecord> incarnations;
     std::set<BackendId> stored;
     std::set<BackendId> stored_under_suspicion;
+    std::map<BackendId, BackendId> stored_incidents;
     StoreRevision revision;  // store revision at which it held `stored`
     Time learned_at{};       // time of the last change
   };
@@ -129,6 +138,12 @@
   // The incarnations of the record that aren't cleared, in ascending order.
   static std::vector<BackendId> CountedIncarnations(const Record& record);
   static std::vector<BackendId> CountedUnderSuspicion(const Record& record);
+  // What each counted incarnation counts as: the smallest id among those that
+  // crashed in the same attempts or at the same moment.
+  static std::map<BackendId, BackendId> CountedIncidents(const Record& record);
+  // The same without the incarnations that count by themselves.
+  static std::map<BackendId, BackendId> SharedIncidents(const Record& record);
+  static std::size_t IncidentCount(const Record& record);
   bool IsQuarantined(const Record& record) const;
   // Whether the store has to be changed for the fingerprint at all: it holds an
   // entry, or at least `least` crashes count.
--- a/serving/include/scaleshed/serving/state.h
+++ b/serving/include/scaleshed/serving/state.h
@@ -296,6 +296,13 @@
 struct SuspectedPart {
   std::string id;                // as the client names it
   bool under_suspicion = false;  // see Crash
+  BackendId incident = 0;        // see Crash; of the first attempt
+};
+
+// An attempt that was interrupted at a server.
+struct InterruptedAttempt {
+  AttemptId id = 0;
+  BackendId incident = 0;  // see Crash
 };
 
 // A liveness check of a backend incarnation at which a response was
@@ -312,7 +319,7 @@
   Time last_alive_at{};          // last liveness signal
   // The attempts that were interrupted at this server, by request fingerprint.
   // An attempt that involved several servers has a check for each of them.
-  std::map<std::uint64_t, AttemptId> attempts_by_fingerprint;
+  std::map<std::uint64_t, InterruptedAttempt> attempts_by_fingerprint;
   // The prompt parts of these attempts, by fingerprint, without those of
   // responses that had got past their beginning.
   std::map<std::uint64_t, SuspectedPart> parts;
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -84,6 +84,14 @@
   // The fingerprint was crash-suspected when the request was sent, so that the
   // request ran in isolation.
   bool under_suspicion = false;
+  // The incarnation that the interrupted attempt was sent to, for which this
+  // one may only have prefilled. Crashes of one fingerprint with the same
+  // incident count once. Zero, from a daemon of an older build: `incarnation`
+  // itself.
+  BackendId incident = 0;
+  // When the attempt was interrupted, on the receiving daemon's clock; zero:
+  // unknown.
+  Time interrupted_at{};
   bool operator==(const Crash&) const = default;
 };
 
--- a/serving/src/crashing_parts.cc
+++ b/serving/src/crashing_parts.cc
@@ -153,18 +153,18 @@
   for (const PromptPart& it : request.metadata.shared_parts) {
     SuspectedPart& part = check.parts[it.fingerprint];
     part.id = it.id;
+    if (part.incident == 0) part.incident = attempt.backend;
     part.under_suspicion = part.under_suspicion ||
                            attempt.suspected_at_send.contains(it.fingerprint);
   }
 }
 
-void RecordPartCrashes(State& state,
-                       const std::map<std::uint64_t, SuspectedPart>& parts,
+void RecordPartCrashes(State& state, const LivenessCheck& check,
                        BackendId incarnation) {
-  if (parts.empty()) return;
+  if (check.parts.empty()) return;
   std::string suspects;
   std::string cleared;
-  for (const auto& [fingerprint, part] : parts) {
+  for (const auto& [fingerprint, part] : check.parts) {
     if (IsClearedPart(state, fingerprint)) {
       Append(cleared, part.id);
       continue;
@@ -174,7 +174,9 @@
                {.fingerprint = fingerprint,
                 .incarnation = incarnation,
                 .kind = SuspectKind::kPart,
-                .under_suspicion = part.under_suspicion},
+                .under_suspicion = part.under_suspicion,
+                .incident = part.incident,
+                .interrupted_at = check.since},
                "");
   }
   const Backend* backend = FindBackend(state, incarnation);
--- a/serving/src/endings.cc
+++ b/serving/src/endings.cc
@@ -28,6 +28,8 @@
        {"life", FingerprintText(crash.incarnation)},
        {"told_by", source},
        {"ends", std::to_string(quarantine.CrashCount(crash.fingerprint))},
+       {"incidents",
+        std::to_string(quarantine.IncidentCount(crash.fingerprint))},
        {"in_doubt", crash.under_suspicion ? "true" : "false"},
        {"held",
         quarantine.IsQuarantined(crash.fingerprint) ? "true" : "false"}});
@@ -150,17 +152,21 @@
     const auto it = check.attempts_by_fingerprint.find(fingerprint);
     const bool is_open = it != check.attempts_by_fingerprint.end() &&
                          state.now < check.since + kCrashCheckTimeout;
-    if (is_open) attempts.insert(it->second);
+    if (is_open) attempts.insert(it->second.id);
   }
   return attempts.size();
 }
 
 }  // namespace
 
-void RecordCrash(State& state, std::uint64_t fingerprint,
-                 BackendId incarnation) {
+void RecordCrash(State& state, std::uint64_t fingerprint, BackendId incarnation,
+                 BackendId incident, Time interrupted_at) {
   if (fingerprint == 0) return;
-  ApplyCrash(state, {.fingerprint = fingerprint, .incarnation = incarnation},
+  ApplyCrash(state,
+             {.fingerprint = fingerprint,
+              .incarnation = incarnation,
+              .incident = incident,
+              .interrupted_at = interrupted_at},
              "");
 }
 
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -488,8 +488,9 @@
 // may cause them.
 
 // Records that a backend incarnation ended while it ran a request with that
-// fingerprint.
-void RecordCrash(State& state, std::uint64_t fingerprint, BackendId backend);
+// fingerprint. `incident` and `interrupted_at` are those of Crash.
+void RecordCrash(State& state, std::uint64_t fingerprint, BackendId incarnation,
+                 BackendId incident, Time interrupted_at);
 // The crashes of all fingerprints of one kind.
 Quarantine& QuarantineOf(State& state, SuspectKind kind);
 // Applies a crash, or its clearing, that this daemon found out or that `source`
@@ -555,9 +556,9 @@
 // interrupted.
 void SuspectParts(const Request& request, const Attempt& attempt,
                   LivenessCheck& check);
-// Holds the crash of an incarnation against the parts that aren't cleared.
-void RecordPartCrashes(State& state,
-                       const std::map<std::uint64_t, SuspectedPart>& parts,
+// Holds the crash of the checked incarnation against the parts that aren't
+// cleared.
+void RecordPartCrashes(State& state, const LivenessCheck& check,
                        BackendId incarnation);
 // Returns the request's parts that are crash-suspected.
 std::set<std::uint64_t> SuspectedParts(const State& state,
--- a/serving/src/life_checks.cc
+++ b/serving/src/life_checks.cc
@@ -78,10 +78,10 @@
                    BackendId incarnation) {
   const std::uint64_t fingerprint = request.metadata.fingerprint;
   if (state.ended_incarnations.contains(incarnation)) {
-    RecordCrash(state, fingerprint, incarnation);
-    LivenessCheck check;
+    RecordCrash(state, fingerprint, incarnation, attempt.backend, state.now);
+    LivenessCheck check{.address = {}, .since = state.now};
     SuspectParts(request, attempt, check);
-    RecordPartCrashes(state, check.parts, incarnation);
+    RecordPartCrashes(state, check, incarnation);
     return;
   }
   const Backend* backend = FindBackend(state, incarnation);
@@ -91,7 +91,10 @@
       LivenessCheck{.address = backend->server.address, .since = state.now});
   const bool is_new_fingerprint =
       fingerprint != 0 &&
-      it->second.attempts_by_fingerprint.try_emplace(fingerprint, attempt.id)
+      it->second.attempts_by_fingerprint
+          .try_emplace(
+              fingerprint,
+              InterruptedAttempt{.id = attempt.id, .incident = attempt.backend})
           .second;
   SuspectParts(request, attempt, it->second);
   state.suspected_parts_changed = true;
@@ -148,13 +151,12 @@
 
 void EndIncarnation(State& state, BackendId incarnation) {
   state.ended_incarnations[incarnation] = state.now;
-  const auto check = state.liveness_checks.extract(incarnation);
-  if (check.empty()) return;
-  for (const auto& [fingerprint, attempt] :
-       check.mapped().attempts_by_fingerprint) {
-    RecordCrash(state, fingerprint, incarnation);
-  }
-  RecordPartCrashes(state, check.mapped().parts, incarnation);
+  const auto node = state.liveness_checks.extract(incarnation);
+  if (node.empty()) return;
+  const LivenessCheck& check = node.mapped();
+  for (const auto& [fingerprint, attempt] : check.attempts_by_fingerprint)
+    RecordCrash(state, fingerprint, incarnation, attempt.incident, check.since);
+  RecordPartCrashes(state, check, incarnation);
 }
 
 void RecordAlive(State& state, BackendId incarnation) {
--- a/serving/src/quarantine.cc
+++ b/serving/src/quarantine.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdio>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace scaleshed::serving {
@@ -26,6 +27,11 @@
 // The interval of looking for expired records, which goes over all of them.
 constexpr Duration kDropExpiredInterval = seconds(1);
 
+// Crashes at most this far apart have one cause: a rack that fails, or copies
+// of a request that began together. A request that is sent again after a crash,
+// and crashes that server too, does so later.
+constexpr Duration kIncidentDuration = milliseconds(25);
+
 std::uint64_t HashOf(std::uint64_t fingerprint, BackendId incarnation) {
   return HashBytes(
       {reinterpret_cast<const char*>(&incarnation), sizeof(incarnation)},
@@ -58,23 +64,78 @@
   return incarnations;
 }
 
+std::map<BackendId, BackendId> Quarantine::CountedIncidents(
+    const Record& record) {
+  // By incarnation, and by each incident that was told.
+  std::map<BackendId, BackendId> smallest;
+  const auto join = [&](BackendId a, BackendId b) {
+    const BackendId of_a = smallest.try_emplace(a, a).first->second;
+    const BackendId of_b = smallest.try_emplace(b, b).first->second;
+    for (auto& [id, it] : smallest) {
+      if (it == of_a || it == of_b) it = std::min(of_a, of_b);
+    }
+  };
+  const std::vector<BackendId> counted = CountedIncarnations(record);
+  for (auto it = counted.begin(); it != counted.end(); ++it) {
+    const IncarnationRecord& one = record.incarnations.at(*it);
+    join(*it, *it);
+    for (const BackendId incident : one.incidents) join(*it, incident);
+    if (one.interrupted_at == Time{}) continue;
+    for (auto other = counted.begin(); other != it; ++other) {
+      const Time at = record.incarnations.at(*other).interrupted_at;
+      const bool at_once = at != Time{} &&
+                           one.interrupted_at <= at + kIncidentDuration &&
+                           at <= one.interrupted_at + kIncidentDuration;
+      if (at_once) join(*it, *other);
+    }
+  }
+  std::erase_if(smallest, [&](const auto& it) {
+    return !std::binary_search(counted.begin(), counted.end(), it.first);
+  });
+  return smallest;
+}
+
+std::map<BackendId, BackendId> Quarantine::SharedIncidents(
+    const Record& record) {
+  auto incidents = CountedIncidents(record);
+  std::erase_if(incidents,
+                [](const auto& it) { return it.first == it.second; });
+  return incidents;
+}
+
+std::size_t Quarantine::IncidentCount(const Record& record) {
+  std::set<BackendId> incidents;
+  for (const auto& [incarnation, it] : CountedIncidents(record))
+    incidents.insert(it);
+  return incidents.size();
+}
+
 bool Quarantine::AddCrash(const Crash& crash, Time now) {
   DropExpiredCleared(now);
   Record& record = records_[crash.fingerprint];
   const auto [it, is_new] = record.incarnations.try_emplace(crash.incarnation);
   IncarnationRecord& known = it->second;
-  const bool changed = is_new || (crash.cleared && !known.cleared) ||
-                       (crash.under_suspicion && !known.under_suspicion);
+  const bool has_incident =
+      crash.incident != 0 && crash.incident != crash.incarnation;
+  const bool changed =
+      is_new || (crash.cleared && !known.cleared) ||
+      (crash.under_suspicion && !known.under_suspicion) ||
+      (has_incident && !known.incidents.contains(crash.incident)) ||
+      (crash.interrupted_at != Time{} && known.interrupted_at == Time{});
   if (!changed) return false;
-  known = {.cleared = known.cleared || crash.cleared,
-           .under_suspicion = known.under_suspicion || crash.under_suspicion,
-           .learned_at = now};
+  known.cleared = known.cleared || crash.cleared;
+  known.under_suspicion = known.under_suspicion || crash.under_suspicion;
+  if (has_incident) known.incidents.insert(crash.incident);
+  if (known.interrupted_at == Time{})
+    known.interrupted_at = crash.interrupted_at;
+  known.learned_at = now;
   fingerprints_by_incarnation_[crash.incarnation].insert(crash.fingerprint);
   record.learned_at = now;
   Crash learned = crash;
   learned.kind = options_.kind;
   learned.cleared = known.cleared;
   learned.under_suspicion = known.under_suspicion;
+  learned.interrupted_at = known.interrupted_at;
   recent_.emplace_back(now, learned);
   UpdateUnsaved(crash.fingerprint, now);
   if (!crash.cleared) MakeRoom(now);
@@ -95,11 +156,15 @@
   return it == records_.end() ? 0 : CountedIncarnations(it->second).size();
 }
 
+std::size_t Quarantine::IncidentCount(std::uint64_t fingerprint) const {
+  const auto it = records_.find(fingerprint);
+  return it == records_.end() ? 0 : IncidentCount(it->second);
+}
+
 bool Quarantine::IsQuarantined(const Record& record) const {
   const bool is_proved = options_.kind == SuspectKind::kRequest ||
                          !CountedUnderSuspicion(record).empty();
-  return is_proved &&
-         CountedIncarnations(record).size() >= kQuarantineCrashCount;
+  return is_proved && IncidentCount(record) >= kQuarantineIncidentCount;
 }
 
 bool Quarantine::IsQuarantined(std::uint64_t fingerprint) const {
@@ -110,10 +175,10 @@
 bool Quarantine::IsTrialDue(std::uint64_t fingerprint, Time now) const {
   const auto it = records_.find(fingerprint);
   if (it == records_.end()) return false;
-  const std::size_t crashes = CountedIncarnations(it->second).size();
-  if (crashes < kQuarantineCrashCount) return false;
+  const std::size_t incidents = IncidentCount(it->second);
+  if (incidents < kQuarantineIncidentCount) return false;
   const std::size_t doublings =
-      std::min(crashes - kQuarantineCrashCount, kMaxTrialDoublings);
+      std::min(incidents - kQuarantineIncidentCount, kMaxTrialDoublings);
   return now >= it->second.learned_at + kTrialInterval * (1U << doublings);
 }
 
@@ -180,6 +245,7 @@
   record.revision = stored.revision;
   record.stored_under_suspicion = {stored.under_suspicion.begin(),
                                    stored.under_suspicion.end()};
+  record.stored_incidents = stored.incidents;
   const std::set<BackendId> stored_before =
       std::exchange(record.stored, now_stored);
   for (const BackendId it : stored_before)
@@ -187,9 +253,12 @@
   for (const BackendId it : now_stored)
     digest_ ^= HashOf(stored.fingerprint, it);
   for (const BackendId it : now_stored) {
+    const auto incident = stored.incidents.find(it);
+    const bool has_incident = incident != stored.incidents.end();
     AddCrash({.fingerprint = stored.fingerprint,
               .incarnation = it,
-              .under_suspicion = record.stored_under_suspicion.contains(it)},
+              .under_suspicion = record.stored_under_suspicion.contains(it),
+              .incident = has_incident ? incident->second : 0},
              now);
   }
   // Crashes are removed from the store only when they are known not to count:
@@ -229,7 +298,8 @@
                  record.stored.begin(), record.stored.end()) &&
       std::includes(record.stored_under_suspicion.begin(),
                     record.stored_under_suspicion.end(),
-                    under_suspicion.begin(), under_suspicion.end());
+                    under_suspicion.begin(), under_suspicion.end()) &&
+      SharedIncidents(record) == record.stored_incidents;
   if (saved) {
     unsaved_.erase(fingerprint);
   } else {
@@ -263,6 +333,7 @@
                        .incarnations = CountedIncarnations(record),
                        .kind = options_.kind,
                        .under_suspicion = CountedUnderSuspicion(record),
+                       .incidents = SharedIncidents(record),
                        .revision = record.stored.empty() ? StoreRevision{}
                                                          : record.revision});
   }
@@ -280,8 +351,9 @@
 void Quarantine::MakeRoom(Time now) {
   if (records_.size() <= kMaxFingerprints) return;
   const auto priority = [](const auto& it) {
-    return std::pair(CountedIncarnations(it.second).size(),
-                     it.second.learned_at);
+    return std::tuple(IncidentCount(it.second),
+                      CountedIncarnations(it.second).size(),
+                      it.second.learned_at);
   };
   const auto lowest = std::min_element(
       records_.begin(), records_.end(),
--- a/serving/test/life_checks_test.cc
+++ b/serving/test/life_checks_test.cc
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "serving_harness.h"
@@ -144,5 +146,78 @@
   CHECK(daemon.state().ended_incarnations.empty());
 }
 
+// Sends a prompt with a fingerprint that several engines prefill.
+RequestKey SendLongPrompt(Daemon& daemon) {
+  const RequestKey key = daemon.next_key();
+  daemon.Feed(RequestArrived{.key = key,
+                             .metadata = {.id = "r" + std::to_string(key),
+                                          .host = "h",
+                                          .path = "/stream/x",
+                                          .keys = {"k"},
+                                          .deadline = seconds(15),
+                                          .prompt_tokens = 210'000,
+                                          .answer_tokens = 500,
+                                          .fingerprint = 77}});
+  return key;
+}
+
+// What a daemon did while the servers of an attempt crashed.
+struct CrashResult {
+  std::optional<StartAttempt> next;  // the attempt that followed
+  bool refused = false;
+};
+
+// Fails the attempt and has the servers that took part in it, but for the last
+// helper, refuse probes until they count as ended.
+CrashResult CrashServersOf(Daemon& daemon, const StartAttempt& attempt) {
+  std::set<std::string> crashed{attempt.address};
+  for (const PrefillHelper& it : attempt.helpers) crashed.insert(it.address);
+  if (!attempt.helpers.empty()) crashed.erase(attempt.helpers.back().address);
+  CrashResult result;
+  std::vector<ProbeLiveness> probes;
+  daemon.Observe([&](const Effects& effects) {
+    for (const Effect& it : effects) {
+      if (const auto* sent = std::get_if<StartAttempt>(&it))
+        result.next = *sent;
+      if (const auto* probe = std::get_if<ProbeLiveness>(&it))
+        probes.push_back(*probe);
+      result.refused = result.refused || std::holds_alternative<Refuse>(it);
+    }
+  });
+  daemon.Feed(AttemptFailed{.attempt = attempt.attempt});
+  for (int i = 0; i < 20 && !daemon.state().liveness_checks.empty(); ++i) {
+    for (const ProbeLiveness& it : std::exchange(probes, {})) {
+      daemon.Feed(LivenessProbed{.backend = it.backend,
+                                 .result = crashed.contains(it.address)
+                                               ? ProbeResult::kRefused
+                                               : ProbeResult::kAlive});
+    }
+    daemon.AdvanceTime(milliseconds(55));
+    daemon.ConfirmStore();
+  }
+  daemon.Observe({});
+  return result;
+}
+
+// Guards against a crash of several servers at once being counted once for each
+// of them, which quarantined a prompt that one of them answered and the others
+// had prefilled.
+TEST_CASE("Servers of one attempt that crash together count once") {
+  Daemon daemon;
+  const RequestKey key = SendLongPrompt(daemon);
+  const std::uint64_t fingerprint =
+      daemon.state().requests.at(key).metadata.fingerprint;
+  const auto* sent = daemon.FirstEffect<StartAttempt>();
+  REQUIRE(sent != nullptr);
+  REQUIRE(sent->helpers.size() >= 2);
+  const CrashResult result = CrashServersOf(daemon, *sent);
+  const Quarantine& quarantine = daemon.state().quarantine;
+  CHECK(quarantine.CrashCount(fingerprint) >= 3);
+  CHECK(quarantine.IncidentCount(fingerprint) == 1);
+  CHECK_FALSE(quarantine.IsQuarantined(fingerprint));
+  CHECK(result.next);
+  CHECK_FALSE(result.refused);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
--- a/serving/test/quarantine_test.cc
+++ b/serving/test/quarantine_test.cc
@@ -229,6 +229,72 @@
   CHECK(quarantine.CrashCount(kFingerprint) == 0);
 }
 
+// A crash in an attempt that was sent to `incident` and interrupted `after`
+// kNow.
+Crash CrashOf(BackendId incarnation, std::uint64_t incident,
+              Duration after = {}) {
+  return {.fingerprint = kFingerprint,
+          .incarnation = incarnation,
+          .incident = incident,
+          .interrupted_at = kNow + after};
+}
+
+TEST_CASE("Crashes of one attempt, or at one moment, count once") {
+  Quarantine quarantine;
+  for (BackendId i = 1; i <= 4; ++i) {
+    quarantine.AddCrash(CrashOf(i, 100), kNow);
+  }
+  quarantine.AddCrash(CrashOf(5, 101, milliseconds(10)), kNow);
+  CHECK(quarantine.CrashCount(kFingerprint) == 5);
+  CHECK(quarantine.IncidentCount(kFingerprint) == 1);
+  quarantine.AddCrash(CrashOf(6, 102, milliseconds(60)), kNow);
+  quarantine.AddCrash(CrashOf(7, 102, milliseconds(120)), kNow);
+  CHECK(quarantine.IncidentCount(kFingerprint) == 2);
+  CHECK_FALSE(quarantine.IsQuarantined(kFingerprint));
+  quarantine.AddCrash(CrashOf(8, 103, milliseconds(200)), kNow);
+  CHECK(quarantine.IsQuarantined(kFingerprint));
+}
+
+TEST_CASE("Incidents told in any order lead to the same count") {
+  std::vector<Crash> crashes;
+  for (BackendId i = 1; i <= 12; ++i) {
+    crashes.push_back(CrashOf(i, 100 + i / 3, milliseconds(40 * (i / 4))));
+    crashes.push_back(CrashOf(i, 200 + i / 5, milliseconds(40 * (i / 4))));
+  }
+  std::mt19937_64 random(4);
+  std::set<std::size_t> counts;
+  for (int run = 0; run < 50; ++run) {
+    std::shuffle(crashes.begin(), crashes.end(), random);
+    Quarantine quarantine;
+    for (const Crash& it : crashes) quarantine.AddCrash(it, kNow);
+    counts.insert(quarantine.IncidentCount(kFingerprint));
+  }
+  CHECK(counts.size() == 1);
+}
+
+// Guards against crashes of one incident counting by themselves once they were
+// read back from the store.
+TEST_CASE("The store keeps the incidents of crashes") {
+  Quarantine quarantine;
+  for (BackendId i = 1; i <= 3; ++i) {
+    quarantine.AddCrash(CrashOf(i, 100 + i), kNow);
+  }
+  StoredCrashes stored = quarantine.Unsaved(10).front();
+  stored.revision = {.number = 5};
+  quarantine.ApplyStored(stored, kNow);
+  CHECK(quarantine.Unsaved(10).empty());
+  Quarantine other;
+  other.ApplyStored(stored, kNow);
+  CHECK(other.IncidentCount(kFingerprint) == 1);
+  CHECK(other.Unsaved(10).empty());
+  // An entry that was written without them is written again.
+  stored.revision = {.number = 6};
+  stored.incidents.clear();
+  quarantine.ApplyStored(stored, kNow);
+  REQUIRE(quarantine.Unsaved(10).size() == 1);
+  CHECK(quarantine.Unsaved(10).front().incidents.size() == 2);
+}
+
 // Prompts that share a part may all be at servers that crash together.
 TEST_CASE("A part is quarantined only with a crash under suspicion") {
   Quarantine quarantine({.kind = SuspectKind::kPart});
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -54,12 +54,16 @@
                                              : *to.add_endings();
 }
 
-serving::Crash ReadEnding(const wire::Ending& from, serving::SuspectKind kind) {
+serving::Crash ReadEnding(const wire::Ending& from, serving::SuspectKind kind,
+                          Time now) {
+  const Duration age(std::max<std::int64_t>(from.age_us(), 0));
   return {.fingerprint = from.content(),
           .incarnation = from.life(),
           .cleared = from.forgiven(),
           .kind = kind,
-          .under_suspicion = from.under_suspicion()};
+          .under_suspicion = from.under_suspicion(),
+          .incident = from.incident(),
+          .interrupted_at = from.has_age_us() ? now - age : Time{}};
 }
 
 serving::StoredCrashes ReadEndings(const wire::StoredEndings& from,
@@ -69,6 +73,7 @@
           .kind = kind,
           .under_suspicion = {from.under_suspicion().begin(),
                               from.under_suspicion().end()},
+          .incidents = {from.incidents().begin(), from.incidents().end()},
           .revision = {.epoch = from.era(), .number = from.revision()}};
 }
 
@@ -136,6 +141,9 @@
     ending.set_life(it.incarnation);
     ending.set_forgiven(it.cleared);
     ending.set_under_suspicion(it.under_suspicion);
+    ending.set_incident(it.incident);
+    if (it.interrupted_at != Time{})
+      ending.set_age_us((now - it.interrupted_at).count());
   }
   for (const auto it : snapshot.crash_checks) to.add_asked(it);
   for (const auto it : snapshot.part_checks) to.add_asked_parts(it);
@@ -237,10 +245,12 @@
                                    .failed = it.failed()});
   }
   for (const auto& it : from.endings()) {
-    snapshot.crashes.push_back(ReadEnding(it, serving::SuspectKind::kRequest));
+    snapshot.crashes.push_back(
+        ReadEnding(it, serving::SuspectKind::kRequest, now));
   }
   for (const auto& it : from.part_endings()) {
-    snapshot.crashes.push_back(ReadEnding(it, serving::SuspectKind::kPart));
+    snapshot.crashes.push_back(
+        ReadEnding(it, serving::SuspectKind::kPart, now));
   }
   for (const auto& it : from.limits()) {
     const auto limit = ReadLimit(it, now);
@@ -479,6 +489,8 @@
     for (const auto life : it.incarnations) endings.add_lives(life);
     for (const auto life : it.under_suspicion)
       endings.add_under_suspicion(life);
+    for (const auto& [life, incident] : it.incidents)
+      (*endings.mutable_incidents())[life] = incident;
     endings.set_revision(it.revision.number);
     endings.set_era(it.revision.epoch);
   }
--- a/wire/test/datagram_codec_test.cc
+++ b/wire/test/datagram_codec_test.cc
@@ -46,6 +46,7 @@
                    .certain = false}},
       .crashes = {{.fingerprint = 14,
                    .incarnations = {15, 16},
+                   .incidents = {{15, 1}, {16, 21}},
                    .revision = {.epoch = 2, .number = 17}},
                   {.fingerprint = 18,
                    .incarnations = {},
@@ -111,7 +112,10 @@
   snapshot.active_requests = {
       {.id = 5, .started_at = kNow - seconds(1), .fingerprint = 7}};
   snapshot.finished_ids = {6};
-  snapshot.crashes = {{.fingerprint = 7, .incarnation = 8},
+  snapshot.crashes = {{.fingerprint = 7,
+                       .incarnation = 8,
+                       .incident = 15,
+                       .interrupted_at = kNow - seconds(1)},
                       {.fingerprint = 9, .incarnation = 8, .cleared = true},
                       {.fingerprint = 7,
                        .incarnation = 8,
@@ -164,6 +168,7 @@
           .snapshot;
   CHECK(back.incremental);
   CHECK(back.finished_ids == snapshot.finished_ids);
+  snapshot.crashes[0].interrupted_at = elsewhere - seconds(1);
   CHECK(back.crashes == snapshot.crashes);
   CHECK(back.crash_checks == snapshot.crash_checks);
   CHECK(back.part_checks == snapshot.part_checks);
