Prompts that lack an engine for a time may come back

Callers of prompts that need the memory of two engines got 400 'invalid' while one of two engines was lost, and so did a prompt that waited for it.

Cause: a prompt was compared with the engines that may get it at this moment, and the result was final, but for an evacuation.

Change: too large is what exceeds 17 engines, the most that one prompt may use. Other prompts that too few engines are there for are refused at once with 503, 'missing_engines' and a Retry-After; backed-off engines count as there. What a placer calls too large is checked by the requesting daemon.

--- a/cli/src/trace.cc
+++ b/cli/src/trace.cc
@@ -123,6 +123,12 @@
          Field(line, "expected_ms") + " ms";
 }
 
+std::string ExplainMissingEngines(const TraceLine& line) {
+  return "refused for missing engines: its prompt needs " +
+         Field(line, "needed") + ", " + Field(line, "service") + " has " +
+         Field(line, "engines");
+}
+
 std::string ExplainAllRest(const TraceLine& line) {
   return "refused for rest: all " + Field(line, "servers") + " servers of " +
          Field(line, "service") + " want it, the first for " +
@@ -183,6 +189,7 @@
     {"gives_up", ExplainGivesUp},
     {"limited", ExplainLimited},
     {"warming_up", ExplainWarmingUp},
+    {"missing_engines", ExplainMissingEngines},
     {"all_rest", ExplainAllRest},
     {"server_limit", ExplainServerLimit},
     {"server_rest", ExplainServerRest},
--- a/cli/test/trace_test.cc
+++ b/cli/test/trace_test.cc
@@ -89,6 +89,9 @@
                                {"expected_ms", "900"}}) ==
         "1  a  refused as servers warm up: 3 servers of app are cold, 4 "
         "requests go before it, a start in 900 ms\n");
+  CHECK(explain("missing_engines",
+                {{"needed", "3"}, {"service", "llm"}, {"engines", "2"}}) ==
+        "1  a  refused for missing engines: its prompt needs 3, llm has 2\n");
   CHECK(explain("all_rest",
                 {{"servers", "2"}, {"service", "app"}, {"left_ms", "70"}}) ==
         "1  a  refused for rest: all 2 servers of app want it, the first for "
--- a/serving/include/scaleshed/serving/dispatch.h
+++ b/serving/include/scaleshed/serving/dispatch.h
@@ -54,9 +54,11 @@
 // What a placer did with a PlacementRequest.
 enum class PlacementOutcome {
   kPlaced,
-  kQueued,    // the placer sends another response once the prompt is placed
-  kRefused,   // it can't be served before its deadline
-  kTooLarge,  // it doesn't fit even into an empty pool
+  kQueued,   // the placer sends another response once the prompt is placed
+  kRefused,  // it can't be served before its deadline
+  // It exceeds the largest group of engines. Of a placer of an older build: the
+  // engines that it knew just then.
+  kTooLarge,
 };
 inline constexpr NameTable<PlacementOutcome, 4> kPlacementOutcomeNames{{
     {PlacementOutcome::kPlaced, "placed"},
--- a/serving/include/scaleshed/serving/effects.h
+++ b/serving/include/scaleshed/serving/effects.h
@@ -102,13 +102,14 @@
   kTimeLimit,
   // Too many crashes count against the request's fingerprint or a prompt part.
   kQuarantined,
-  kUnreachable,  // no daemon is known to reach the servers of the service
-  kRelayLimit,   // this daemon serves no more requests for other daemons
-  kEvacuated,    // all servers of the service are in evacuated data centres
-  kNoHome,       // no server of the service is in a region that is allowed
-  kWarmingUp,    // the servers are cold and already get what they bear
+  kUnreachable,     // no daemon is known to reach the servers of the service
+  kRelayLimit,      // this daemon serves no more requests for other daemons
+  kEvacuated,       // all servers of the service are in evacuated data centres
+  kNoHome,          // no server of the service is in a region that is allowed
+  kWarmingUp,       // the servers are cold and already get what they bear
+  kMissingEngines,  // too few engines are there now for the prompt's memory
 };
-inline constexpr NameTable<Refusal, 20> kRefusalNames{{
+inline constexpr NameTable<Refusal, 21> kRefusalNames{{
     {Refusal::kNoConfiguration, "no_configuration"},
     {Refusal::kConfigurationStale, "configuration_not_fresh"},
     {Refusal::kBackendListStale, "list_not_fresh"},
@@ -129,6 +130,7 @@
     {Refusal::kEvacuated, "evacuated"},
     {Refusal::kNoHome, "no_home"},
     {Refusal::kWarmingUp, "warming_up"},
+    {Refusal::kMissingEngines, "missing_engines"},
 }};
 
 // Responds to a request with an error of the daemon's own.
--- a/serving/include/scaleshed/serving/placement.h
+++ b/serving/include/scaleshed/serving/placement.h
@@ -83,15 +83,16 @@
   kCombinedMemory,  // several engines together lack the free memory
   // No backend server takes work, or no engine has room for a short prompt.
   kBackends,
-  kFreshness,   // the list of backend servers is too old to be used
-  kCrashCheck,  // a crash check of its fingerprint is under way
-  kRateLimit,   // the rate limits of all eligible servers are used up
-  kBackoff,     // the sender backs off from all eligible servers
-  kWarmUp,      // all eligible servers are cold and get what they bear
-  kRegions,     // no backend server is in a region that is allowed
-  kPlacers,     // the fleet has just started and has no placer yet
+  kFreshness,       // the list of backend servers is too old to be used
+  kCrashCheck,      // a crash check of its fingerprint is under way
+  kRateLimit,       // the rate limits of all eligible servers are used up
+  kBackoff,         // the sender backs off from all eligible servers
+  kWarmUp,          // all eligible servers are cold and get what they bear
+  kRegions,         // no backend server is in a region that is allowed
+  kPlacers,         // the fleet has just started and has no placer yet
+  kMissingEngines,  // too few engines are there for the prompt's memory
 };
-inline constexpr NameTable<Shortage, 12> kShortageNames{{
+inline constexpr NameTable<Shortage, 13> kShortageNames{{
     {Shortage::kQueueOrder, "turn"},
     {Shortage::kEngines, "engines"},
     {Shortage::kMemory, "memory"},
@@ -104,13 +105,15 @@
     {Shortage::kWarmUp, "warm_up"},
     {Shortage::kRegions, "regions"},
     {Shortage::kPlacers, "placers"},
+    {Shortage::kMissingEngines, "missing_engines"},
 }};
 
 // The prompt can't be placed now; capacity is expected later.
 struct NoCapacityNow {
   Shortage shortage = Shortage::kEngines;
 };
-// The prompt doesn't fit even into an empty pool.
+// The prompt exceeds the memory of the largest group of engines that one prompt
+// may use.
 struct TooLarge {};
 // What PlacePrompt() returns.
 using PlacementResult = std::variant<Placement, NoCapacityNow, TooLarge>;
--- a/serving/src/deciding.cc
+++ b/serving/src/deciding.cc
@@ -14,6 +14,11 @@
 // Retry-After of a refusal because no server is in an allowed region.
 constexpr Duration kNoHomeRetryAfter = milliseconds(200);
 
+// The tokens of memory that a prompt and its answer need.
+std::int64_t TokensOf(const PlacementDemand& demand) {
+  return demand.prompt_tokens + demand.answer_tokens;
+}
+
 // An engine on probation gets one short prompt at a time, and no part of a long
 // prompt after two suspicions in a row. One suspicion doesn't exclude it from
 // long prompts: most engines are suspected once, for an interrupted response,
@@ -156,8 +161,8 @@
     return NoCapacityNow{Shortage::kCrashCheck};
   }
   const bool is_plain = timing == nullptr;
-  const std::int64_t tokens = demand.prompt_tokens + demand.answer_tokens;
-  if (!is_plain && tokens > UsableMemoryTokens(*timing)) return std::nullopt;
+  if (!is_plain && TokensOf(demand) > UsableMemoryTokens(*timing))
+    return std::nullopt;
   const Isolation isolation = FindIsolation(state, demand, open);
   if (isolation.wait) return NoCapacityNow{Shortage::kCrashCheck};
   if (isolation.backend == nullptr) return std::nullopt;
@@ -204,7 +209,12 @@
           .backing_off = ServersBackingOff(state)};
 }
 
-Refusal RefusalFor(Shortage shortage) {
+Refusal RefusalFor(const State& state, const std::string& service,
+                   Shortage shortage) {
+  const bool lacks_servers =
+      shortage == Shortage::kBackends || shortage == Shortage::kMissingEngines;
+  if (lacks_servers && IsAnyEvacuated(state, service))
+    return Refusal::kEvacuated;
   switch (shortage) {
     case Shortage::kRateLimit:
       return Refusal::kRateLimited;
@@ -214,6 +224,8 @@
       return Refusal::kWarmingUp;
     case Shortage::kRegions:
       return Refusal::kNoHome;
+    case Shortage::kMissingEngines:
+      return Refusal::kMissingEngines;
     default:
       return Refusal::kOverload;
   }
@@ -259,12 +271,42 @@
   // BuildPoolView() finds engines by their order.
   std::sort(open.begin(), open.end(),
             [](const Backend* a, const Backend* b) { return a->id < b->id; });
-  if (open.empty()) return WaitForWarmUp(state, demand, available);
-  const auto decision = DecideAmong(state, demand, timing, open);
   // The prompt may fit together with the cold engines.
-  const bool lacks_engines = std::holds_alternative<TooLarge>(decision) &&
-                             open.size() < available.size();
-  return lacks_engines ? WaitForWarmUp(state, demand, available) : decision;
+  const bool lacks_engines =
+      timing != nullptr &&
+      TokensOf(demand) > GroupMemoryTokens(*timing, open.size());
+  if (open.empty() || lacks_engines)
+    return WaitForWarmUp(state, demand, available);
+  return DecideAmong(state, demand, timing, open);
+}
+
+// Decides about a prompt that the engines that may take it can't hold together.
+// Engines that crashed, left, lost their entry or aren't registered yet are
+// missing for a time, so that only what exceeds the largest group is final.
+// `all` includes engines that the sender backs off from, `available` doesn't.
+std::optional<PlacementDecision> CheckGroupMemory(State& state,
+                                                  const PlacementDemand& demand,
+                                                  const EngineTiming& timing,
+                                                  std::size_t all,
+                                                  std::size_t available) {
+  const std::int64_t needed = TokensOf(demand);
+  if (ExceedsLargestGroup(timing, needed)) return TooLarge{};
+  if (needed <= GroupMemoryTokens(timing, available)) return std::nullopt;
+  if (needed <= GroupMemoryTokens(timing, all)) {
+    return DeadlineUnreachable{.retry_after = kBackoffRetryAfter,
+                               .shortage = Shortage::kBackoff};
+  }
+  const Duration retry_after =
+      RetryAfterOf(state, demand, kMissingEnginesRetryAfter);
+  Log(state, "missing_engines",
+      {{"request", demand.id},
+       {"service", demand.service},
+       {"prompt", std::to_string(demand.prompt_tokens)},
+       {"engines", std::to_string(all)},
+       {"needed", std::to_string(needed / UsableMemoryTokens(timing) + 1)},
+       {"retry_after_ms", Millis(retry_after)}});
+  return DeadlineUnreachable{.retry_after = retry_after,
+                             .shortage = Shortage::kMissingEngines};
 }
 
 }  // namespace
@@ -280,6 +322,12 @@
     return DeadlineUnreachable{.retry_after = kBackoffRetryAfter,
                                .shortage = Shortage::kBackoff};
   }
+  if (timing != nullptr) {
+    if (const auto decision = CheckGroupMemory(state, demand, *timing,
+                                               all.size(), available.size())) {
+      return *decision;
+    }
+  }
   return state.warm_ups.empty()
              ? DecideAmong(state, demand, timing, available)
              : DecideByWarmUp(state, demand, timing, available);
--- a/serving/src/dispatch.cc
+++ b/serving/src/dispatch.cc
@@ -46,9 +46,6 @@
 // The interval at which these prompts look for a placer.
 constexpr Duration kFirstPlacersRetryInterval = milliseconds(10);
 
-// Retry-After of a prompt that may fit once an evacuation is withdrawn.
-constexpr Duration kRetryAfterEvacuated = seconds(1);
-
 using RemotePlacementKey = std::pair<std::string, std::uint64_t>;
 
 // The first placer that isn't suspected, otherwise the first such fallback
@@ -197,17 +194,6 @@
       /*routine=*/true);
 }
 
-// Responds that a prompt fits no open servers. During an evacuation the daemon,
-// which may not know of it yet, would refuse the request as invalid for good.
-void RespondTooLarge(State& state, RemotePlacement& remote) {
-  if (!IsAnyEvacuated(state, remote.request.service)) {
-    Respond(state, remote, PlacementOutcome::kTooLarge);
-    return;
-  }
-  remote.waits_for = Shortage::kBackends;
-  Respond(state, remote, PlacementOutcome::kRefused, kRetryAfterEvacuated);
-}
-
 // Tries to place the prompt of another daemon, and responds with the outcome.
 // Returns true, without a response, if the prompt has to wait.
 bool TryPlace(State& state, RemotePlacement& remote) {
@@ -224,7 +210,7 @@
                    return true;
                  },
                  [&](const TooLarge&) {
-                   RespondTooLarge(state, remote);
+                   Respond(state, remote, PlacementOutcome::kTooLarge);
                    return false;
                  },
                  [&](const DeadlineUnreachable& it) {
@@ -303,14 +289,6 @@
   return true;
 }
 
-// The reason for which a request is refused that a placer refused.
-Refusal RefusalOf(const State& state, const Request& request,
-                  const PlacementResponse& response) {
-  const bool lacks_evacuated = response.shortage == Shortage::kBackends &&
-                               IsAnyEvacuated(state, request.service);
-  return lacks_evacuated ? Refusal::kEvacuated : RefusalFor(response.shortage);
-}
-
 bool AwaitsFirstPlacers(const State& state, const Request& request) {
   const EngineTiming* timing = TimingOf(state, request.service);
   return timing != nullptr &&
@@ -410,7 +388,8 @@
     case PlacementOutcome::kRefused:
       request.placer.clear();
       if (PlacesLocallyInRegions(state, request, response.shortage)) return;
-      RefuseRequest(state, request, RefusalOf(state, request, response),
+      RefuseRequest(state, request,
+                    RefusalFor(state, request.service, response.shortage),
                     response.retry_after);
       return;
     case PlacementOutcome::kTooLarge:
--- a/serving/src/internal/pool.h
+++ b/serving/src/internal/pool.h
@@ -21,6 +21,11 @@
 std::int64_t RequestsBeforeNextEngine(const EngineTiming& timing);
 // The tokens of an engine's memory that placement may use.
 std::int64_t UsableMemoryTokens(const EngineTiming& timing);
+// The tokens of memory that one prompt may use in a pool of that many engines.
+std::int64_t GroupMemoryTokens(const EngineTiming& timing, std::size_t engines);
+// Whether a request exceeds the memory of as many engines as one may use, so
+// that it never fits, whatever engines there are.
+bool ExceedsLargestGroup(const EngineTiming& timing, std::int64_t tokens);
 
 // Places a prompt whose prefill takes longer than kShortPromptPrefillLimit.
 // Defined in long_placement.cc.
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -46,7 +46,8 @@
 // Begins an attempt at the backend servers that `placement` names.
 void StartPlacedAttempt(State& state, Request& request,
                         const Placement& placement);
-// Refuses a prompt that doesn't fit into all servers that may run it together.
+// Refuses a prompt that a placement decision called too large: for good if it
+// exceeds the largest group of engines by this daemon's configuration.
 void RefuseTooLarge(State& state, Request& request);
 // Gives the request a new attempt, which is not sent yet.
 void BeginAttempt(State& state, Request& request);
@@ -99,8 +100,12 @@
   Duration retry_after{};
   Shortage shortage = Shortage::kEngines;
 };
-// Returns the refusal that the client gets for a shortage.
-Refusal RefusalFor(Shortage shortage);
+// Returns the refusal that the client gets for a shortage of the service.
+Refusal RefusalFor(const State& state, const std::string& service,
+                   Shortage shortage);
+// Retry-After of a prompt that needs more engines than there are. An engine
+// that crashed, or whose entry was lost, is mostly back by then.
+inline constexpr Duration kMissingEnginesRetryAfter = seconds(2);
 using PlacementDecision =
     std::variant<Placement, NoCapacityNow, TooLarge, DeadlineUnreachable>;
 PlacementDecision DecidePlacement(State& state, const PlacementDemand& demand);
--- a/serving/src/long_placement.cc
+++ b/serving/src/long_placement.cc
@@ -322,13 +322,23 @@
 
 }  // namespace
 
+std::int64_t GroupMemoryTokens(const EngineTiming& timing,
+                               std::size_t engines) {
+  const std::size_t usable = std::min(engines, kMaxHelpersPerRequest + 1);
+  return static_cast<std::int64_t>(usable) * UsableMemoryTokens(timing);
+}
+
+bool ExceedsLargestGroup(const EngineTiming& timing, std::int64_t tokens) {
+  return tokens > GroupMemoryTokens(timing, kMaxHelpersPerRequest + 1);
+}
+
 PlacementResult PlaceLongPrompt(const EngineTiming& timing,
                                 const std::vector<EngineView>& pool,
                                 const PlacementQuery& query) {
   const std::int64_t needed = query.prompt_tokens + query.answer_tokens;
-  const auto max_engines = static_cast<std::int64_t>(
-      std::min(pool.size(), kMaxHelpersPerRequest + 1));
-  if (needed > max_engines * UsableMemoryTokens(timing)) return TooLarge{};
+  if (ExceedsLargestGroup(timing, needed)) return TooLarge{};
+  if (needed > GroupMemoryTokens(timing, pool.size()))
+    return NoCapacityNow{Shortage::kCombinedMemory};
   const auto open = EnginesOpenToLongPrompts(timing, pool);
   const Duration prefill_time = PrefillTime(timing, query.prompt_tokens);
   const std::size_t wanted = WantedEngines(open, prefill_time, query);
--- a/serving/src/starting.cc
+++ b/serving/src/starting.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "internal/durations.h"
+#include "internal/pool.h"
 #include "internal/steps.h"
 #include "scaleshed/serving/reducer.h"
 
@@ -328,12 +329,17 @@
 }
 
 void RefuseTooLarge(State& state, Request& request) {
-  // It may fit once the evacuation is withdrawn.
-  constexpr Duration kRetryAfter = seconds(1);
-  const bool evacuated = IsAnyEvacuated(state, request.service);
+  const EngineTiming* timing = TimingOf(state, request.service);
+  const std::int64_t tokens =
+      request.metadata.prompt_tokens + request.metadata.answer_tokens;
+  if (timing == nullptr || ExceedsLargestGroup(*timing, tokens)) {
+    RefuseRequest(state, request, Refusal::kInvalid, Duration::zero());
+    return;
+  }
+  // A placer of an older build lacks engines, or it has another configuration.
   RefuseRequest(state, request,
-                evacuated ? Refusal::kEvacuated : Refusal::kInvalid,
-                evacuated ? kRetryAfter : Duration::zero());
+                RefusalFor(state, request.service, Shortage::kMissingEngines),
+                kMissingEnginesRetryAfter);
 }
 
 namespace {
@@ -380,8 +386,10 @@
                  },
                  [&](const TooLarge&) { RefuseTooLarge(state, request); },
                  [&](const DeadlineUnreachable& it) {
-                   RefuseRequest(state, request, RefusalFor(it.shortage),
-                                 it.retry_after);
+                   RefuseRequest(
+                       state, request,
+                       RefusalFor(state, request.service, it.shortage),
+                       it.retry_after);
                  }},
       decision);
 }
