Answers without end no longer end or fill a daemon

Callers found nobody after a backend server had named a Content-Length of: every daemon that read the head ended with std::bad_alloc.

Cause: the client's parser reserves the length that a head names, for any length; nothing bounded what a collected answer or an unfinished head may hold, nor the number of interim answers.

Change: bodies grow with the bytes that come, on both sides. What exceeds a bound ends the call at that moment with a reason of its own, as a spoiled answer does, and closes its connection. Streams are passed on piece by piece; an event of more than 1 MiB without its end ends the attempt, and a client that leaves 8 MiB of a stream unread loses it.

--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -16,6 +16,10 @@
 // cut off says nothing.
 constexpr Duration kRelayConnectTimeout = milliseconds(300);
 
+// Bytes of one event of a stream. A server that sends more without the blank
+// line that ends an event sends no stream of events.
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
@@ -48,7 +52,7 @@
 // Whether a connection stood and was open until the call's time ran out, or
 // brought bytes.
 bool IsConnected(HttpError error) {
-  return error == HttpError::kTimeout || error == HttpError::kInvalid;
+  return error == HttpError::kTimeout || IsSpoiled(error);
 }
 
 // The status of an answer, or why there is none.
@@ -203,12 +207,19 @@
   // Telling an event may end the attempt.
   while (attempts_.contains(attempt)) {
     auto event = attempts_.at(attempt).splitter.Next();
-    if (!event) return;
+    if (!event) break;
     attempts_.at(attempt).has_event = true;
     feed_(serving::StreamEvent{.attempt = attempt,
                                .id = std::move(event->id),
                                .bytes = std::move(event->bytes)});
   }
+  const auto current = attempts_.find(attempt);
+  const bool is_too_long =
+      current != attempts_.end() &&
+      current->second.splitter.rest().size() > kMaxEventBytes;
+  if (is_too_long) {
+    TellFailed(attempt, serving::AttemptError::kInterrupted, "event_too_long");
+  }
 }
 
 void BackendCalls::OnDone(AttemptId attempt, HttpResult result) {
@@ -221,7 +232,7 @@
                IsUnsent(error) ? serving::AttemptError::kNotSent
                                : serving::AttemptError::kInterrupted,
                std::string(NameIn(kHttpErrorNames, error)),
-               /*has_bytes=*/error == HttpError::kInvalid);
+               /*has_bytes=*/IsSpoiled(error));
     return;
   }
   if (it->second.refused) {
--- a/daemon/src/backend_client.cc
+++ b/daemon/src/backend_client.cc
@@ -13,6 +13,9 @@
 constexpr Duration kControlTimeout = seconds(1);
 // The engine keeps the time limit; this only frees our side when it does not.
 constexpr Duration kStreamGrace = seconds(1);
+// Bytes of one line of a stream; an engine that sends more without a line end
+// sends no such stream.
+constexpr std::size_t kMaxLineBytes = 1024 * 1024;
 
 HttpHeaders JsonHeaders() { return {{"Content-Type", "application/json"}}; }
 
@@ -115,6 +118,11 @@
     if (it == streams_.end()) return;
   }
   it->second.partial_line = text.substr(start);
+  if (it->second.partial_line.size() <= kMaxLineBytes) return;
+  Close(attempt);
+  feed_(AttemptFailed{.attempt = attempt,
+                      .error = AttemptError::kCut,
+                      .detail = "a line of the stream has no end"});
 }
 
 void BackendClient::OnLine(AttemptId attempt, const std::string& line) {
--- a/daemon/src/configuration_watcher.cc
+++ b/daemon/src/configuration_watcher.cc
@@ -142,6 +142,7 @@
                 .method = "GET",
                 .path = "/v1/configuration",
                 .timeout = kPeerTimeout,
+                .max_body_bytes = kMaxDocumentBytes,
                 .on_chunk = {},
                 .on_done = {}};
   call.on_done = [this](const HttpResult& result) {
--- a/daemon/src/daemon.cc
+++ b/daemon/src/daemon.cc
@@ -203,6 +203,7 @@
   HttpCall call{.address = peers[pick],
                 .path = "/v1/instances",
                 .timeout = kPlatformTimeout,
+                .max_body_bytes = kMaxDocumentBytes,
                 .on_chunk = {},
                 .on_done = {}};
   call.on_done = [this](const HttpResult& result) {
--- a/runtime/include/scaleshed/runtime/http_client.h
+++ b/runtime/include/scaleshed/runtime/http_client.h
@@ -1,6 +1,7 @@
 #ifndef SCALESHED_RUNTIME_HTTP_CLIENT_H_
 #define SCALESHED_RUNTIME_HTTP_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,20 +22,39 @@
   kTimeout,    // the call's own time ran out
   kCancelled,  // by the caller
   kInvalid,    // the bytes that came are no HTTP response
+  // What came can't become a response within the bounds on responses.
+  kHeadTooLong,
+  kBodyTooLong,
+  kTooManyInterim,  // more interim responses (1xx) than any server sends
 };
-inline constexpr NameTable<HttpError, 6> kHttpErrorNames{{
+inline constexpr NameTable<HttpError, 9> kHttpErrorNames{{
     {HttpError::kNotSent, "not_sent"},
     {HttpError::kRefused, "refused"},
     {HttpError::kCut, "cut"},
     {HttpError::kTimeout, "timeout"},
     {HttpError::kCancelled, "cancelled"},
     {HttpError::kInvalid, "invalid"},
+    {HttpError::kHeadTooLong, "head_too_long"},
+    {HttpError::kBodyTooLong, "body_too_long"},
+    {HttpError::kTooManyInterim, "too_many_interim"},
 }};
 
 constexpr bool IsUnsent(HttpError error) {
   return error == HttpError::kNotSent || error == HttpError::kRefused;
 }
 
+// Whether the server sent bytes that can't become a response.
+constexpr bool IsSpoiled(HttpError error) {
+  return error == HttpError::kInvalid || error == HttpError::kHeadTooLong ||
+         error == HttpError::kBodyTooLong ||
+         error == HttpError::kTooManyInterim;
+}
+
+// Bytes of a body that is collected, unless a call names another bound.
+inline constexpr std::uint64_t kDefaultMaxBodyBytes = 8 * 1024 * 1024;
+// The bound for configurations and lists, which a platform or a daemon sends.
+inline constexpr std::uint64_t kMaxDocumentBytes = 32 * 1024 * 1024;
+
 struct HttpResponse {
   int status = 0;
   std::string reason;
@@ -60,6 +80,9 @@
   // Until the connection stands. A server on the same site answers within
   // milliseconds; one lost opening packet is sent again after a second.
   Duration connect_timeout = milliseconds(1500);
+  // Bytes of the response's body that are collected at most; a longer one ends
+  // the call with kBodyTooLong. Pieces given to on_chunk don't count.
+  std::uint64_t max_body_bytes = kDefaultMaxBodyBytes;
   // Tells the server that the connection is not used again. It never is.
   bool announce_close = true;
   // Where set, called at intervals while the connection doesn't stand yet.
--- a/runtime/include/scaleshed/runtime/http_server.h
+++ b/runtime/include/scaleshed/runtime/http_server.h
@@ -43,12 +43,14 @@
   kTimeout,  // a time limit of the server
   kAborted,  // the handler, see HttpExchange::Abort()
   kServer,   // the server itself ends
+  kUnread,   // the client takes a stream too slowly for it to be held
 };
-inline constexpr NameTable<ConnectionEnd, 4> kConnectionEndNames{{
+inline constexpr NameTable<ConnectionEnd, 5> kConnectionEndNames{{
     {ConnectionEnd::kClient, "client"},
     {ConnectionEnd::kTimeout, "timeout"},
     {ConnectionEnd::kAborted, "aborted"},
     {ConnectionEnd::kServer, "server"},
+    {ConnectionEnd::kUnread, "unread"},
 }};
 
 // A connection that ended in the middle of something.
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -12,16 +12,22 @@
 #include <optional>
 #include <utility>
 
+#include "internal/unreserved_body.h"
 #include "scaleshed/runtime/address.h"
 
 namespace scaleshed {
 namespace {
 
 namespace http = boost::beast::http;
-using Parser = http::response_parser<http::string_body>;
-
-// Response heads over this are no sound answer.
-constexpr std::uint32_t kMostHeaderBytes = 64 * 1024;
+using Parser = http::response_parser<internal::UnreservedBody>;
+
+// Response heads over this, and chunks' heads, are no sound answer.
+constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+// Bytes that are read ahead of the parser. Above kMaxHeadBytes, so that a head
+// which is too long can be told from one that isn't there yet.
+constexpr std::size_t kReadAheadBytes = 256 * 1024;
+// Interim responses (1xx) before a final one: servers send one or two.
+constexpr int kMaxInterimResponses = 16;
 // The interval of HttpCall::on_connecting: many times the time in which a
 // connection stands on an undisturbed link.
 constexpr Duration kConnectingInterval = milliseconds(150);
@@ -90,6 +96,7 @@
       return;
     }
     bufferevent_setcb(bev_, OnRead, nullptr, OnEvent, this);
+    bufferevent_setwatermark(bev_, EV_READ, 0, kReadAheadBytes);
     sockaddr_in name = *to;
     errno = 0;
     if (bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&name),
@@ -178,18 +185,23 @@
           parser_->put(boost::asio::const_buffer(bytes, n), ec);
       evbuffer_drain(in, used);
       if (ec && ec != http::error::need_more) {
-        Finish(HttpError::kInvalid);
+        Finish(ec == http::error::header_limit ? HttpError::kHeadTooLong
+                                               : HttpError::kInvalid);
         return;
       }
       TakeParsed();
-      if (ec == http::error::need_more && used == 0) return;
+      if (finished_ || used > 0) continue;
+      // The parser takes all of a body, so that what it leaves is a head.
+      if (n > kMaxHeadBytes) Finish(HttpError::kHeadTooLong);
+      return;
     }
   }
 
   void StartParser() {
     parser_.emplace();
     parser_->eager(true);
-    parser_->header_limit(kMostHeaderBytes);
+    parser_->header_limit(kMaxHeadBytes);
+    // TakeBody() bounds what is collected; streams have no bound.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     if (call_.method == "HEAD") parser_->skip(true);
   }
@@ -198,11 +210,20 @@
     constexpr int kFirstFinalStatus = 200;
     if (!parser_->is_header_done()) return;
     if (parser_->get().result_int() < kFirstFinalStatus) {
-      if (parser_->is_done()) parser_.reset();
+      if (!parser_->is_done()) return;
+      parser_.reset();
+      if (++interim_responses_ > kMaxInterimResponses)
+        Finish(HttpError::kTooManyInterim);
       return;
     }
     if (!std::exchange(told_head_, true)) {
       head_ = HeadOf(*parser_);
+      const auto length = parser_->content_length();
+      const bool collects = !PassesOnBody() && call_.method != "HEAD";
+      if (collects && length && *length > call_.max_body_bytes) {
+        Finish(HttpError::kBodyTooLong);
+        return;
+      }
       if (call_.on_head) call_.on_head(head_);
       if (finished_) return;
     }
@@ -212,13 +233,19 @@
     if (!finished_ && parser_->is_done()) FinishWhole();
   }
 
-  void TakeBody() {
+  bool PassesOnBody() const {
     constexpr int kOk = 200;
+    return call_.on_chunk && head_.status == kOk;
+  }
+
+  void TakeBody() {
     std::string text = std::move(parser_->get().body());
     parser_->get().body().clear();
     if (text.empty()) return;
-    if (call_.on_chunk && head_.status == kOk) {
+    if (PassesOnBody()) {
       call_.on_chunk(text);
+    } else if (text.size() > call_.max_body_bytes - head_.body.size()) {
+      Finish(HttpError::kBodyTooLong);
     } else {
       head_.body += text;
     }
@@ -282,6 +309,7 @@
   bufferevent* bev_ = nullptr;
   std::optional<Parser> parser_;
   HttpResponse head_;
+  int interim_responses_ = 0;
   bool connected_ = false;
   bool slow_connect_ = false;  // on_connecting was called
   bool refused_ = false;
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -140,6 +140,7 @@
   } else {
     connection->Write(text);
   }
+  connection->LimitUnsentStream();
 }
 
 void HttpExchange::EndStream() {
--- a/runtime/src/internal/server_connection.h
+++ b/runtime/src/internal/server_connection.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "internal/unreserved_body.h"
 #include "scaleshed/runtime/http_server.h"
 
 namespace scaleshed::internal {
@@ -27,6 +28,8 @@
   void AnswerDone(bool close);
   // Ends the connection without waiting for anything.
   void Break(ConnectionEnd end);
+  // Breaks the connection, soon, if its client leaves too much of a stream.
+  void LimitUnsentStream();
   void CloseIfIdle();
   bool client_keeps() const { return client_keeps_; }
   ConnectionStage Stage() const;
@@ -35,8 +38,7 @@
   void SetRequestName(const std::string& name) { request_name_ = name; }
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<UnreservedBody>;
 
   static void OnRead(bufferevent* bev, void* arg);
   static void OnWritten(bufferevent* bev, void* arg);
--- a/runtime/src/platform_client.cc
+++ b/runtime/src/platform_client.cc
@@ -49,6 +49,7 @@
                   .headers = {{"Content-Type", "application/json"}},
                   .body = std::move(body),
                   .timeout = options_.timeout,
+                  .max_body_bytes = kMaxDocumentBytes,
                   .on_chunk = {},
                   .on_done = {}};
 }
--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -30,6 +30,9 @@
 constexpr Duration kUnsentLimit = seconds(10);
 // A client that takes nothing of what was sent for so long is gone.
 constexpr unsigned kUnackedLimitMillis = 5000;
+// Bytes of a stream that its client leaves unread. A stream may have no end, so
+// that it can't be held for a client that doesn't read.
+constexpr std::size_t kMaxUnsentStreamBytes = 8 * 1024 * 1024;
 // Bytes read ahead of the request in work; a client that sends more waits.
 constexpr std::size_t kReadAheadBytes = 256 * 1024;
 
@@ -50,7 +53,7 @@
   return true;
 }
 
-std::size_t CountField(const http::request<http::string_body>& request,
+std::size_t CountField(const http::request<UnreservedBody>& request,
                        http::field name) {
   const auto range = request.equal_range(name);
   return static_cast<std::size_t>(std::distance(range.first, range.second));
@@ -274,7 +277,7 @@
 }
 
 void ServerConnection::Dispatch() {
-  http::request<http::string_body> message = parser_->release();
+  http::request<UnreservedBody> message = parser_->release();
   client_keeps_ = message.keep_alive();
   parser_.reset();
   answering_ = true;
@@ -357,6 +360,13 @@
   }
 }
 
+void ServerConnection::LimitUnsentStream() {
+  if (closed_ || UnsentBytes() <= kMaxUnsentStreamBytes) return;
+  // Not from within the handler, which is told of the end.
+  server_->loop_.Defer(
+      [self = shared_from_this()] { self->Break(ConnectionEnd::kUnread); });
+}
+
 void ServerConnection::CloseIfIdle() {
   const bool idle = !answering_ && !parser_ && !reading_head_ && !closing_;
   if (!idle || HasUnreadBytes()) return;
--- a/runtime/test/slow_clients_test.cc
+++ b/runtime/test/slow_clients_test.cc
@@ -234,5 +234,43 @@
   }
 }
 
+// Guards against a stream without end that fills the memory of its server while
+// the client doesn't read.
+TEST_CASE("A stream without end is not held for a client that doesn't read") {
+  EventLoop loop;
+  std::vector<std::shared_ptr<HttpExchange>> exchanges;
+  bool closed = false;
+  HttpServer server(loop, {}, [&](const auto& it) {
+    exchanges.push_back(it);
+    it->OnClosed([&] { closed = true; });
+    it->StartStream(200, {});
+  });
+  std::vector<CutConnection> cut;
+  server.OnCut([&](const CutConnection& it) { cut.push_back(it); });
+  std::atomic<bool> done = false;
+  std::thread client([&] {
+    const int fd = ConnectTo(server.port());
+    Send(fd, std::string(kGet) + "\r\n");
+    while (!done) std::this_thread::sleep_for(milliseconds(1));
+    close(fd);
+  });
+  std::size_t sent = 0;
+  const std::string piece(256 * 1024, 'x');
+  Timer poll(loop, [&] {
+    if (closed || sent > 4 * kLargeBytes) loop.Stop();
+    if (exchanges.empty()) return;
+    exchanges[0]->SendChunk(piece);
+    sent += piece.size();
+  });
+  poll.Every(milliseconds(1));
+  loop.Run();
+  done = true;
+  client.join();
+  CHECK(closed);
+  CHECK(sent < 2 * kLargeBytes);
+  REQUIRE(cut.size() == 1);
+  CHECK(cut[0].end == ConnectionEnd::kUnread);
+}
+
 }  // namespace
 }  // namespace scaleshed
--- a/testing/test/raw_worker.h
+++ b/testing/test/raw_worker.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "scaleshed/runtime/address.h"
@@ -20,6 +21,7 @@
 enum class RawEnd {
   kClose,  // in good order
   kReset,
+  kNever,  // goes on sending the body until the caller closes
 };
 
 // A backend server that answers each request with given bytes and then ends the
@@ -50,6 +52,11 @@
 
   const std::string& address() const { return address_; }
   int runs() const { return runs_; }
+  std::size_t open_connections() const { return connections_.size(); }
+  // Bytes that callers or their sockets have taken.
+  std::size_t bytes_taken() const { return bytes_taken_; }
+  // Answers reports, too, without end.
+  void SpoilReports() { spoils_reports_ = true; }
 
  private:
   static void OnAccept(evconnlistener* /*listener*/, evutil_socket_t fd,
@@ -57,7 +64,7 @@
     auto* self = static_cast<RawWorker*>(arg);
     bufferevent* bev =
         bufferevent_socket_new(self->loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(bev, OnRead, nullptr, OnEvent, self);
+    bufferevent_setcb(bev, OnRead, OnWritten, OnEvent, self);
     bufferevent_enable(bev, EV_READ | EV_WRITE);
     self->connections_[bev] = nullptr;
   }
@@ -66,6 +73,10 @@
     static_cast<RawWorker*>(arg)->Drop(bev);
   }
 
+  static void OnWritten(bufferevent* bev, void* arg) {
+    static_cast<RawWorker*>(arg)->GoOn(bev);
+  }
+
   static void OnRead(bufferevent* bev, void* arg) {
     static_cast<RawWorker*>(arg)->Read(bev);
   }
@@ -78,11 +89,13 @@
     // The tests' bodies come with the head.
     if (text.find("\r\n\r\n") == std::string::npos) return;
     evbuffer_drain(in, text.size());
-    if (text.starts_with("GET /v1/report")) {
+    const bool is_report = text.starts_with("GET /v1/report");
+    if (is_report && !spoils_reports_) {
       Answer(bev, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
       return;
     }
-    ++runs_;
+    if (!is_report) ++runs_;
+    endless_.insert(bev);
     Answer(bev, head_ + "X-Request-Id: " + HeaderOf(text, "X-Request-Id") +
                     "\r\nX-Response-Seal: raw\r\n\r\n" + body_);
   }
@@ -95,8 +108,18 @@
     return text.substr(value, text.find("\r\n", value) - value);
   }
 
+  void GoOn(bufferevent* bev) {
+    if (end_ != RawEnd::kNever || !endless_.contains(bev)) return;
+    constexpr std::size_t kBytesAtOnce = 64 * 1024;
+    std::string bytes;
+    while (bytes.size() < kBytesAtOnce) bytes += body_;
+    bufferevent_write(bev, bytes.data(), bytes.size());
+    bytes_taken_ += bytes.size();
+  }
+
   void Answer(bufferevent* bev, const std::string& bytes) {
     bufferevent_write(bev, bytes.data(), bytes.size());
+    if (end_ == RawEnd::kNever && endless_.contains(bev)) return;
     // The bytes are read before the connection ends.
     constexpr Duration kReadWithin = milliseconds(50);
     connections_[bev] =
@@ -114,6 +137,7 @@
   }
 
   void Drop(bufferevent* bev) {
+    endless_.erase(bev);
     if (connections_.erase(bev) > 0) bufferevent_free(bev);
   }
 
@@ -124,7 +148,11 @@
   evconnlistener* listener_ = nullptr;
   std::string address_;
   std::map<bufferevent*, std::unique_ptr<Timer>> connections_;
+  // Those that get an answer of `body_`.
+  std::set<bufferevent*> endless_;
   int runs_ = 0;
+  std::size_t bytes_taken_ = 0;
+  bool spoils_reports_ = false;
 };
 
 }  // namespace scaleshed::testing
--- a/testing/test/unframed_answers_test.cc
+++ b/testing/test/unframed_answers_test.cc
@@ -1,8 +1,7 @@
 // Answers that have neither a length nor chunks and end with their connection:
 // what the clients of a daemon get of them.
 
-#include "fleet_harness.h"
-#include "raw_worker.h"
+#include "raw_fleet.h"
 #include "scaleshed/wire/relay_codec.h"
 
 namespace scaleshed::testing {
@@ -12,35 +11,6 @@
 constexpr char kEvent[] = "id: 1\ndata: piece 1\n\n";
 constexpr char kSecondEvent[] = "id: 2\ndata: piece 2\n\n";
 
-// A fleet of one daemon and one raw server of a service, with another server
-// beside it if `with_other`.
-class RawFleet : public Fleet {
- public:
-  RawFleet(const std::string& service, const std::string& head,
-           const std::string& body, RawEnd end = RawEnd::kClose,
-           const std::string& id = "raw", bool with_other = false)
-      : worker_(loop(), head, body, end) {
-    Configure();
-    store().Put("servers/" + id, nlohmann::json{{"service", service},
-                                                {"address", worker_.address()},
-                                                {"zone", "z1"},
-                                                {"version", "v1"},
-                                                {"slots", 16},
-                                                {"state", "ready"},
-                                                {"cold_remaining_ms", 0},
-                                                {"sequence", 1},
-                                                {"born", 1'700'000'000'000}}
-                                     .dump());
-    if (with_other) AddWorker(service);
-    AddDaemon();
-    REQUIRE(WaitReady());
-  }
-  RawWorker& raw() { return worker_; }
-
- private:
-  RawWorker worker_;
-};
-
 TEST_CASE("An answer without a length is whole at an orderly close") {
   RawFleet fleet("app", kOk, "all of it");
   const auto asked = fleet.Ask("/plain/unsafe/a");
