--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -184,6 +184,7 @@
   kForeignAnswer,  // answers with another request's id
   kUnsealed,       // a success without its seal
   kEncoded,        // a body in some coding
+  kEndless,        // sends a body until its caller closes
 };
 
 // A request that reached a backend server, as that one saw it.
@@ -285,6 +286,9 @@
   void OnOrder(HttpExchange& exchange);
   void OnStream(const std::shared_ptr<HttpExchange>& exchange);
   // Sends the events from that one on, and ends the stream.
+  // With a length or in chunks, fast or slowly, by turns.
+  void AnswerEndlessly(const std::shared_ptr<HttpExchange>& exchange);
+  void SendEndlessly(const std::shared_ptr<HttpExchange>& exchange, bool slow);
   void SendEvents(const std::shared_ptr<HttpExchange>& exchange, int next);
   void Answer(const std::shared_ptr<HttpExchange>& exchange);
   // Answers after the time that its work takes.
@@ -332,6 +336,7 @@
   std::map<std::string, int> runs_by_id_;
   std::map<std::string, std::int64_t> tickets_;
   std::vector<std::shared_ptr<HttpExchange>> held_;
+  unsigned endless_answers_ = 0;
 };
 
 // A configuration with one model service `llm` (streams at "/chat/", which may
--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -48,8 +48,11 @@
   // For `length` a share comes in pieces, over longer than the idle time of the
   // configurations, which is short then.
   kSlowBodies,
+  // A share of requests is answered with a body without end. Daemons that grow
+  // by more than SoakOptions::kMaxGrowthBytes break a promise.
+  kServersEndless,
 };
-inline constexpr NameTable<SoakFault, 30> kSoakFaultNames{{
+inline constexpr NameTable<SoakFault, 31> kSoakFaultNames{{
     {SoakFault::kKill, "kill"},
     {SoakFault::kRestart, "restart"},
     {SoakFault::kRoll, "roll"},
@@ -80,6 +83,7 @@
     {SoakFault::kServersPause, "servers_pause"},
     {SoakFault::kSlowReaders, "slow_readers"},
     {SoakFault::kSlowBodies, "slow_bodies"},
+    {SoakFault::kServersEndless, "servers_endless"},
 }};
 
 // One fault, again and again. Series overlap as they come.
@@ -99,6 +103,9 @@
   static constexpr double kColdOverage = 1.5;
   static constexpr double kColdSlack = 3;
 
+  // What a daemon may grow by while servers answer without end.
+  static constexpr std::size_t kMaxGrowthBytes = 60 * 1024 * 1024;
+
   std::string daemon;  // the program
   std::uint64_t seed = 1;
   std::size_t daemons = 8;
@@ -136,6 +143,7 @@
   std::size_t checked = 0;   // of which a sound server and daemon owe an answer
   std::size_t probes = 0;    // answers by which configuration is in force
   int most_calls = 0;        // at the store, in one second
+  std::size_t growth = 0;    // of the daemon that grew most, in bytes
   Duration latest{};         // the stand-ins were kept from looking so long
   std::string folder;        // of the logs, where they are kept
 };
@@ -150,6 +158,9 @@
 // and a store that have trouble, drawn from the seed. No server fails, as what
 // is owed to callers is known only where none does.
 std::vector<SoakSeries> DrawPauseSeries(std::uint64_t seed, Duration length);
+// Series of servers that answer without end, drawn from the seed, to be added
+// to these.
+std::vector<SoakSeries> DrawEndlessSeries(std::uint64_t seed, Duration length);
 // Series that concern whole data centres, drawn from the seed, to be added to
 // these: evacuations, and the loss of all daemons of one.
 std::vector<SoakSeries> DrawDataCentreSeries(std::uint64_t seed,
--- a/testing/src/fake_worker.cc
+++ b/testing/src/fake_worker.cc
@@ -176,12 +176,39 @@
     case WorkerMode::kPlainRefusal:
       exchange->Reply(503, AnswerHeaders(*exchange), "busy");
       return;
+    case WorkerMode::kEndless:
+      AnswerEndlessly(exchange);
+      return;
     default:
       break;
   }
   AnswerInTime(exchange);
 }
 
+void FakeWorker::AnswerEndlessly(
+    const std::shared_ptr<HttpExchange>& exchange) {
+  constexpr std::uint64_t kLength = 99'999'999'999'999;
+  const unsigned n = endless_answers_++;
+  const bool has_length = n % 2 == 0;
+  const bool is_slow = n / 2 % 2 == 0;
+  exchange->StartStream(
+      200, AnswerHeaders(*exchange),
+      has_length ? std::optional<std::uint64_t>(kLength) : std::nullopt);
+  SendEndlessly(exchange, is_slow);
+}
+
+void FakeWorker::SendEndlessly(const std::shared_ptr<HttpExchange>& exchange,
+                               bool slow) {
+  constexpr std::size_t kFastBytes = 64 * 1024;
+  constexpr Duration kFastGap = milliseconds(2);
+  constexpr Duration kSlowGap = milliseconds(20);
+  const bool has_left = exchange->remote_address().empty();
+  if (has_left) return;
+  exchange->SendChunk(std::string(slow ? 1 : kFastBytes, 'x'));
+  Later(slow ? kSlowGap : kFastGap,
+        [this, exchange, slow] { SendEndlessly(exchange, slow); });
+}
+
 void FakeWorker::AnswerInTime(const std::shared_ptr<HttpExchange>& exchange) {
   if (work_ > Duration::zero()) {
     Later(work_, [this, exchange] { Answer(exchange); });
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <deque>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <list>
 #include <map>
@@ -64,6 +65,21 @@
   Time until{};
 };
 
+// What a process has in memory; zero if it has ended.
+std::size_t ResidentBytes(int pid) {
+  constexpr std::size_t kPageBytes = 4096;
+  std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+  std::size_t pages = 0;
+  std::size_t resident = 0;
+  file >> pages >> resident;
+  return resident * kPageBytes;
+}
+
+struct ProcessMemory {
+  int seconds = 0;  // that it has run
+  std::size_t at_first = 0;
+};
+
 class Soak {
  public:
   explicit Soak(const SoakOptions& options)
@@ -192,6 +208,22 @@
     const int calls = store_.calls() - std::exchange(calls_, store_.calls());
     counted_at_ = now;
     most_calls_ = std::max(most_calls_, calls);
+    MeasureGrowth();
+  }
+
+  // Compares what each process of a daemon has in memory with what it had when
+  // it had run for a while.
+  void MeasureGrowth() {
+    constexpr int kSecondsUntilWarm = 3;
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      const int pid = daemons_.pid(i);
+      if (pid == 0) continue;
+      ProcessMemory& memory = memory_[pid];
+      const std::size_t bytes = ResidentBytes(pid);
+      if (++memory.seconds <= kSecondsUntilWarm) memory.at_first = bytes;
+      if (bytes > memory.at_first)
+        growth_ = std::max(growth_, bytes - memory.at_first);
+    }
   }
 
   void Configure() {
@@ -522,6 +554,8 @@
         return trouble(WorkerMode::kFailing);
       case SoakFault::kServersHang:
         return trouble(WorkerMode::kHanging);
+      case SoakFault::kServersEndless:
+        return trouble(WorkerMode::kEndless);
       case SoakFault::kServersLeave:
         return ReplaceServer();
       case SoakFault::kDeadly:
@@ -693,6 +727,12 @@
     for (const std::string& it : paths_.Broken()) report.broken.push_back(it);
     report.probes = configurations_.answers();
     report.most_calls = most_calls_;
+    report.growth = growth_;
+    if (Has(SoakFault::kServersEndless) &&
+        growth_ > SoakOptions::kMaxGrowthBytes) {
+      report.broken.push_back("a daemon grew by " + std::to_string(growth_) +
+                              " bytes");
+    }
     report.words = words_said_;
     if (LateSends() > 0) {
       report.broken.push_back(
@@ -727,7 +767,9 @@
   std::map<std::size_t, int> pauses_;  // by server; those under way
   ConfigurationLedger configurations_;
   std::unique_ptr<ConfigurationProber> prober_;
-  int calls_ = 0;  // at the store, when last counted
+  int calls_ = 0;                        // at the store, when last counted
+  std::map<int, ProcessMemory> memory_;  // by process
+  std::size_t growth_ = 0;
   int most_calls_ = 0;
   Time counted_at_{};
   ServerLedger words_;
--- a/testing/src/soak_main.cc
+++ b/testing/src/soak_main.cc
@@ -26,6 +26,8 @@
 ABSL_FLAG(bool, data_centre_faults, false,
           "draw evacuations and losses of data centres too");
 ABSL_FLAG(bool, cold_servers, false, "draw servers that become cold too");
+ABSL_FLAG(bool, endless_answers, false,
+          "draw servers that answer without end too");
 ABSL_FLAG(bool, pauses, false,
           "draw pausing servers and slow callers, and no servers that fail");
 ABSL_FLAG(int, max_attempts, 2, "that the routes allow at most");
@@ -70,6 +72,10 @@
     for (const SoakSeries& it : DrawColdSeries(seed, options.length))
       options.series.push_back(it);
   }
+  if (absl::GetFlag(FLAGS_endless_answers)) {
+    for (const SoakSeries& it : DrawEndlessSeries(seed, options.length))
+      options.series.push_back(it);
+  }
   return options;
 }
 
@@ -82,7 +88,9 @@
             << " failed, " << report.faults << " faults, " << report.ends
             << " ends, " << report.words << " words, " << report.slow
             << " slow, " << report.checked << " checked, " << report.probes
-            << " probes, " << report.most_calls << " store calls in a second";
+            << " probes, " << report.most_calls
+            << " store calls in a second, growth " << report.growth / 1024
+            << " KB";
   for (const RepeatWindow& it : report.windows) {
     std::cout << ", " << it.service << " repeats " << it.repeats << " of "
               << it.allowed;
--- a/testing/src/soak_series.cc
+++ b/testing/src/soak_series.cc
@@ -111,6 +111,22 @@
            .length = Millis(draw(whole / 2, whole))}};
 }
 
+std::vector<SoakSeries> DrawEndlessSeries(std::uint64_t seed, Duration length) {
+  // Differs from the sequences of the other series.
+  std::mt19937_64 random(seed * 2 + 3);
+  const auto draw = [&](std::int64_t from, std::int64_t to) {
+    return from + static_cast<std::int64_t>(
+                      random() % static_cast<std::uint64_t>(to - from + 1));
+  };
+  const auto whole = std::chrono::duration_cast<milliseconds>(length).count();
+  return {{.fault = SoakFault::kServersEndless,
+           .at = Millis(draw(0, whole / 4)),
+           .times = static_cast<int>(draw(1, 3)),
+           .gap = Millis(draw(whole / 8, whole / 4)),
+           .share = static_cast<double>(draw(5, 50)) / 100,
+           .length = Millis(draw(whole / 4, whole))}};
+}
+
 std::vector<SoakSeries> DrawPauseSeries(std::uint64_t seed, Duration length) {
   // Differs from the sequences of the other series.
   std::mt19937_64 random(seed * 2 + 2);
--- a/testing/test/soak_test.cc
+++ b/testing/test/soak_test.cc
@@ -192,6 +192,18 @@
   CheckDrawnHeld(12);
 }
 
+// Guards against daemons that end, or fill their memory, under answers without
+// end.
+TEST_CASE("Servers that answer without end leave the daemons as they are") {
+  SoakOptions options = Options(1);
+  options.daemons = 4;
+  options.length = seconds(8);
+  options.requests_per_second = 100;
+  options.series =
+      ParseSeries("servers_endless:500:1:0:0.33:7000,kill:4000:1:0:0.3:300");
+  CheckHeld(options);
+}
+
 // Daemons that are cut off while nearly every send is refused are served less
 // often than the others in some runs; see KNOWN-RED.txt.
 TEST_CASE("Drawn faults with a cut leave the promises whole", "[!mayfail]") {
