Quarantine: a crash among crashes of other servers says less

Cause: three crashes were evidence whatever else crashed at the time; only what is written to the store knew better.

Change: a crash while more than two other servers, which ran no such request or part, have crashed within 10 s is among others. Three incidents that aren't quarantine as before, else five do. The flag is told and stored.

--- a/serving/include/scaleshed/serving/quarantine.h
+++ b/serving/include/scaleshed/serving/quarantine.h
@@ -26,6 +26,8 @@
   // The incident of each incarnation that doesn't count by itself: those with
   // the same one count once.
   std::map<BackendId, BackendId> incidents;
+  // Those of `incarnations` to which Crash::among_others applies.
+  std::vector<BackendId> among_others;
   // Revision at which the store came to hold this list. A write succeeds only
   // if the entry still has this revision, or, for revision zero, only if there
   // is no entry.
@@ -57,8 +59,11 @@
 // is cleared.
 class Quarantine {
  public:
-  // Number of incidents from which a fingerprint is quarantined.
+  // Number of incidents from which a fingerprint is quarantined, not counting
+  // those among others (see Crash::among_others).
   static constexpr std::size_t kQuarantineIncidentCount = 3;
+  // The same with those among others.
+  static constexpr std::size_t kQuarantineIncidentCountAmongOthers = 5;
   static constexpr std::size_t kMaxFingerprints = 4096;
 
   explicit Quarantine(QuarantineOptions options = {}) : options_(options) {}
@@ -69,10 +74,13 @@
   void ClearFingerprint(std::uint64_t fingerprint, Time now);
 
   std::size_t CrashCount(std::uint64_t fingerprint) const;
+  // Whether a crash of the incarnation counts, or counted, against the
+  // fingerprint.
+  bool HasCrash(std::uint64_t fingerprint, BackendId incarnation) const;
   // Number of incidents to which these crashes belong.
   std::size_t IncidentCount(std::uint64_t fingerprint) const;
-  // Whether kQuarantineIncidentCount incidents count against the fingerprint. A
-  // part of many prompts is at several servers that crash together for another
+  // Whether enough incidents count against the fingerprint. A part of many
+  // prompts is at several servers that crash together for another
   // reason, so that one of its crashes has to be under suspicion.
   bool IsQuarantined(std::uint64_t fingerprint) const;
   // Whether one request may show whether a quarantined fingerprint still
@@ -121,6 +129,7 @@
   struct IncarnationRecord {
     bool cleared = false;
     bool under_suspicion = false;
+    bool among_others = false;
     std::set<BackendId> incidents;  // all that were told of it
     Time interrupted_at{};
     Time learned_at{};
@@ -131,6 +140,7 @@
     std::set<BackendId> stored;
     std::set<BackendId> stored_under_suspicion;
     std::map<BackendId, BackendId> stored_incidents;
+    std::set<BackendId> stored_among_others;
     StoreRevision revision;  // store revision at which it held `stored`
     Time learned_at{};       // time of the last change
   };
@@ -144,6 +154,9 @@
   // The same without the incarnations that count by themselves.
   static std::map<BackendId, BackendId> SharedIncidents(const Record& record);
   static std::size_t IncidentCount(const Record& record);
+  static std::vector<BackendId> CountedAmongOthers(const Record& record);
+  // The incidents of which no crash was among others.
+  static std::size_t IsolatedIncidentCount(const Record& record);
   bool IsQuarantined(const Record& record) const;
   // Whether the store has to be changed for the fingerprint at all: it holds an
   // entry, or at least `least` crashes count.
--- a/serving/include/scaleshed/serving/work.h
+++ b/serving/include/scaleshed/serving/work.h
@@ -89,6 +89,9 @@
   // incident count once. Zero, from a daemon of an older build: `incarnation`
   // itself.
   BackendId incident = 0;
+  // Servers that ran no such request crashed at about the same time, too, so
+  // that this crash says little of the fingerprint.
+  bool among_others = false;
   // When the attempt was interrupted, on the receiving daemon's clock; zero:
   // unknown.
   Time interrupted_at{};
--- a/serving/src/crashing_parts.cc
+++ b/serving/src/crashing_parts.cc
@@ -176,6 +176,8 @@
                 .kind = SuspectKind::kPart,
                 .under_suspicion = part.under_suspicion,
                 .incident = part.incident,
+                .among_others =
+                    IsAmongOtherCrashes(state, SuspectKind::kPart, fingerprint),
                 .interrupted_at = check.since},
                "");
   }
--- a/serving/src/endings.cc
+++ b/serving/src/endings.cc
@@ -159,6 +159,35 @@
 
 }  // namespace
 
+namespace {
+
+// Counts the servers that crashed in the last seconds and fulfil `counts`.
+template <typename Predicate>
+std::size_t CountRecentCrashesIf(const State& state, Predicate counts) {
+  constexpr Duration kRecentCrashWindow = seconds(10);
+  return static_cast<std::size_t>(std::count_if(
+      state.ended_incarnations.begin(), state.ended_incarnations.end(),
+      [&](const auto& it) {
+        return state.now < it.second + kRecentCrashWindow && counts(it.first);
+      }));
+}
+
+}  // namespace
+
+std::size_t CountRecentCrashes(const State& state) {
+  return CountRecentCrashesIf(state, [](BackendId) { return true; });
+}
+
+bool IsAmongOtherCrashes(const State& state, SuspectKind kind,
+                         std::uint64_t fingerprint) {
+  const Quarantine& quarantine =
+      kind == SuspectKind::kPart ? state.part_quarantine : state.quarantine;
+  const auto is_other = [&](BackendId it) {
+    return !quarantine.HasCrash(fingerprint, it);
+  };
+  return CountRecentCrashesIf(state, is_other) > kMaxIsolatedCrashes;
+}
+
 void RecordCrash(State& state, std::uint64_t fingerprint, BackendId incarnation,
                  BackendId incident, Time interrupted_at) {
   if (fingerprint == 0) return;
@@ -166,6 +195,8 @@
              {.fingerprint = fingerprint,
               .incarnation = incarnation,
               .incident = incident,
+              .among_others = IsAmongOtherCrashes(state, SuspectKind::kRequest,
+                                                  fingerprint),
               .interrupted_at = interrupted_at},
              "");
 }
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -496,6 +496,15 @@
 // fingerprint. `incident` and `interrupted_at` are those of Crash.
 void RecordCrash(State& state, std::uint64_t fingerprint, BackendId incarnation,
                  BackendId incident, Time interrupted_at);
+// Number of servers that crashed in the last seconds.
+std::size_t CountRecentCrashes(const State& state);
+// Whether servers crash for another reason than this request or part, so that a
+// crash under it says little (see Crash::among_others).
+bool IsAmongOtherCrashes(const State& state, SuspectKind kind,
+                         std::uint64_t fingerprint);
+// The number of recent crashes up to which one says something of a fingerprint
+// that was there.
+inline constexpr std::size_t kMaxIsolatedCrashes = 2;
 // The crashes of all fingerprints of one kind.
 Quarantine& QuarantineOf(State& state, SuspectKind kind);
 // Applies a crash, or its clearing, that this daemon found out or that `source`
--- a/serving/src/quarantine.cc
+++ b/serving/src/quarantine.cc
@@ -110,6 +110,23 @@
   return incidents.size();
 }
 
+std::vector<BackendId> Quarantine::CountedAmongOthers(const Record& record) {
+  std::vector<BackendId> incarnations;
+  for (const auto& [incarnation, it] : record.incarnations) {
+    if (!it.cleared && it.among_others) incarnations.push_back(incarnation);
+  }
+  return incarnations;
+}
+
+std::size_t Quarantine::IsolatedIncidentCount(const Record& record) {
+  const auto by_incarnation = CountedIncidents(record);
+  std::set<BackendId> incidents;
+  for (const auto& [incarnation, it] : by_incarnation) incidents.insert(it);
+  for (const BackendId it : CountedAmongOthers(record))
+    incidents.erase(by_incarnation.at(it));
+  return incidents.size();
+}
+
 bool Quarantine::AddCrash(const Crash& crash, Time now) {
   DropExpiredCleared(now);
   Record& record = records_[crash.fingerprint];
@@ -120,11 +137,13 @@
   const bool changed =
       is_new || (crash.cleared && !known.cleared) ||
       (crash.under_suspicion && !known.under_suspicion) ||
+      (crash.among_others && !known.among_others) ||
       (has_incident && !known.incidents.contains(crash.incident)) ||
       (crash.interrupted_at != Time{} && known.interrupted_at == Time{});
   if (!changed) return false;
   known.cleared = known.cleared || crash.cleared;
   known.under_suspicion = known.under_suspicion || crash.under_suspicion;
+  known.among_others = known.among_others || crash.among_others;
   if (has_incident) known.incidents.insert(crash.incident);
   if (known.interrupted_at == Time{})
     known.interrupted_at = crash.interrupted_at;
@@ -135,6 +154,7 @@
   learned.kind = options_.kind;
   learned.cleared = known.cleared;
   learned.under_suspicion = known.under_suspicion;
+  learned.among_others = known.among_others;
   learned.interrupted_at = known.interrupted_at;
   recent_.emplace_back(now, learned);
   UpdateUnsaved(crash.fingerprint, now);
@@ -156,6 +176,12 @@
   return it == records_.end() ? 0 : CountedIncarnations(it->second).size();
 }
 
+bool Quarantine::HasCrash(std::uint64_t fingerprint,
+                          BackendId incarnation) const {
+  const auto it = records_.find(fingerprint);
+  return it != records_.end() && it->second.incarnations.contains(incarnation);
+}
+
 std::size_t Quarantine::IncidentCount(std::uint64_t fingerprint) const {
   const auto it = records_.find(fingerprint);
   return it == records_.end() ? 0 : IncidentCount(it->second);
@@ -164,7 +190,9 @@
 bool Quarantine::IsQuarantined(const Record& record) const {
   const bool is_proved = options_.kind == SuspectKind::kRequest ||
                          !CountedUnderSuspicion(record).empty();
-  return is_proved && IncidentCount(record) >= kQuarantineIncidentCount;
+  return is_proved &&
+         (IsolatedIncidentCount(record) >= kQuarantineIncidentCount ||
+          IncidentCount(record) >= kQuarantineIncidentCountAmongOthers);
 }
 
 bool Quarantine::IsQuarantined(std::uint64_t fingerprint) const {
@@ -246,6 +274,8 @@
   record.stored_under_suspicion = {stored.under_suspicion.begin(),
                                    stored.under_suspicion.end()};
   record.stored_incidents = stored.incidents;
+  record.stored_among_others = {stored.among_others.begin(),
+                                stored.among_others.end()};
   const std::set<BackendId> stored_before =
       std::exchange(record.stored, now_stored);
   for (const BackendId it : stored_before)
@@ -258,7 +288,8 @@
     AddCrash({.fingerprint = stored.fingerprint,
               .incarnation = it,
               .under_suspicion = record.stored_under_suspicion.contains(it),
-              .incident = has_incident ? incident->second : 0},
+              .incident = has_incident ? incident->second : 0,
+              .among_others = record.stored_among_others.contains(it)},
              now);
   }
   // Crashes are removed from the store only when they are known not to count:
@@ -293,13 +324,17 @@
   const Record& record = records_.at(fingerprint);
   const std::vector<BackendId> incarnations = CountedIncarnations(record);
   const std::vector<BackendId> under_suspicion = CountedUnderSuspicion(record);
+  const std::vector<BackendId> among_others = CountedAmongOthers(record);
   const bool saved =
       std::equal(incarnations.begin(), incarnations.end(),
                  record.stored.begin(), record.stored.end()) &&
       std::includes(record.stored_under_suspicion.begin(),
                     record.stored_under_suspicion.end(),
                     under_suspicion.begin(), under_suspicion.end()) &&
-      SharedIncidents(record) == record.stored_incidents;
+      SharedIncidents(record) == record.stored_incidents &&
+      std::includes(record.stored_among_others.begin(),
+                    record.stored_among_others.end(), among_others.begin(),
+                    among_others.end());
   if (saved) {
     unsaved_.erase(fingerprint);
   } else {
@@ -334,6 +369,7 @@
                        .kind = options_.kind,
                        .under_suspicion = CountedUnderSuspicion(record),
                        .incidents = SharedIncidents(record),
+                       .among_others = CountedAmongOthers(record),
                        .revision = record.stored.empty() ? StoreRevision{}
                                                          : record.revision});
   }
--- a/serving/src/stored_endings.cc
+++ b/serving/src/stored_endings.cc
@@ -25,21 +25,10 @@
 // transaction may have.
 constexpr std::size_t kMaxSavedFingerprints = 16;
 
-// The number of servers that may end within kRecentCrashWindow before single
-// crashes stop counting: if more end, one crash says next to nothing about a
-// fingerprint that was there, and successful responses clear it soon. Only
-// fingerprints with two crashes are written then.
-constexpr std::size_t kMaxIsolatedCrashes = 2;
-constexpr Duration kRecentCrashWindow = seconds(10);
-
 // Returns the number of crashes from which on a fingerprint is worth a write.
+// Among others, successful responses clear most fingerprints with one soon.
 std::size_t MinCrashesToSave(const State& state) {
-  const auto recent_crashes =
-      std::count_if(state.ended_incarnations.begin(),
-                    state.ended_incarnations.end(), [&](const auto& it) {
-                      return state.now < it.second + kRecentCrashWindow;
-                    });
-  return static_cast<std::size_t>(recent_crashes) > kMaxIsolatedCrashes ? 2 : 1;
+  return CountRecentCrashes(state) > kMaxIsolatedCrashes ? 2 : 1;
 }
 
 // Returns how long this daemon waits before it writes crash records that the
--- a/serving/test/life_checks_test.cc
+++ b/serving/test/life_checks_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <set>
@@ -219,5 +220,30 @@
   CHECK_FALSE(result.refused);
 }
 
+// Guards against sound prompts that are quarantined because servers crash one
+// after another for a reason of their own.
+TEST_CASE("A crash among crashes of other servers says less of a prompt") {
+  Daemon daemon;
+  const bool others_crash = GENERATE(false, true);
+  std::vector<Crash> crashes;
+  for (BackendId i = 1; others_crash && i <= 3; ++i)
+    crashes.push_back({.fingerprint = 1000 + i, .incarnation = i});
+  LoadSnapshot snapshot = PeerSnapshot(1);
+  snapshot.crashes = crashes;
+  daemon.Feed(SnapshotReceived{snapshot});
+  const RequestKey key = SendLongPrompt(daemon);
+  const std::uint64_t fingerprint =
+      daemon.state().requests.at(key).metadata.fingerprint;
+  const auto* sent = daemon.FirstEffect<StartAttempt>();
+  REQUIRE(sent != nullptr);
+  CrashServersOf(daemon, *sent);
+  const auto stored = daemon.state().quarantine.Unsaved(100);
+  const auto it = std::find_if(
+      stored.begin(), stored.end(),
+      [&](const StoredCrashes& one) { return one.fingerprint == fingerprint; });
+  REQUIRE(it != stored.end());
+  CHECK(it->among_others.empty() == !others_crash);
+}
+
 }  // namespace
 }  // namespace scaleshed::serving::test
--- a/serving/test/quarantine_test.cc
+++ b/serving/test/quarantine_test.cc
@@ -295,6 +295,32 @@
   CHECK(quarantine.Unsaved(10).front().incidents.size() == 2);
 }
 
+TEST_CASE("Crashes among others quarantine a fingerprint later") {
+  Quarantine quarantine;
+  const auto crash = [&](BackendId incarnation, bool among_others) {
+    quarantine.AddCrash({.fingerprint = kFingerprint,
+                         .incarnation = incarnation,
+                         .among_others = among_others},
+                        kNow);
+  };
+  crash(1, false);
+  for (BackendId i = 2; i <= 4; ++i) crash(i, true);
+  CHECK_FALSE(quarantine.IsQuarantined(kFingerprint));
+  SECTION("at the fifth incident") { crash(5, true); }
+  SECTION("at the third that isn't among others") {
+    crash(5, false);
+    crash(6, false);
+  }
+  CHECK(quarantine.IsQuarantined(kFingerprint));
+  StoredCrashes stored = quarantine.Unsaved(10).front();
+  CHECK(stored.among_others.size() >= 3);
+  stored.revision = {.number = 5};
+  Quarantine other;
+  other.ApplyStored(stored, kNow);
+  CHECK(other.IsQuarantined(kFingerprint));
+  CHECK(other.Unsaved(10).empty());
+}
+
 // Prompts that share a part may all be at servers that crash together.
 TEST_CASE("A part is quarantined only with a crash under suspicion") {
   Quarantine quarantine({.kind = SuspectKind::kPart});
--- a/wire/src/datagram_codec.cc
+++ b/wire/src/datagram_codec.cc
@@ -63,18 +63,21 @@
           .kind = kind,
           .under_suspicion = from.under_suspicion(),
           .incident = from.incident(),
+          .among_others = from.among_others(),
           .interrupted_at = from.has_age_us() ? now - age : Time{}};
 }
 
 serving::StoredCrashes ReadEndings(const wire::StoredEndings& from,
                                    serving::SuspectKind kind) {
-  return {.fingerprint = from.content(),
-          .incarnations = {from.lives().begin(), from.lives().end()},
-          .kind = kind,
-          .under_suspicion = {from.under_suspicion().begin(),
-                              from.under_suspicion().end()},
-          .incidents = {from.incidents().begin(), from.incidents().end()},
-          .revision = {.epoch = from.era(), .number = from.revision()}};
+  return {
+      .fingerprint = from.content(),
+      .incarnations = {from.lives().begin(), from.lives().end()},
+      .kind = kind,
+      .under_suspicion = {from.under_suspicion().begin(),
+                          from.under_suspicion().end()},
+      .incidents = {from.incidents().begin(), from.incidents().end()},
+      .among_others = {from.among_others().begin(), from.among_others().end()},
+      .revision = {.epoch = from.era(), .number = from.revision()}};
 }
 
 void WriteEvacuation(const serving::StoredEvacuation& from,
@@ -142,6 +145,7 @@
     ending.set_forgiven(it.cleared);
     ending.set_under_suspicion(it.under_suspicion);
     ending.set_incident(it.incident);
+    ending.set_among_others(it.among_others);
     if (it.interrupted_at != Time{})
       ending.set_age_us((now - it.interrupted_at).count());
   }
@@ -491,6 +495,7 @@
       endings.add_under_suspicion(life);
     for (const auto& [life, incident] : it.incidents)
       (*endings.mutable_incidents())[life] = incident;
+    for (const auto life : it.among_others) endings.add_among_others(life);
     endings.set_revision(it.revision.number);
     endings.set_era(it.revision.epoch);
   }
