--- a/review/stand_ins_2/relayed.cpp
+++ b/review/stand_ins_2/relayed.cpp
@@ -10,11 +10,11 @@
 constexpr double kTurnedAwayS = 9.0;      // the store turns some machines away
 constexpr double kCutS = 5.5;             // a single machine is cut off
 
-// In version 2 the route /moved/ has gone from `old` to `app`, and /added/ is
-// new.
+// In version 2 the unsafe route /moved/ has gone from `old` to `app`, and
+// /added/ is new.
 Json Configuration(int version) {
   Json routes{PlainRoute("r1", "/same/", "safe", "app"),
-              PlainRoute("r2", "/moved/", "safe", version == 1 ? "old" : "app")};
+              PlainRoute("r2", "/moved/", "unsafe", version == 1 ? "old" : "app")};
   if (version == 2) routes.push_back(PlainRoute("r3", "/added/", "safe", "app"));
   Json services = Json::array();
   for (const char* name : {"app", "old"})
@@ -52,9 +52,11 @@
 
   const auto get = [](Client& client, const std::string& node, const std::string& path) {
     const Sent sent{Now(), NewId(), path, 0};
+    const bool posts = path.starts_with("/moved/");
     const Reply reply = client.Call(
-        "GET", path,
-        {{"Host", "h.example"}, {"X-Request-Id", sent.id}, {"X-Deadline-Ms", "4000"}, {"Api-Key", "key-one"}}, "", 5);
+        posts ? "POST" : "GET", path,
+        {{"Host", "h.example"}, {"X-Request-Id", sent.id}, {"X-Deadline-Ms", "4000"}, {"Api-Key", "key-one"}},
+        posts ? "entry" : "", 5);
     record.Line("sent %s to %s at %.3f: %s answered %d", sent.id.c_str(), node.c_str(), sent.at, path.c_str(),
                 reply.status);
     Sent done = sent;
