--- a/review/stand_ins_2/bench.hpp
+++ b/review/stand_ins_2/bench.hpp
@@ -664,16 +664,20 @@
     double at = 0;
     std::string request, path, tenant, service, worker;
   };
-  PlainWorker(Store& store, const std::string& ip, const std::string& service, const std::string& zone, int n)
-      : store_(store), service_(service), zone_(zone), id_("i-" + service + std::to_string(n)) {
+  PlainWorker(Store& store, const std::string& ip, const std::string& service, const std::string& zone, int n,
+              double cold_s = 0)
+      : store_(store), service_(service), zone_(zone), id_("i-" + service + std::to_string(n)),
+        cold_until_(cold_s > 0 ? Now() + cold_s : 0) {
     listener_ = std::make_unique<Listener>(ip, [this](auto conn, int port) { Serve(*conn, port); });
     Tell("ready");
   }
   void Tell(const std::string& state) {
     store_.Put("servers/" + id_, Json{{"service", service_}, {"address", listener_->address()}, {"zone", zone_},
                                       {"version", "v1"}, {"slots", 6}, {"state", state},
-                                      {"cold_remaining_ms", 0}, {"sequence", 1}}.dump());
+                                      {"cold_remaining_ms", ColdMs()}, {"sequence", 1}}.dump());
   }
+  // It has left; it serves on what still comes.
+  void Leave() { store_.Remove("servers/" + id_); }
   // Says whether the link of a connection is cut.
   std::function<bool(int peer_port)> is_cut = [](int) { return false; };
   double work_s = 0.06;
@@ -690,7 +694,7 @@
     while (conn.ReadHead(m, Now() + 60) && conn.ReadBody(m, Now() + 10)) {
       const std::string request = m.Get("X-Request-Id");
       if (m.Path() == "/health") {
-        conn.Write(Answer(200, {{"X-Instance-Id", id_}}, ""));
+        conn.Write(Answer(200, {{"X-Instance-Id", id_}, {"X-Cold-Ms", std::to_string(ColdMs())}}, ""));
         continue;
       }
       if (m.Path() == "/v1/report") {
@@ -712,8 +716,11 @@
                         std::string(800, 'x')));
     }
   }
+  int ColdMs() const { return std::max(0, static_cast<int>((cold_until_ - Now()) * 1000)); }
+
   Store& store_;
   std::string service_, zone_, id_;
+  double cold_until_;
   std::unique_ptr<Listener> listener_;
 };
 
