Configuration: an empty list of accounts or regions is not a missing one

Cause: ReadConfiguration read a list that is there and empty like a missing one, and admission asked for a key only where the list wasn't empty. The lists of allowed regions were read in the same way, so that an empty one allowed all.

Change: both lists are optional. A list that is there, with whatever empty value, lets nobody in; a missing one doesn't restrict. The line `configuration` says `none` where there is no list of accounts.

Tests of regions state theirs in the new type with the same checks.

--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -86,7 +86,9 @@
   for (const auto& it : configuration.routes) routes.insert(it.name);
   // Public routes belong to no account.
   std::set<std::string> accounts{""};
-  for (const auto& it : configuration.accounts) accounts.insert(it.name);
+  if (configuration.accounts) {
+    for (const auto& it : *configuration.accounts) accounts.insert(it.name);
+  }
   std::erase_if(latencies_, [&](const auto& it) {
     const auto& [account, route] = it.first;
     return !accounts.contains(account) || !routes.contains(route);
--- a/serving/include/scaleshed/serving/configuration.h
+++ b/serving/include/scaleshed/serving/configuration.h
@@ -104,8 +104,8 @@
   int max_sends = 1;
   bool is_public = false;
   // The regions whose backend servers may run the requests, and to whose
-  // daemons their bodies may go; empty: all.
-  std::vector<std::string> allowed_regions;
+  // daemons their bodies may go; unset: all, empty: none.
+  std::optional<std::vector<std::string>> allowed_regions;
 };
 
 // A client account with the keys that authenticate its requests.
@@ -114,7 +114,7 @@
   std::vector<std::string> keys;
   std::optional<int> priority;  // unset: not given
   // As Route::allowed_regions. If both are given, both apply.
-  std::vector<std::string> allowed_regions;
+  std::optional<std::vector<std::string>> allowed_regions;
 };
 
 // Limits of size and time for the requests that a daemon reads from clients.
@@ -135,7 +135,9 @@
   std::int64_t version = 0;  // set by the operators; it only rises
   std::vector<Route> routes;
   std::map<std::string, Service> services;
-  std::vector<ClientAccount> accounts;
+  // Unset: requests need no key. Empty: no key is known, and only requests of
+  // public routes are served.
+  std::optional<std::vector<ClientAccount>> accounts;
   RequestLimits limits;
 
   ConfigurationStamp stamp() const {
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -123,8 +123,8 @@
                       RetryAfterForStaleState(state));
     return true;
   }
-  const bool needs_key = !route->is_public &&
-                         !state.configuration->configuration().accounts.empty();
+  const bool needs_key =
+      !route->is_public && state.configuration->configuration().accounts;
   if (!needs_key) return false;
   if (!fresh) {
     RefuseImmediately(state, event, Refusal::kConfigurationStale,
--- a/serving/src/configuration.cc
+++ b/serving/src/configuration.cc
@@ -17,7 +17,8 @@
           return routes[a].path_prefix.size() > routes[b].path_prefix.size();
         });
   }
-  const auto& accounts = configuration_.accounts;
+  if (!configuration_.accounts) return;
+  const auto& accounts = *configuration_.accounts;
   for (std::size_t i = 0; i < accounts.size(); ++i) {
     for (const std::string& it : accounts[i].keys) by_key_[it] = i;
   }
@@ -40,7 +41,7 @@
     std::string_view key) const {
   const auto found = by_key_.find(key);
   return found == by_key_.end() ? nullptr
-                                : &configuration_.accounts[found->second];
+                                : &(*configuration_.accounts)[found->second];
 }
 
 const Service* ConfigurationIndex::FindService(const std::string& name) const {
--- a/serving/src/internal/steps.h
+++ b/serving/src/internal/steps.h
@@ -358,9 +358,9 @@
 // Returns the refusal of a request for which no server of its service is open.
 Refusal RefusalWithoutServer(const State& state, const std::string& service,
                              const AllowedRegions& allowed_regions);
-// Restricts `allowed` to the listed regions; an empty list restricts nothing.
+// Restricts `allowed` to the listed regions, if there is a list.
 void RestrictRegions(AllowedRegions& allowed,
-                     const std::vector<std::string>& listed);
+                     const std::optional<std::vector<std::string>>& listed);
 // Returns the regions that both the route and the account allow; `account` may
 // be null.
 AllowedRegions AllowedRegionsOf(const Route& route,
--- a/serving/src/members.cc
+++ b/serving/src/members.cc
@@ -108,7 +108,8 @@
        {"revision", std::to_string(seen.revision.number)},
        {"version", std::to_string(seen.version)},
        {"routes", std::to_string(seen.routes.size())},
-       {"accounts", std::to_string(seen.accounts.size())},
+       {"accounts",
+        seen.accounts ? std::to_string(seen.accounts->size()) : "none"},
        // A change from a watch comes without a freshness confirmation.
        {"proved_ms_ago", event.queried_at == Time{}
                              ? ""
--- a/serving/src/send_blocks.cc
+++ b/serving/src/send_blocks.cc
@@ -79,9 +79,9 @@
 }
 
 void RestrictRegions(AllowedRegions& allowed,
-                     const std::vector<std::string>& listed) {
-  if (listed.empty()) return;
-  const std::set<std::string> regions(listed.begin(), listed.end());
+                     const std::optional<std::vector<std::string>>& listed) {
+  if (!listed) return;
+  const std::set<std::string> regions(listed->begin(), listed->end());
   if (!allowed) {
     allowed = regions;
     return;
--- a/serving/test/allowed_regions_test.cc
+++ b/serving/test/allowed_regions_test.cc
@@ -25,14 +25,18 @@
           .plain_servers = 8};
 }
 
-// The data centres z0 and z1 are in r1, z2 and z3 in r2.
+// The data centres z0 and z1 are in r1, z2 and z3 in r2. An empty list doesn't
+// restrict.
 SimulatedRegions Allow(const Regions& by_route,
                        const Regions& by_account = {}) {
   return {.regions = {{"z0", "r1"}, {"z1", "r1"}, {"z2", "r2"}, {"z3", "r2"}},
           .configure = [=](Configuration& configuration) {
-            for (Route& it : configuration.routes)
-              it.allowed_regions = by_route;
-            configuration.accounts.front().allowed_regions = by_account;
+            if (!by_route.empty()) {
+              for (Route& it : configuration.routes)
+                it.allowed_regions = by_route;
+            }
+            if (!by_account.empty())
+              configuration.accounts->front().allowed_regions = by_account;
           }};
 }
 
@@ -256,6 +260,20 @@
   CHECK(refusal->reason == Refusal::kNoHome);
 }
 
+// Guards against an empty list of regions that is taken for no restriction.
+TEST_CASE("A request that no region may run is refused immediately") {
+  Daemon daemon;
+  Configuration configuration = MakeConfiguration(2);
+  configuration.routes.front().allowed_regions.emplace();
+  daemon.Feed(ConfigurationReceived{.configuration = configuration,
+                                    .queried_at = daemon.now()});
+  daemon.SendRequest("stream");
+  const auto* refusal = daemon.FirstEffect<Refuse>();
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->reason == Refusal::kNoHome);
+  CHECK(daemon.FirstEffect<StartAttempt>() == nullptr);
+}
+
 // Guards against requests that go on under the regions of an older
 // configuration: they would leave the new ones with their next send.
 TEST_CASE("A new configuration's regions apply to requests that wait") {
--- a/serving/test/client_addresses_test.cc
+++ b/serving/test/client_addresses_test.cc
@@ -37,8 +37,11 @@
   }
   void AllowRegions(const Names& first_route, const Names& others) {
     Configuration configuration = MakeConfiguration(++revision_);
-    for (Route& it : configuration.routes) it.allowed_regions = others;
-    configuration.routes.front().allowed_regions = first_route;
+    const auto restrict = [](Route& route, const Names& regions) {
+      if (!regions.empty()) route.allowed_regions = regions;
+    };
+    for (Route& it : configuration.routes) restrict(it, others);
+    restrict(configuration.routes.front(), first_route);
     daemon_.Feed(ConfigurationReceived{.configuration = configuration,
                                        .queried_at = daemon_.now()});
   }
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -13,6 +13,23 @@
 using test::kStart;
 using test::MakeConfiguration;
 
+// Guards against a list of accounts that lost its last one and is taken for
+// none: all routes would be open to everybody.
+TEST_CASE("An empty list of accounts lets nobody in") {
+  Daemon daemon;
+  Configuration configuration = MakeConfiguration(2);
+  configuration.accounts.emplace();
+  configuration.routes.front().is_public = true;
+  daemon.Feed(ConfigurationReceived{.configuration = configuration,
+                                    .queried_at = daemon.now()});
+  daemon.SendRequest("safe");
+  const auto* refusal = daemon.FirstEffect<Refuse>();
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->reason == Refusal::kUnknownKey);
+  daemon.SendRequest("stream");
+  CHECK(daemon.FirstEffect<StartAttempt>() != nullptr);
+}
+
 TEST_CASE("The configuration in force is never replaced by an older one") {
   Daemon daemon;
   daemon.Feed(ConfigurationReceived{.configuration = MakeConfiguration(5),
--- a/serving/test/serving_harness.h
+++ b/serving/test/serving_harness.h
@@ -43,7 +43,8 @@
                              .prefill_tokens_per_ms = 256,
                              .attention_ms_per_million_pairs = 0.0917,
                              .tokens_per_event = 46}};
-  configuration.accounts = {{.name = "acme", .keys = {"k"}}};
+  configuration.accounts =
+      std::vector<ClientAccount>{{.name = "acme", .keys = {"k"}}};
   return configuration;
 }
 
--- a/testing/test/fleet_test.cc
+++ b/testing/test/fleet_test.cc
@@ -178,6 +178,33 @@
   CHECK(fleet.Ask("/plain/safe/a")->status() == 401);
 }
 
+// Guards against routes that open to everybody once no key is left.
+TEST_CASE("Without its last key a deployment serves public routes only") {
+  Fleet fleet;
+  nlohmann::json configuration = FleetConfiguration();
+  configuration["routes"][3]["public"] = true;
+  fleet.Configure(configuration);
+  fleet.AddWorker("app");
+  fleet.AddDaemon();
+  REQUIRE(fleet.WaitReady());
+  CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
+  const nlohmann::json accounts = configuration["tenants"];
+  for (const auto& none : {nlohmann::json::array(), nlohmann::json()}) {
+    configuration["version"] = configuration["version"].get<int>() + 1;
+    configuration["tenants"] = none;
+    fleet.Configure(configuration);
+    REQUIRE(fleet.Eventually(
+        [&] { return fleet.Ask("/plain/safe/a")->status() == 401; }));
+    CHECK(fleet.Ask("/plain/safe/a", {{"Api-Key", "no"}})->status() == 401);
+    CHECK(fleet.Ask("/plain/unsafe/a")->status() == 200);
+    configuration["version"] = configuration["version"].get<int>() + 1;
+    configuration["tenants"] = accounts;
+    fleet.Configure(configuration);
+    REQUIRE(fleet.Eventually(
+        [&] { return fleet.Ask("/plain/safe/a")->status() == 200; }));
+  }
+}
+
 TEST_CASE("An unreadable configuration leaves the last one in force") {
   Fleet fleet;
   fleet.Configure();
