Admission: a route whose shares weigh nothing goes to no service

Requests of a route whose services have no weight in sum were sent to the first of them, which the configuration gives no part of the route.

Cause: PickService() fell back to the first share where there was nothing to draw from: empty stood for unrestricted, as with lists of accounts.

Change: there is no service to pick, and the request is refused at once as without a backend server.

Measured: "A route whose shares weigh nothing is served by no service" failed before; serving_test passes.

--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -53,19 +53,19 @@
   }
 }
 
-// Picks one of the route's services at random, in proportion to their weights.
+// Picks one of the route's services at random, in proportion to their weights;
+// an empty name, which no backend server has, if no service has a weight.
 std::string PickService(State& state, const Route& route) {
   std::int64_t total_weight = 0;
   for (const ServiceShare& it : route.shares) total_weight += it.weight;
-  if (total_weight <= 0)
-    return route.shares.empty() ? "" : route.shares[0].service;
+  if (total_weight <= 0) return "";
   auto point = static_cast<std::int64_t>(
       state.random() % static_cast<std::uint64_t>(total_weight));
   for (const ServiceShare& it : route.shares) {
     point -= it.weight;
     if (point < 0) return it.service;
   }
-  return route.shares.back().service;
+  return "";
 }
 
 void RefuseImmediately(State& state, const RequestArrived& event,
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -30,6 +30,21 @@
   CHECK(daemon.FirstEffect<StartAttempt>() != nullptr);
 }
 
+// Guards against requests for a service that the configuration gives no part of
+// its route.
+TEST_CASE("A route whose shares weigh nothing is served by no service") {
+  Daemon daemon;
+  Configuration configuration = MakeConfiguration(2);
+  for (Route& it : configuration.routes) it.shares.front().weight = 0;
+  daemon.Feed(ConfigurationReceived{.configuration = configuration,
+                                    .queried_at = daemon.now()});
+  daemon.SendRequest("safe");
+  const auto* refusal = daemon.FirstEffect<Refuse>();
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->reason == Refusal::kNoBackend);
+  CHECK(daemon.FirstEffect<StartAttempt>() == nullptr);
+}
+
 TEST_CASE("The configuration in force is never replaced by an older one") {
   Daemon daemon;
   daemon.Feed(ConfigurationReceived{.configuration = MakeConfiguration(5),
