HTTP client: a response whose status is none is no answer

Clients got status 0 where a backend server answered with 000 and closed, and 600 or 999 where it answered so.

Cause: each status under 200 was taken for an interim one, so that no head was kept, and the connection's end delivered the empty one. Nothing bounded a status from above.

Evidence: on the code before, 000, 001 and 099 reach the caller as 0 without a length only, 600 and 999 with any framing (http_test, the new cases).

Change: a status outside of 100 to 599, or 101, ends the call with invalid_status, which counts as a spoiled answer: logged with its reason, repeated where that is allowed.

Heads that are cut short were no answers before; they have tests now.

--- a/runtime/include/scaleshed/runtime/http_client.h
+++ b/runtime/include/scaleshed/runtime/http_client.h
@@ -23,12 +23,15 @@
   kTimeout,    // the call's own time ran out
   kCancelled,  // by the caller
   kInvalid,    // the bytes that came are no HTTP response
+  // The status is none (RFC 9110, section 15: 100 to 599), or tells of a change
+  // of protocol (101) that no call asks for.
+  kInvalidStatus,
   // What came can't become a response within the bounds on responses.
   kHeadTooLong,
   kBodyTooLong,
   kTooManyInterim,  // more interim responses (1xx) than any server sends
 };
-inline constexpr NameTable<HttpError, 10> kHttpErrorNames{{
+inline constexpr NameTable<HttpError, 11> kHttpErrorNames{{
     {HttpError::kNotSent, "not_sent"},
     {HttpError::kRefused, "refused"},
     {HttpError::kMalformed, "malformed"},
@@ -36,6 +39,7 @@
     {HttpError::kTimeout, "timeout"},
     {HttpError::kCancelled, "cancelled"},
     {HttpError::kInvalid, "invalid"},
+    {HttpError::kInvalidStatus, "invalid_status"},
     {HttpError::kHeadTooLong, "head_too_long"},
     {HttpError::kBodyTooLong, "body_too_long"},
     {HttpError::kTooManyInterim, "too_many_interim"},
@@ -48,8 +52,8 @@
 
 // Whether the server sent bytes that can't become a response.
 constexpr bool IsSpoiled(HttpError error) {
-  return error == HttpError::kInvalid || error == HttpError::kHeadTooLong ||
-         error == HttpError::kBodyTooLong ||
+  return error == HttpError::kInvalid || error == HttpError::kInvalidStatus ||
+         error == HttpError::kHeadTooLong || error == HttpError::kBodyTooLong ||
          error == HttpError::kTooManyInterim;
 }
 
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -73,6 +73,14 @@
                      });
 }
 
+// Whether a response to one of this client's calls may have that status.
+bool IsExpectedStatus(unsigned status) {
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kLast = 599;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
+
 HttpResponse HeadOf(const Parser& parser) {
   const auto& message = parser.get();
   HttpResponse head{.status = static_cast<int>(message.result_int()),
@@ -232,7 +240,12 @@
   void TakeParsed() {
     constexpr int kFirstFinalStatus = 200;
     if (!parser_->is_header_done()) return;
-    if (parser_->get().result_int() < kFirstFinalStatus) {
+    const unsigned status = parser_->get().result_int();
+    if (!IsExpectedStatus(status)) {
+      Finish(HttpError::kInvalidStatus);
+      return;
+    }
+    if (status < kFirstFinalStatus) {
       if (!parser_->is_done()) return;
       parser_.reset();
       if (++interim_responses_ > kMaxInterimResponses)
--- a/runtime/test/http_test.cc
+++ b/runtime/test/http_test.cc
@@ -200,6 +200,42 @@
         "200 hi");
 }
 
+// Guards against a status that is none and reaches the caller as an answer.
+TEST_CASE("A response whose status is none is no answer") {
+  for (const std::string status :
+       {"000", "001", "099", "101", "600", "999", "0", "20", "2000", "-20",
+        "2 0", "abc", ""}) {
+    for (const std::string rest :
+         {"\r\n\r\n", "\r\n\r\nbody", "\r\nContent-Length: 2\r\n\r\nhi",
+          "\r\nContent-Length: 0\r\n\r\n",
+          "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+      INFO(status << rest);
+      CHECK(OutcomeOf(AskServerThatSends("HTTP/1.1 " + status + " S" + rest)) ==
+            "broken");
+    }
+  }
+  for (const std::string status : {"200", "299", "404", "500", "599"}) {
+    INFO(status);
+    CHECK(OutcomeOf(AskServerThatSends("HTTP/1.1 " + status +
+                                       " S\r\nContent-Length: 2\r\n\r\nhi")) ==
+          status + " hi");
+  }
+}
+
+// Guards against an answer that ends inside of a head and looks whole.
+TEST_CASE("A response that ends inside of its head is no answer") {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  for (std::size_t n = 0; n < head.size(); ++n) {
+    INFO(n);
+    CHECK(OutcomeOf(AskServerThatSends(head.substr(0, n))) == "broken");
+  }
+  CHECK(OutcomeOf(AskServerThatSends(interim)) == "broken");
+  CHECK(OutcomeOf(AskServerThatSends(interim + head.substr(0, 17))) ==
+        "broken");
+  CHECK(OutcomeOf(AskServerThatSends(interim + head)) == "200 ");
+}
+
 // Guards against text of others that becomes part of a request's head.
 TEST_CASE("A call whose parts would end its head early is not sent") {
   EventLoop loop;
--- a/testing/test/raw_worker.h
+++ b/testing/test/raw_worker.h
@@ -19,7 +19,8 @@
 
 // How a RawWorker ends the connection of an answer.
 enum class RawEnd {
-  kClose,  // in good order
+  kClose,        // in good order
+  kCloseInHead,  // the same, behind the given head and before its end
   kReset,
   kNever,  // goes on sending the body until the caller closes
 };
@@ -96,6 +97,10 @@
     }
     if (!is_report) ++runs_;
     endless_.insert(bev);
+    if (end_ == RawEnd::kCloseInHead) {
+      Answer(bev, head_);
+      return;
+    }
     Answer(bev, head_ + "X-Request-Id: " + HeaderOf(text, "X-Request-Id") +
                     "\r\nX-Response-Seal: raw\r\n\r\n" + body_);
   }
--- a/testing/test/unframed_answers_test.cc
+++ b/testing/test/unframed_answers_test.cc
@@ -26,6 +26,34 @@
   CHECK(fleet.raw().runs() == 1);
 }
 
+// Guards against statuses that are none (000) and reach the client as an
+// answer.
+TEST_CASE("An answer with a status that is none is served elsewhere") {
+  for (const std::string status : {"000", "099", "101", "600", "999"}) {
+    for (const char* service : {"app", "llm"}) {
+      INFO(status << ", " << service);
+      RawFleet fleet(service, "HTTP/1.1 " + status + " S\r\n", "",
+                     RawEnd::kClose, "raw", /*with_other=*/true);
+      const std::string path =
+          service == std::string("app") ? "/plain/safe/a" : "/chat/a";
+      for (int i = 0; i < 10; ++i) CHECK(fleet.Ask(path)->status() == 200);
+    }
+    RawFleet fleet("app", "HTTP/1.1 " + status + " S\r\n", "");
+    CHECK(fleet.Ask("/plain/unsafe/a")->status() == 502);
+    CHECK(fleet.raw().runs() == 1);
+  }
+}
+
+// Guards against a cut head that reaches the client as an empty 200.
+TEST_CASE("An answer that ends inside of its head is none") {
+  for (const std::string head :
+       {"HTTP/1.1 200", "HTTP/1.1 200 OK\r\nContent-"}) {
+    RawFleet fleet("app", head, "", RawEnd::kCloseInHead);
+    CHECK(fleet.Ask("/plain/unsafe/a")->status() == 502);
+    CHECK(fleet.raw().runs() == 1);
+  }
+}
+
 TEST_CASE("An answer that can have no body needs no close") {
   RawFleet fleet("app", "HTTP/1.1 204 No Content\r\n", "");
   const auto asked = fleet.Ask("/plain/unsafe/a");
