Soak and tests: processor time, health answers and reports beside spoiled ones

Change: the soak measures how much of a core a daemon uses and breaks over half of one while servers answer without end. Tests with health answers without end and with reports whose status is none.

--- a/testing/include/scaleshed/testing/soak.h
+++ b/testing/include/scaleshed/testing/soak.h
@@ -49,7 +49,8 @@
   // configurations, which is short then.
   kSlowBodies,
   // A share of requests is answered with a body without end. Daemons that grow
-  // by more than SoakOptions::kMaxGrowthBytes break a promise.
+  // by more than SoakOptions::kMaxGrowthBytes, or use more of a core than
+  // kMaxProcessorShare, break a promise.
   kServersEndless,
 };
 inline constexpr NameTable<SoakFault, 31> kSoakFaultNames{{
@@ -105,6 +106,8 @@
 
   // What a daemon may grow by while servers answer without end.
   static constexpr std::size_t kMaxGrowthBytes = 60 * 1024 * 1024;
+  // What a daemon may use of a core meanwhile.
+  static constexpr double kMaxProcessorShare = 0.5;
 
   std::string daemon;  // the program
   std::uint64_t seed = 1;
@@ -144,8 +147,9 @@
   std::size_t probes = 0;    // answers by which configuration is in force
   int most_calls = 0;        // at the store, in one second
   std::size_t growth = 0;    // of the daemon that grew most, in bytes
-  Duration latest{};         // the stand-ins were kept from looking so long
-  std::string folder;        // of the logs, where they are kept
+  double processor_share = 0;  // of a core, by the daemon that used most
+  Duration latest{};           // the stand-ins were kept from looking so long
+  std::string folder;          // of the logs, where they are kept
 };
 
 // Series that are drawn from the seed: in most of them backend servers refuse
--- a/testing/src/soak.cc
+++ b/testing/src/soak.cc
@@ -1,11 +1,14 @@
 #include "scaleshed/testing/soak.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <deque>
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -45,6 +48,8 @@
 // Answers that are under way when the callers end come within this.
 constexpr Duration kLastAnswers = seconds(8);
 constexpr std::size_t kStorePage = 3;
+// Clock ticks are too coarse for the processor time of a shorter span.
+constexpr Duration kShortestProcessorSpan = seconds(2);
 constexpr char kConfigurationKey[] = "op/config";
 constexpr char kEvacuationPrefix[] = "op/evacuate/";
 constexpr Duration kProbeEvery = milliseconds(150);
@@ -75,9 +80,28 @@
   return resident * kPageBytes;
 }
 
-struct ProcessMemory {
+// Processor time that a process has used, in seconds; zero if it has ended.
+double ProcessorSeconds(int pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  // Fields are counted behind the program's name, which may hold blanks.
+  constexpr auto kAll = std::numeric_limits<std::streamsize>::max();
+  file.ignore(kAll, ')');
+  constexpr int kFieldsBefore = 11;
+  std::string skipped;
+  for (int i = 0; i < kFieldsBefore; ++i) file >> skipped;
+  double user_ticks = 0;
+  double system_ticks = 0;
+  file >> user_ticks >> system_ticks;
+  return (user_ticks + system_ticks) /
+         static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+// What a process used when it had run for a while.
+struct ProcessUse {
   int seconds = 0;  // that it has run
-  std::size_t at_first = 0;
+  std::size_t bytes_at_first = 0;
+  double processor_at_first = 0;  // seconds
+  Time since{};
 };
 
 class Soak {
@@ -209,21 +233,32 @@
     const int calls = store_.calls() - std::exchange(calls_, store_.calls());
     counted_at_ = now;
     most_calls_ = std::max(most_calls_, calls);
-    MeasureGrowth();
+    MeasureUse();
   }
 
-  // Compares what each process of a daemon has in memory with what it had when
-  // it had run for a while.
-  void MeasureGrowth() {
+  // Compares what each process of a daemon uses with what it used when it had
+  // run for a while.
+  void MeasureUse() {
     constexpr int kSecondsUntilWarm = 3;
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       const int pid = daemons_.pid(i);
       if (pid == 0) continue;
-      ProcessMemory& memory = memory_[pid];
+      ProcessUse& use = uses_[pid];
       const std::size_t bytes = ResidentBytes(pid);
-      if (++memory.seconds <= kSecondsUntilWarm) memory.at_first = bytes;
-      if (bytes > memory.at_first)
-        growth_ = std::max(growth_, bytes - memory.at_first);
+      const double processor = ProcessorSeconds(pid);
+      if (++use.seconds <= kSecondsUntilWarm) {
+        use.bytes_at_first = bytes;
+        use.processor_at_first = processor;
+        use.since = loop_.Now();
+        continue;
+      }
+      if (bytes > use.bytes_at_first)
+        growth_ = std::max(growth_, bytes - use.bytes_at_first);
+      const std::chrono::duration<double> passed = loop_.Now() - use.since;
+      if (passed < kShortestProcessorSpan) continue;
+      processor_share_ =
+          std::max(processor_share_,
+                   (processor - use.processor_at_first) / passed.count());
     }
   }
 
@@ -755,6 +790,12 @@
       report.broken.push_back("a daemon grew by " + std::to_string(growth_) +
                               " bytes");
     }
+    report.processor_share = processor_share_;
+    if (Has(SoakFault::kServersEndless) &&
+        processor_share_ > SoakOptions::kMaxProcessorShare) {
+      report.broken.push_back("a daemon used " +
+                              std::to_string(processor_share_) + " of a core");
+    }
     report.words = words_said_;
     if (LateSends() > 0) {
       report.broken.push_back(
@@ -789,9 +830,10 @@
   std::map<std::size_t, int> pauses_;  // by server; those under way
   ConfigurationLedger configurations_;
   std::unique_ptr<ConfigurationProber> prober_;
-  int calls_ = 0;                        // at the store, when last counted
-  std::map<int, ProcessMemory> memory_;  // by process
+  int calls_ = 0;                   // at the store, when last counted
+  std::map<int, ProcessUse> uses_;  // by process
   std::size_t growth_ = 0;
+  double processor_share_ = 0;
   int most_calls_ = 0;
   Time counted_at_{};
   ServerLedger words_;
--- a/testing/src/soak_main.cc
+++ b/testing/src/soak_main.cc
@@ -90,7 +90,7 @@
             << " slow, " << report.checked << " checked, " << report.probes
             << " probes, " << report.most_calls
             << " store calls in a second, growth " << report.growth / 1024
-            << " KB";
+            << " KB, at most " << report.processor_share << " of a core";
   for (const RepeatWindow& it : report.windows) {
     std::cout << ", " << it.service << " repeats " << it.repeats << " of "
               << it.allowed;
--- a/testing/test/endless_answers_test.cc
+++ b/testing/test/endless_answers_test.cc
@@ -75,5 +75,48 @@
   }
 }
 
+// Guards against health answers that fill the daemon which asks for them.
+TEST_CASE("Health answers without end do no harm") {
+  for (const EndlessAnswer& it : kEndlessAnswers) {
+    INFO(it.name);
+    RawFleet fleet("app", it.head, it.body, RawEnd::kNever, "raw",
+                   /*with_other=*/true);
+    nlohmann::json configuration = FleetConfiguration();
+    configuration["version"] = 4;
+    for (auto& service : configuration["services"]) {
+      service["cold_start_s"] = 30;
+      service["cold_per_s"] = 100;
+      service["health_path"] = "/health";
+    }
+    fleet.Configure(configuration);
+    // Servers of a data centre that was evacuated are cold, for how long their
+    // health answers tell.
+    fleet.store().Put("op/evacuate/z1", "{}");
+    REQUIRE(fleet.Eventually(
+        [&] { return fleet.Ask("/plain/safe/a")->status() == 503; }));
+    fleet.store().Remove("op/evacuate/z1");
+    const int checks = fleet.raw().health_checks();
+    REQUIRE(fleet.Until([&] { return fleet.raw().health_checks() > checks; }));
+    CHECK(fleet.Eventually(
+        [&] { return fleet.Ask("/plain/safe/a")->status() == 200; }));
+    CHECK(fleet.Until([&] { return fleet.raw().open_connections() == 0; }));
+    const auto calls = static_cast<std::size_t>(fleet.raw().runs() +
+                                                fleet.raw().health_checks());
+    CHECK(fleet.raw().bytes_taken() <= (calls + 1) * kMaxBytesPerRun);
+  }
+}
+
+// Guards against statuses that are none in what servers say of themselves.
+TEST_CASE("Reports with a status that is none do no harm") {
+  for (const char* status : {"000", "101", "999"}) {
+    INFO(status);
+    RawFleet fleet("llm", "HTTP/1.1 " + std::string(status) + " S\r\n", "",
+                   RawEnd::kClose, "raw", /*with_other=*/true);
+    fleet.raw().SpoilReports();
+    for (int i = 0; i < kRequests; ++i)
+      CHECK(fleet.Ask("/chat/a")->status() == 200);
+  }
+}
+
 }  // namespace
 }  // namespace scaleshed::testing
--- a/testing/test/raw_worker.h
+++ b/testing/test/raw_worker.h
@@ -53,6 +53,7 @@
 
   const std::string& address() const { return address_; }
   int runs() const { return runs_; }
+  int health_checks() const { return health_checks_; }
   std::size_t open_connections() const { return connections_.size(); }
   // Bytes that callers or their sockets have taken.
   std::size_t bytes_taken() const { return bytes_taken_; }
@@ -95,7 +96,9 @@
       Answer(bev, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
       return;
     }
-    if (!is_report) ++runs_;
+    const bool is_health_check = text.starts_with("GET /health");
+    if (is_health_check) ++health_checks_;
+    if (!is_report && !is_health_check) ++runs_;
     endless_.insert(bev);
     if (end_ == RawEnd::kCloseInHead) {
       Answer(bev, head_);
@@ -156,6 +159,7 @@
   // Those that get an answer of `body_`.
   std::set<bufferevent*> endless_;
   int runs_ = 0;
+  int health_checks_ = 0;
   std::size_t bytes_taken_ = 0;
   bool spoils_reports_ = false;
 };
