Store follower: a list that repeats its pages leaves the store there

A list whose pages repeat was logged as a lost store, after which entries that are gone are not taken for gone for a while.

Change: it counts as a call that the store won't take: logged as store_rejects with its reason, tried again after the usual pause. The stand-in of the store can repeat its pages; a test holds the pauses and that the daemon serves once the list has an end.

--- a/daemon/src/store_follower.cc
+++ b/daemon/src/store_follower.cc
@@ -160,9 +160,11 @@
     return false;
   }
   // The store is there; asking the same again has to wait all the same.
-  if (error == StoreError::kRejected) {
+  if (error == StoreError::kRejected || error == StoreError::kRepeatedPage) {
     ++failures_;
-    LogWarn("store_rejects", {{"call", call}});
+    LogWarn("store_rejects",
+            {{"call", call},
+             {"why", std::string(NameIn(platform::kStoreErrorNames, *error))}});
     return false;
   }
   // These are answers of a store that is there.
--- a/testing/include/scaleshed/testing/fleet_stand_ins.h
+++ b/testing/include/scaleshed/testing/fleet_stand_ins.h
@@ -60,6 +60,8 @@
   void RestoreCopy();
   // Items in an answer to a list. Few, so that paging is met.
   void SetPage(std::size_t page) { page_ = page; }
+  // Each page of a list is the first one, and says that more follow.
+  void RepeatPages(bool repeat) { repeats_pages_ = repeat; }
   // From now on leases end at their time, and what was written under them goes.
   void LapseLeases();
   // Watches that wait bring nothing any more, and stay open.
@@ -138,6 +140,7 @@
   Timer lapse_timer_;
   Timer watch_timer_;
   std::size_t page_ = 3;
+  bool repeats_pages_ = false;
   StoreMode mode_ = StoreMode::kUp;
   bool muted_ = false;
   bool hold_bodies_ = false;
--- a/testing/src/fake_store.cc
+++ b/testing/src/fake_store.cc
@@ -175,8 +175,9 @@
   }
   Json items = Json::array();
   const std::string prefix = exchange->Query("path_prefix");
-  const std::string after = exchange->Query("start_after");
-  bool more = false;
+  const std::string after =
+      repeats_pages_ ? "" : exchange->Query("start_after");
+  bool more = repeats_pages_;
   for (const auto& [key, item] : items_) {
     if (!HasPrefix(key, prefix) || key <= after) continue;
     if (items.size() == page_) {
--- a/testing/test/store_trouble_test.cc
+++ b/testing/test/store_trouble_test.cc
@@ -70,6 +70,23 @@
   }
 }
 
+// Guards against daemons that ask for the same page without end or pause.
+TEST_CASE("A store that repeats its pages is asked with pauses") {
+  Fleet fleet;
+  fleet.Configure();
+  fleet.AddWorker("app");
+  fleet.store().RepeatPages(true);
+  fleet.AddDaemon();
+  const Time end = fleet.loop().Now() + seconds(2);
+  REQUIRE(fleet.Until([&] { return fleet.loop().Now() >= end; }));
+  // Two calls a list, with pauses of 50 ms and more, that grow.
+  CHECK(fleet.store().list_calls() <= 40);
+  CHECK_FALSE(fleet.IsReady());
+  fleet.store().RepeatPages(false);
+  CHECK(fleet.WaitReady());
+  CHECK(fleet.Ask("/plain/safe/a")->status() == 200);
+}
+
 // 295 daemons asked a store that refused for their leases as often as for what
 // they needed: 4,000 calls in 6 s, refused and paid for.
 TEST_CASE("A store that refuses is asked rarely for a lease") {
