HTTP client: a request's body is copied once for a send

Cause, by reading: the call's copy of the body was copied into one string with the head and from there into the write buffer, and `clear()` kept the first copy's memory until the call ended. A relayed body was copied into its message as well.

Tests of client, server and relay are as before and hold.

--- a/daemon/src/backend_calls.cc
+++ b/daemon/src/backend_calls.cc
@@ -97,7 +97,7 @@
                 .method = "POST",
                 .path = kRelayPath,
                 .headers = {{"Content-Type", "application/x-protobuf"}},
-                .body = EncodeRelay(envelope),
+                .body = EncodeRelay(std::move(envelope)),
                 // The reducer ends attempts.
                 .timeout = Duration::zero(),
                 .connect_timeout = kRelayConnectTimeout,
--- a/runtime/src/http_client.cc
+++ b/runtime/src/http_client.cc
@@ -37,7 +37,10 @@
 // retransmissions on a lossy link, below the shortest deadline of a caller.
 constexpr unsigned kUnackedLimitMillis = 3000;
 
-std::string RequestBytes(const HttpCall& call) {
+// Bodies up to this are sent from one buffer with their head.
+constexpr std::size_t kMaxCopiedBodyBytes = 16 * 1024;
+
+std::string RequestHead(const HttpCall& call) {
   std::string bytes = call.method + " " + call.path + " HTTP/1.1\r\n";
   const auto add = [&](std::string_view name, std::string_view value) {
     bytes.append(name).append(": ").append(value).append("\r\n");
@@ -51,9 +54,19 @@
   if (!call.body.empty() || !bodiless) {
     add("Content-Length", std::to_string(call.body.size()));
   }
-  bytes += "\r\n";
-  bytes += call.body;
-  return bytes;
+  return bytes + "\r\n";
+}
+
+// Adds a body without a copy; it goes once all of it was sent.
+void AddBody(evbuffer* out, std::string body) {
+  auto owned = std::make_unique<std::string>(std::move(body));
+  const std::string& bytes = *owned;
+  evbuffer_add_reference(
+      out, bytes.data(), bytes.size(),
+      [](const void* /*data*/, std::size_t /*size*/, void* arg) {
+        const std::unique_ptr<std::string> sent(static_cast<std::string*>(arg));
+      },
+      owned.release());
 }
 
 // Whether each part of the call's head ends where the server will see its end.
@@ -166,9 +179,11 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedLimitMillis,
                sizeof(kUnackedLimitMillis));
-    const std::string bytes = RequestBytes(call_);
-    call_.body.clear();
+    std::string bytes = RequestHead(call_);
+    std::string body = std::exchange(call_.body, {});
+    if (body.size() <= kMaxCopiedBodyBytes) bytes += std::exchange(body, {});
     bufferevent_write(bev_, bytes.data(), bytes.size());
+    if (!body.empty()) AddBody(bufferevent_get_output(bev_), std::move(body));
     bufferevent_enable(bev_, EV_READ | EV_WRITE);
     if (slow_connect_ && call_.on_late_connect) call_.on_late_connect();
   }
--- a/wire/include/scaleshed/wire/relay_codec.h
+++ b/wire/include/scaleshed/wire/relay_codec.h
@@ -28,7 +28,7 @@
   std::string body;
 };
 
-std::string EncodeRelay(const RelayEnvelope& envelope);
+std::string EncodeRelay(RelayEnvelope envelope);
 // Returns nothing if the bytes are no envelope with an origin, a method and a
 // target.
 std::optional<RelayEnvelope> DecodeRelay(const std::string& bytes);
--- a/wire/src/relay_codec.cc
+++ b/wire/src/relay_codec.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-std::string EncodeRelay(const RelayEnvelope& envelope) {
+std::string EncodeRelay(RelayEnvelope envelope) {
   wire::RelayedRequest to;
   to.set_origin(envelope.origin);
   to.set_method(envelope.method);
@@ -23,7 +23,7 @@
     field.set_name(name);
     field.set_value(value);
   }
-  to.set_body(envelope.body);
+  to.set_body(std::move(envelope.body));
   return to.SerializeAsString();
 }
 
