Clients that fill a daemon's memory: one budget for all connections

What callers saw: clients outside of our control ended a process, which ran out of memory. They sent many large bodies at once, most of which stopped short of their end and stayed open.

Cause: a connection may hold a whole body, and nothing counted over connections. A body was read to its end before its route and key were looked at, also on listeners that take none. Ruled out as the main part: copies of bodies, as unfinished ones, of which there is no copy, take as much as they sent.

Change: ConnectionBudget counts what the connections of all listeners and the requests in work hold; over the bound, connections give up what they hold in a fixed order, and requests are refused with 503 and Retry-After. Refused clients are read from until they stop, so that the refusal reaches them. Large blocks go back to the system at once. New setting `memory_mb`, by default that of the smallest machine.

--- a/config/include/scaleshed/config/settings.h
+++ b/config/include/scaleshed/config/settings.h
@@ -63,6 +63,8 @@
   Duration list_interval = seconds(1);
   Duration default_time_limit = seconds(60);
   std::int64_t max_body_bytes = 16 * 1024 * 1024;
+  // Of the machine, for this process; clients' connections may take a part.
+  double memory_mb = 160;
   // Where set, the daemon serves the platform's clients instead of its own API.
   std::optional<FleetSettings> fleet;
 };
--- a/config/src/settings.cc
+++ b/config/src/settings.cc
@@ -18,6 +18,7 @@
 
 constexpr std::int64_t kMostBodyBytes = 256 * 1024 * 1024;
 constexpr std::int64_t kOneHourMillis = 3'600'000;
+constexpr double kMostMemoryMb = 1e6;
 constexpr double kMostSeconds = 3600;
 constexpr double kMostRepeats = 1e6;
 constexpr double kMostOverage = 1000;
@@ -104,6 +105,8 @@
                     settings.default_time_limit);
   settings.max_body_bytes = reader.Whole(
       "max_body_bytes", {1024, kMostBodyBytes}, settings.max_body_bytes);
+  settings.memory_mb =
+      reader.Number("memory_mb", {16, kMostMemoryMb}, settings.memory_mb);
   const YAML::Node fleet = reader.Child("fleet");
   if (fleet.IsDefined()) settings.fleet = ReadFleet(file, fleet, errors);
   reader.Finish();
--- a/daemon/include/scaleshed/daemon/daemon.h
+++ b/daemon/include/scaleshed/daemon/daemon.h
@@ -55,6 +55,7 @@
   PeerTransport peers_;
   HttpClient peer_http_;
   PlatformClient platform_;
+  std::shared_ptr<ConnectionBudget> budget_;
   HttpServer http_;
   State state_;
   // The list as it was last had, for peers.
--- a/daemon/include/scaleshed/daemon/fleet_daemon.h
+++ b/daemon/include/scaleshed/daemon/fleet_daemon.h
@@ -81,6 +81,7 @@
   // something.
   void OnCut(const CutConnection& cut);
   void ApplyLimits(const serving::RequestLimits& limits);
+  std::size_t OpenConnections() const;
   void Exit();
   // Stops the loop once all answers are sent, or the grace is nearly over.
   void ExitIfSent();
@@ -96,7 +97,8 @@
   std::unique_ptr<StoreFollower> store_;
   DatagramSocket peers_;
   std::unique_ptr<FleetMetrics> metrics_;  // counts as the servers end, too
-  HttpServer peer_calls_;                  // from other daemons
+  std::shared_ptr<ConnectionBudget> budget_;
+  HttpServer peer_calls_;  // from other daemons
   HttpServer front_;
   HttpServer ready_;
   HttpServer look_ups_;
--- a/daemon/src/daemon.cc
+++ b/daemon/src/daemon.cc
@@ -5,6 +5,7 @@
 
 #include "internal/backend_client.h"
 #include "internal/caller_api.h"
+#include "internal/client_limits.h"
 #include "internal/configuration_watcher.h"
 #include "scaleshed/runtime/address.h"
 #include "scaleshed/runtime/log.h"
@@ -57,9 +58,13 @@
       peer_http_(loop),
       platform_(loop,
                 {.address = settings.platform, .timeout = kPlatformTimeout}),
+      budget_(std::make_shared<ConnectionBudget>(ConnectionBudgetOptions{
+          .max_bytes =
+              ClientLimitsOf(settings, settings.max_body_bytes).max_bytes})),
       http_(loop,
             {.address = settings.listen,
-             .max_body_bytes = settings.max_body_bytes},
+             .max_body_bytes = settings.max_body_bytes,
+             .budget = budget_},
             [this](const std::shared_ptr<HttpExchange>& exchange) {
               callers_->Handle(exchange);
             }),
@@ -254,6 +259,9 @@
 }
 
 void Daemon::UpdateGauges() {
+  metrics_.Set("connections_open", static_cast<double>(http_.connections()));
+  metrics_.Set("connections_held_bytes",
+               static_cast<double>(budget_->held_bytes()));
   metrics_.Set("platform_calls", static_cast<double>(platform_.calls()));
   metrics_.Set("peer_sent_bytes", static_cast<double>(peers_.sent_bytes()));
   metrics_.Set("peer_received_bytes",
--- a/daemon/src/fleet_daemon.cc
+++ b/daemon/src/fleet_daemon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "internal/backend_calls.h"
+#include "internal/client_limits.h"
 #include "internal/fleet_metrics.h"
 #include "internal/store_follower.h"
 #include "scaleshed/platform/messages.h"
@@ -23,6 +24,23 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
+// Bodies of requests that have no use for one.
+constexpr std::int64_t kMaxUnusedBodyBytes = 1024;
+// Retry-After of a relayed request that this daemon's listener refuses.
+constexpr Duration kRelayRetryAfter = seconds(1);
+
+// What a daemon that relays a request is told by a refusal of the listener: the
+// request didn't run.
+HttpHeaders RelayRefusalHeaders() {
+  const RelayOutcome outcome{.refusal = serving::Refusal::kOverload,
+                             .retry_after = kRelayRetryAfter};
+  return {{kRelayOutcomeHeader, RelayOutcomeText(outcome)},
+          {kRelayRetryHeader, RelayRetryText(outcome)}};
+}
+
+ClientLimits LimitsOf(const Settings& settings) {
+  return ClientLimitsOf(settings, HttpServerOptions{}.max_body_bytes);
+}
 
 serving::ServingOptions OptionsOf(const Settings& settings) {
   const FleetSettings& fleet = *settings.fleet;
@@ -69,21 +87,38 @@
                if (body) Feed(std::move(*body));
              }),
       metrics_(std::make_unique<FleetMetrics>()),
-      peer_calls_(loop, {.address = settings.peer_listen},
+      budget_(std::make_shared<ConnectionBudget>(
+          ConnectionBudgetOptions{.max_bytes = LimitsOf(settings).max_bytes})),
+      peer_calls_(loop,
+                  {.address = settings.peer_listen,
+                   .budget = budget_,
+                   .refusal_headers = RelayRefusalHeaders()},
                   [this](const auto& exchange) { OnPeerCall(exchange); }),
-      front_(loop, {.address = settings.listen},
+      front_(loop, {.address = settings.listen, .budget = budget_},
              [this](const auto& exchange) { OnRequest(exchange); }),
-      ready_(loop, {.address = settings.fleet->ready_listen},
+      ready_(loop,
+             {.address = settings.fleet->ready_listen,
+              .max_body_bytes = kMaxUnusedBodyBytes,
+              .budget = budget_},
              [this](const auto& exchange) { OnReadyCheck(*exchange); }),
-      look_ups_(loop, {.address = settings.fleet->look_up_listen},
+      look_ups_(loop,
+                {.address = settings.fleet->look_up_listen,
+                 .max_body_bytes = kMaxUnusedBodyBytes,
+                 .budget = budget_},
                 [this](const auto& exchange) { OnLookUp(*exchange); }),
       tick_(loop, [this] { OnTick(); }),
       exit_(loop, [this] { ExitIfSent(); }) {
   for (HttpServer* it : {&front_, &peer_calls_})
     it->OnCut([this](const CutConnection& cut) { OnCut(cut); });
+  front_.OnLargeRequest([this](const HttpRequest& head) {
+    return serving::MayBeServed(state_, platform::ReadRequest(head));
+  });
   if (!settings.fleet->metrics_listen.empty()) {
     metrics_server_ = std::make_unique<HttpServer>(
-        loop, HttpServerOptions{.address = settings.fleet->metrics_listen},
+        loop,
+        HttpServerOptions{.address = settings.fleet->metrics_listen,
+                          .max_body_bytes = kMaxUnusedBodyBytes,
+                          .budget = budget_},
         [this](const auto& exchange) { OnMetrics(*exchange); });
   }
   LogInfo("started", {{"listen", settings.listen},
@@ -299,12 +334,14 @@
     exchanges_.erase(key);
     Feed(serving::ClientDisconnected{.key = key});
   });
+  const bool body_omitted = served.request().body_omitted;
   serving::RequestMetadata facts = platform::ReadRequest(served.request());
   facts.fingerprint = platform::ContentOf(served.request());
   facts.relayed_by = relayed_by;
   served.exchange->SetName(facts.id);
   exchanges_[key] = std::move(served);
-  Feed(serving::RequestArrived{.key = key, .metadata = std::move(facts)});
+  Feed(serving::RequestArrived{
+      .key = key, .metadata = std::move(facts), .body_omitted = body_omitted});
 }
 
 void FleetDaemon::OnPeerCall(const std::shared_ptr<HttpExchange>& exchange) {
@@ -371,16 +408,23 @@
     return;
   }
   exchange.Reply(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
-                 metrics_->Render(state_));
+                 metrics_->Render(state_, *budget_, OpenConnections()));
+}
+
+std::size_t FleetDaemon::OpenConnections() const {
+  std::size_t n = 0;
+  for (const HttpServer* it : {&front_, &peer_calls_, &ready_, &look_ups_})
+    n += it->connections();
+  return metrics_server_ == nullptr ? n : n + metrics_server_->connections();
 }
 
 void FleetDaemon::OnCut(const CutConnection& cut) {
   metrics_->CountCut(cut.stage);
-  // The reducer logs `client_gone` and `broken`.
+  // The reducer logs `client_gone` and `broken`, the server `connection_shed`.
   const bool is_logged =
       cut.stage == ConnectionStage::kAnswering &&
       (cut.end == ConnectionEnd::kClient || cut.end == ConnectionEnd::kAborted);
-  if (is_logged) return;
+  if (is_logged || cut.end == ConnectionEnd::kShed) return;
   LogInfo("connection_cut",
           {{"request", cut.request},
            {"stage", std::string(NameIn(kConnectionStageNames, cut.stage))},
@@ -406,6 +450,11 @@
   options.max_body_bytes += options.max_header_bytes + kEnvelopeBytes;
   options.max_header_bytes = HttpServerOptions{}.max_header_bytes;
   peer_calls_.SetLimits(options);
+  const std::uint64_t max_bytes =
+      ClientLimitsOf(settings_, options.max_body_bytes).max_bytes;
+  if (max_bytes == budget_->max_bytes()) return;
+  budget_->SetMaxBytes(max_bytes);
+  LogInfo("client_memory", {{"max_bytes", std::to_string(max_bytes)}});
 }
 
 void FleetDaemon::Exit() {
--- a/daemon/src/fleet_metrics.cc
+++ b/daemon/src/fleet_metrics.cc
@@ -49,6 +49,19 @@
               static_cast<double>(dispatch.remote_placements.size()));
 }
 
+void RenderClients(std::ostream& out, const ConnectionBudget& budget,
+                   std::size_t open_connections) {
+  RenderGauge(out, "connections_open", static_cast<double>(open_connections));
+  RenderGauge(out, "connections_held_bytes",
+              static_cast<double>(budget.held_bytes()));
+  RenderGauge(out, "connections_max_bytes",
+              static_cast<double>(budget.max_bytes()));
+  for (const auto& [reason, name] : kShedReasonNames) {
+    RenderCounter(out, "connections_shed_" + std::string(name),
+                  budget.shed(reason));
+  }
+}
+
 void RenderRequests(std::ostream& out, const serving::State& state) {
   std::array<double, serving::kPhaseNames.size()> by_phase{};
   for (const auto& [key, request] : state.requests) {
@@ -95,8 +108,11 @@
   });
 }
 
-std::string FleetMetrics::Render(const serving::State& state) const {
+std::string FleetMetrics::Render(const serving::State& state,
+                                 const ConnectionBudget& budget,
+                                 std::size_t open_connections) const {
   std::ostringstream out;
+  RenderClients(out, budget, open_connections);
   for (const auto& [counter, name] : serving::kCounterNames) {
     RenderCounter(out, name, counters_[static_cast<std::size_t>(counter)]);
   }
--- a/daemon/src/internal/fleet_metrics.h
+++ b/daemon/src/internal/fleet_metrics.h
@@ -42,7 +42,9 @@
   void KeepOnly(const serving::Configuration& configuration);
 
   // The text form that monitoring tools scrape.
-  std::string Render(const serving::State& state) const;
+  std::string Render(const serving::State& state,
+                     const ConnectionBudget& budget,
+                     std::size_t open_connections) const;
 
  private:
   struct Sent {
--- a/daemon/src/main.cc
+++ b/daemon/src/main.cc
@@ -3,6 +3,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <exception>
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr int kBadSettings = 2;
+constexpr int kReturnedAtOnceBytes = 128 * 1024;
 
 // Settings may change under a running daemon; what it was started with stays in
 // force until the next start, and a fault in them is told at once.
@@ -53,6 +55,9 @@
 int Run(const scaleshed::Settings& settings, const std::string& file) {
   scaleshed::StartLog(settings.log_level, settings.instance);
   std::signal(SIGPIPE, SIG_IGN);
+  // The allocator would raise the size from which memory is given back to the
+  // system at once with the first large body that is freed.
+  mallopt(M_MMAP_THRESHOLD, kReturnedAtOnceBytes);
   if (settings.fleet) return RunDaemon<scaleshed::FleetDaemon>(settings, file);
   return RunDaemon<scaleshed::Daemon>(settings, file);
 }
--- a/runtime/include/scaleshed/runtime/http_server.h
+++ b/runtime/include/scaleshed/runtime/http_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "scaleshed/runtime/connection_budget.h"
 #include "scaleshed/runtime/event_loop.h"
 #include "scaleshed/runtime/http_headers.h"
 
@@ -44,13 +45,15 @@
   kAborted,  // the handler, see HttpExchange::Abort()
   kServer,   // the server itself ends
   kUnread,   // the client takes a stream too slowly for it to be held
+  kShed,     // for the others, see ShedReason
 };
-inline constexpr NameTable<ConnectionEnd, 5> kConnectionEndNames{{
+inline constexpr NameTable<ConnectionEnd, 6> kConnectionEndNames{{
     {ConnectionEnd::kClient, "client"},
     {ConnectionEnd::kTimeout, "timeout"},
     {ConnectionEnd::kAborted, "aborted"},
     {ConnectionEnd::kServer, "server"},
     {ConnectionEnd::kUnread, "unread"},
+    {ConnectionEnd::kShed, "shed"},
 }};
 
 // A connection that ended in the middle of something.
@@ -69,6 +72,9 @@
   HttpHeaders headers;
   std::string body;  // without any chunking
   int minor_version = 1;
+  // The body wasn't read, see HttpServer::OnLargeRequest(). Such a request must
+  // be refused.
+  bool body_omitted = false;
 };
 
 // One request to an HttpServer, and its answer: either Reply(), or
@@ -109,6 +115,8 @@
   void Abort();
   bool finished() const { return finished_; }
 
+  // Keeps the charge for the request's body as long as this lives.
+  void Hold(BudgetCharge charge) { charge_ = std::move(charge); }
   // Called once if the client goes before the answer is complete.
   void OnClosed(std::function<void()> handler) { closed_ = std::move(handler); }
   // Used by the server when the connection closes.
@@ -122,6 +130,7 @@
 
   std::weak_ptr<internal::ServerConnection> connection_;
   HttpRequest request_;
+  BudgetCharge charge_;
   std::string path_;
   std::string query_;
   bool close_after_ = false;
@@ -141,6 +150,11 @@
   // A connection at rest, without a request or unsent bytes of an answer, is
   // closed after so long, and a body of which nothing came for so long refused.
   Duration idle_timeout = seconds(120);
+  // For what connections hold; may be shared with other servers. Empty: no
+  // bound over connections.
+  std::shared_ptr<ConnectionBudget> budget;
+  // Further headers of the server's own refusals.
+  HttpHeaders refusal_headers;
 };
 
 // An HTTP/1.1 server on a loop. Requests that are over the limits, late, or
@@ -150,6 +164,8 @@
  public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
   using CutHandler = std::function<void(const CutConnection&)>;
+  // Gets a request without its body; tells whether it may be served.
+  using HeadCheck = std::function<bool(const HttpRequest&)>;
 
   // Throws std::runtime_error where the address can't be listened on.
   HttpServer(EventLoop& loop, const HttpServerOptions& options,
@@ -162,7 +178,12 @@
   // Calls `handler` for each connection that ends in the middle of something,
   // whoever ends it.
   void OnCut(CutHandler handler) { cut_ = std::move(handler); }
-  // For requests that begin from now on.
+  // Calls `check` for each request of more than ConnectionBudget::kSmallBytes
+  // before its body is read. One that can't be served goes to the handler at
+  // once, without its body, and its connection is closed behind the answer.
+  void OnLargeRequest(HeadCheck check) { head_check_ = std::move(check); }
+  // Takes sizes and timeouts of requests that begin from now on; the other
+  // options stay.
   void SetLimits(const HttpServerOptions& options);
   // Accepts no new connections; those open go on.
   void StopAccepting();
@@ -181,7 +202,10 @@
   EventLoop& loop_;
   HttpServerOptions options_;
   Handler handler_;
+  std::uint64_t HeldBytes() const;
+
   CutHandler cut_;
+  HeadCheck head_check_;
   evconnlistener* listener_ = nullptr;
   std::uint16_t port_ = 0;
   std::map<const internal::ServerConnection*,
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -178,9 +178,10 @@
 }
 
 void HttpServer::SetLimits(const HttpServerOptions& options) {
-  const std::string address = std::move(options_.address);
-  options_ = options;
-  options_.address = address;
+  options_.max_body_bytes = options.max_body_bytes;
+  options_.max_header_bytes = options.max_header_bytes;
+  options_.header_timeout = options.header_timeout;
+  options_.idle_timeout = options.idle_timeout;
 }
 
 void HttpServer::StopAccepting() {
@@ -211,4 +212,8 @@
   connection->Open();
 }
 
+std::uint64_t HttpServer::HeldBytes() const {
+  return options_.budget == nullptr ? 0 : options_.budget->held_bytes();
+}
+
 }  // namespace scaleshed
--- a/runtime/src/internal/server_connection.h
+++ b/runtime/src/internal/server_connection.h
@@ -8,6 +8,8 @@
 #include <optional>
 #include <string>
 
+#include "internal/rate_meter.h"
+#include "internal/shedding.h"
 #include "internal/unreserved_body.h"
 #include "scaleshed/runtime/http_server.h"
 
@@ -31,6 +33,12 @@
   // Breaks the connection, soon, if its client leaves too much of a stream.
   void LimitUnsentStream();
   void CloseIfIdle();
+  ConnectionLoad Load(Time now);
+  // Charges what the connection holds now.
+  void UpdateCharge();
+  // Gives up what was chosen, so that others can go on.
+  void Shed(ShedReason reason);
+  bool HasUnreadBytes() const;
   bool client_keeps() const { return client_keeps_; }
   ConnectionStage Stage() const;
   // See HttpExchange::remote_address().
@@ -48,7 +56,7 @@
   // Of the answers' bytes, those that the buffer holds.
   std::size_t UnsentBytes() const;
   std::uint64_t BytesTaken() const;
-  bool HasUnreadBytes() const;
+  std::uint64_t BodyBytes() const;
   // Waits for the client to take some of the unsent bytes.
   void AwaitClient();
   void ReadRequests();
@@ -56,8 +64,18 @@
   bool ReadSome();
   bool BeginHead();
   bool CheckParsedHead();
-  void Dispatch();
-  void Refuse(int status, const std::string& message);
+  // Of a large request, before its body is whole. Returns false if nothing more
+  // of it is to be read.
+  bool CheckLargeRequest();
+  // Makes connections give something up if this one takes the sum over the
+  // budget. Not to be called from within the handler.
+  void ShedIfOver();
+  void DiscardInput();
+  void AwaitEndOfInput();
+  HttpRequest TakeRequest();
+  void Dispatch(HttpRequest request);
+  void Refuse(int status, const std::string& message,
+              std::optional<Duration> retry_after = std::nullopt);
   void CloseAfterWriting();
 
   HttpServer* server_;
@@ -70,7 +88,19 @@
   Time request_began_{};
   std::uint64_t written_ = 0;       // bytes of answers, sent or not
   std::uint64_t taken_before_ = 0;  // BytesTaken() as AwaitClient() began
+  BudgetCharge charge_;
+  RateMeter request_meter_;
+  RateMeter answer_meter_;
+  std::size_t head_bytes_ = 0;       // of an unfinished head
+  std::size_t socket_bytes_ = 0;     // that reading has been suspended with
+  bool answer_metered_ = false;      // answer_meter_ knows of the unsent bytes
+  std::uint64_t metered_taken_ = 0;  // BytesTaken() as answer_meter_ was told
+  std::uint64_t discarded_bytes_ = 0;  // since all was sent
+  Time linger_until_{};
   bool reading_head_ = false;
+  bool checked_large_ = false;  // see CheckLargeRequest()
+  bool discards_ = false;       // what comes belongs to no request any more
+  bool sheds_soon_ = false;     // ShedIfOver() is to be called from the loop
   bool answering_ = false;
   bool client_keeps_ = true;
   bool closing_ = false;
--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -21,10 +21,19 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
+constexpr int kUnavailable = 503;
+
+// When a request that was refused for lack of memory is worth another try: slow
+// requests have been found by then.
+constexpr Duration kRetryAfterShed = seconds(1);
 
 // How long a closing connection waits for its client once all is sent, so that
 // bytes still on the way don't reset it before the last answer was read.
 constexpr Duration kLinger = seconds(1);
+// The same for a client that goes on sending.
+constexpr Duration kMaxLinger = seconds(5);
+// Bytes that such a client may still send, or a whole body where that is more.
+constexpr std::int64_t kLeastDiscardedBytes = 4 * 1024 * 1024;
 // A client that takes no byte of an answer for so long is cut off. The idle
 // time is for connections at rest, and may be shorter.
 constexpr Duration kUnsentLimit = seconds(10);
@@ -59,13 +68,35 @@
   return static_cast<std::size_t>(std::distance(range.first, range.second));
 }
 
+HttpRequest HeadOf(const http::request<UnreservedBody>& message) {
+  HttpRequest request{.method = std::string(message.method_string()),
+                      .target = std::string(message.target()),
+                      .headers = {},
+                      .body = {},
+                      .minor_version = message.version() >= 11 ? 1 : 0};
+  for (const auto& it : message) {
+    request.headers.Add(std::string(it.name_string()), std::string(it.value()));
+  }
+  return request;
+}
+
+std::size_t ReceiveBufferBytes(int fd) {
+  int bytes = 0;
+  socklen_t length = sizeof(bytes);
+  const int failed = getsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, &length);
+  return failed == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(HttpServer& server, int fd)
     : server_(&server),
       bev_(bufferevent_socket_new(server.loop_.base(), fd,
                                   BEV_OPT_CLOSE_ON_FREE)),
-      timer_(server.loop_, [this] { OnTime(); }) {
+      timer_(server.loop_, [this] { OnTime(); }),
+      charge_(server.options_.budget) {
+  if (server.options_.budget != nullptr)
+    server.options_.budget->connections_.insert(this);
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnackedLimitMillis,
@@ -83,9 +114,15 @@
   timer_.Once(server_->options_.idle_timeout);
 }
 
-void ServerConnection::OnRead(bufferevent* /*bev*/, void* arg) {
+void ServerConnection::OnRead(bufferevent* bev, void* arg) {
   const auto self = static_cast<ServerConnection*>(arg)->shared_from_this();
+  const bool suspended =
+      self->answering_ &&
+      evbuffer_get_length(bufferevent_get_input(bev)) >= kReadAheadBytes;
+  if (suspended)
+    self->socket_bytes_ = ReceiveBufferBytes(bufferevent_getfd(bev));
   self->ReadRequests();
+  if (!self->closed_) self->ShedIfOver();
 }
 
 void ServerConnection::OnWritten(bufferevent* /*bev*/, void* arg) {
@@ -146,8 +183,10 @@
 
 void ServerConnection::Write(const std::string& bytes) {
   if (closed_) return;
+  if (UnsentBytes() == 0) answer_metered_ = false;
   bufferevent_write(bev_, bytes.data(), bytes.size());
   written_ += bytes.size();
+  UpdateCharge();
 }
 
 std::size_t ServerConnection::UnsentBytes() const {
@@ -158,6 +197,84 @@
   return written_ - UnsentBytes();
 }
 
+std::uint64_t ServerConnection::BodyBytes() const {
+  return parser_ ? parser_->get().body().capacity() : 0;
+}
+
+void ServerConnection::UpdateCharge() {
+  if (closed_) return;
+  charge_.Set(evbuffer_get_length(bufferevent_get_input(bev_)) + socket_bytes_ +
+              BodyBytes() + UnsentBytes());
+}
+
+void ServerConnection::ShedIfOver() {
+  UpdateCharge();
+  const auto& budget = server_->options_.budget;
+  if (budget != nullptr && budget->IsOver(charge_.bytes()))
+    budget->Shed(charge_.bytes(), server_->loop_.Now());
+}
+
+ConnectionLoad ServerConnection::Load(Time now) {
+  ConnectionLoad load{.stage = Stage()};
+  const std::uint64_t read =
+      evbuffer_get_length(bufferevent_get_input(bev_)) + socket_bytes_;
+  if (answering_) {
+    load.read_ahead_bytes = read;
+  } else {
+    load.request_bytes = read + BodyBytes();
+  }
+  load.reads_head = reading_head_;
+  load.reads_body = parser_.has_value();
+  const bool reads = load.reads_head || load.reads_body;
+  load.since = request_began_;
+  if (reads) load.request_rate = request_meter_.Rate(now);
+  load.unsent_bytes = UnsentBytes();
+  if (load.unsent_bytes > 0) {
+    const std::uint64_t taken = BytesTaken();
+    if (!std::exchange(answer_metered_, true)) {
+      answer_meter_.Start(now);
+      metered_taken_ = taken;
+    }
+    answer_meter_.Add(taken - std::exchange(metered_taken_, taken), now);
+    load.answer_rate = answer_meter_.Rate(now);
+  }
+  return load;
+}
+
+void ServerConnection::Shed(ShedReason reason) {
+  const auto self = shared_from_this();
+  LogRoutine("connection_shed",
+             {{"why", std::string(NameIn(kShedReasonNames, reason))},
+              {"request", request_name_},
+              {"stage", std::string(NameIn(kConnectionStageNames, Stage()))},
+              {"bytes", std::to_string(charge_.bytes())},
+              {"held_bytes", std::to_string(server_->HeldBytes())},
+              {"connections", std::to_string(server_->connections())}});
+  switch (reason) {
+    case ShedReason::kReadAhead:
+      client_keeps_ = false;
+      DiscardInput();
+      break;
+    case ShedReason::kSlowRequest:
+    case ShedReason::kNewestRequest:
+      Refuse(kUnavailable, "no memory is left for the request\n",
+             kRetryAfterShed);
+      break;
+    case ShedReason::kUnreadAnswer:
+      Break(ConnectionEnd::kShed);
+      return;
+  }
+  UpdateCharge();
+}
+
+void ServerConnection::DiscardInput() {
+  discards_ = true;
+  socket_bytes_ = 0;
+  evbuffer* in = bufferevent_get_input(bev_);
+  discarded_bytes_ += evbuffer_get_length(in);
+  evbuffer_drain(in, evbuffer_get_length(in));
+}
+
 bool ServerConnection::HasUnreadBytes() const {
   char first = 0;
   return evbuffer_get_length(bufferevent_get_input(bev_)) > 0 ||
@@ -177,10 +294,10 @@
 }
 
 void ServerConnection::ReadRequests() {
-  if (closing_) {
+  if (closing_ || discards_) {
     // What comes after the last answer belongs to no request.
-    evbuffer* in = bufferevent_get_input(bev_);
-    evbuffer_drain(in, evbuffer_get_length(in));
+    DiscardInput();
+    AwaitEndOfInput();
     return;
   }
   while (!closed_ && !answering_ && !closing_ && ReadSome()) {
@@ -214,13 +331,42 @@
     return false;
   }
   if (parser_->is_done()) {
-    Dispatch();
+    Dispatch(TakeRequest());
     return true;
   }
-  if (used > 0) timer_.Once(server_->options_.idle_timeout);
+  if (!CheckLargeRequest()) return false;
+  const bool awaits_continue =
+      !had_head && parser_->is_header_done() &&
+      boost::beast::iequals(parser_->get()[http::field::expect],
+                            "100-continue");
+  if (awaits_continue) Write("HTTP/1.1 100 Continue\r\n\r\n");
+  if (used > 0) {
+    request_meter_.Add(used, server_->loop_.Now());
+    timer_.Once(server_->options_.idle_timeout);
+  }
   return used > 0;
 }
 
+bool ServerConnection::CheckLargeRequest() {
+  if (checked_large_ || !parser_->is_header_done()) return true;
+  const std::uint64_t named = parser_->content_length().value_or(0);
+  const std::uint64_t bytes =
+      std::max<std::uint64_t>(named, parser_->get().body().size());
+  const bool is_large = bytes > ConnectionBudget::kSmallBytes;
+  if (is_large && !std::exchange(checked_large_, true)) {
+    HttpRequest head = HeadOf(parser_->get());
+    if (server_->head_check_ && !server_->head_check_(head)) {
+      head.body_omitted = true;
+      parser_.reset();
+      client_keeps_ = false;
+      DiscardInput();
+      Dispatch(std::move(head));
+      return false;
+    }
+  }
+  return true;
+}
+
 // Waits for a whole head, so that it can be looked at as one piece.
 bool ServerConnection::BeginHead() {
   evbuffer* in = bufferevent_get_input(bev_);
@@ -229,6 +375,9 @@
   if (!std::exchange(reading_head_, true)) {
     request_name_.clear();
     request_began_ = server_->loop_.Now();
+    request_meter_.Start(request_began_);
+    head_bytes_ = 0;
+    checked_large_ = false;
     timer_.Once(server_->options_.header_timeout);
   }
   const evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, nullptr);
@@ -238,7 +387,11 @@
     Refuse(kHeadersTooLarge, "the head is over the limit\n");
     return false;
   }
-  if (end.pos < 0) return false;
+  if (end.pos < 0) {
+    request_meter_.Add(size - std::exchange(head_bytes_, size),
+                       server_->loop_.Now());
+    return false;
+  }
   const auto* bytes = reinterpret_cast<const char*>(
       evbuffer_pullup(in, static_cast<ev_ssize_t>(size)));
   if (!IsPlainHead({bytes, size})) {
@@ -269,34 +422,34 @@
     Refuse(kBadRequest, "the request has no single length or host\n");
     return false;
   }
-  if (!parser_->is_done() &&
-      boost::beast::iequals(request[http::field::expect], "100-continue")) {
-    Write("HTTP/1.1 100 Continue\r\n\r\n");
-  }
   return true;
 }
 
-void ServerConnection::Dispatch() {
+HttpRequest ServerConnection::TakeRequest() {
   http::request<UnreservedBody> message = parser_->release();
   client_keeps_ = message.keep_alive();
   parser_.reset();
+  HttpRequest request = HeadOf(message);
+  request.body = std::move(message.body());
+  return request;
+}
+
+void ServerConnection::Dispatch(HttpRequest request) {
   answering_ = true;
   timer_.Cancel();
-  HttpRequest request{.method = std::string(message.method_string()),
-                      .target = std::string(message.target()),
-                      .headers = {},
-                      .body = std::move(message.body()),
-                      .minor_version = message.version() >= 11 ? 1 : 0};
-  for (const auto& it : message) {
-    request.headers.Add(std::string(it.name_string()), std::string(it.value()));
-  }
+  // The request's own body, and the copy of it that is sent on.
+  BudgetCharge charge(server_->options_.budget);
+  charge.Set(request.body.capacity() + request.body.size());
+  UpdateCharge();
   auto exchange =
       std::make_shared<HttpExchange>(weak_from_this(), std::move(request));
+  exchange->Hold(std::move(charge));
   exchange_ = exchange;
   server_->handler_(std::move(exchange));
 }
 
-void ServerConnection::Refuse(int status, const std::string& message) {
+void ServerConnection::Refuse(int status, const std::string& message,
+                              std::optional<Duration> retry_after) {
   LogInfo(
       "request_unread",
       {{"status", std::to_string(status)},
@@ -305,19 +458,29 @@
                                        server_->loop_.Now() - request_began_)
                                        .count())}});
   const auto reason = http::obsolete_reason(static_cast<http::status>(status));
-  Write("HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) +
-        "\r\nContent-Type: text/plain\r\nContent-Length: " +
+  std::string head =
+      "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\n";
+  for (const auto& [name, value] : server_->options_.refusal_headers)
+    head.append(name).append(": ").append(value).append("\r\n");
+  if (retry_after) {
+    const auto whole = std::chrono::ceil<seconds>(*retry_after).count();
+    head += "Retry-After: " + std::to_string(whole) + "\r\n";
+  }
+  Write(head + "Content-Type: text/plain\r\nContent-Length: " +
         std::to_string(message.size()) + "\r\nConnection: close\r\n\r\n" +
         message);
   parser_.reset();
   reading_head_ = false;
   closing_ = true;
+  DiscardInput();
+  UpdateCharge();
   AwaitClient();
 }
 
 void ServerConnection::AnswerDone(bool close) {
   if (closed_) return;
   answering_ = false;
+  socket_bytes_ = 0;
   closing_ = close || !client_keeps_;
   if (UnsentBytes() > 0) {
     AwaitClient();
@@ -336,9 +499,25 @@
 void ServerConnection::CloseAfterWriting() {
   if (closed_ || std::exchange(half_closed_, true)) return;
   shutdown(bufferevent_getfd(bev_), SHUT_WR);
+  linger_until_ = server_->loop_.Now() + kMaxLinger;
+  discarded_bytes_ = 0;
   timer_.Once(kLinger);
 }
 
+// A client that is in the middle of a request may read its answer only once it
+// has sent all of it.
+void ServerConnection::AwaitEndOfInput() {
+  if (!half_closed_) return;
+  const Duration left = linger_until_ - server_->loop_.Now();
+  const auto most = static_cast<std::uint64_t>(
+      std::max(server_->options_.max_body_bytes, kLeastDiscardedBytes));
+  if (left <= Duration::zero() || discarded_bytes_ > most) {
+    Break(ConnectionEnd::kTimeout);
+  } else {
+    timer_.Once(std::min(kLinger, left));
+  }
+}
+
 void ServerConnection::Break(ConnectionEnd end) {
   if (std::exchange(closed_, true)) return;
   const auto self = shared_from_this();
@@ -349,6 +528,10 @@
                           .age = server_->loop_.Now() - request_began_};
   timer_.Cancel();
   bufferevent_free(std::exchange(bev_, nullptr));
+  parser_.reset();
+  charge_.Set(0);
+  if (server_->options_.budget != nullptr)
+    server_->options_.budget->connections_.erase(this);
   if (const auto exchange = exchange_.lock(); exchange && answering_) {
     exchange->ConnectionClosed();
   }
@@ -361,7 +544,16 @@
 }
 
 void ServerConnection::LimitUnsentStream() {
-  if (closed_ || UnsentBytes() <= kMaxUnsentStreamBytes) return;
+  if (closed_) return;
+  const auto& budget = server_->options_.budget;
+  if (budget != nullptr && budget->IsOver(charge_.bytes()) &&
+      !std::exchange(sheds_soon_, true)) {
+    server_->loop_.Defer([self = shared_from_this()] {
+      self->sheds_soon_ = false;
+      if (!self->closed_) self->ShedIfOver();
+    });
+  }
+  if (UnsentBytes() <= kMaxUnsentStreamBytes) return;
   // Not from within the handler, which is told of the end.
   server_->loop_.Defer(
       [self = shared_from_this()] { self->Break(ConnectionEnd::kUnread); });
--- a/serving/include/scaleshed/serving/events.h
+++ b/serving/include/scaleshed/serving/events.h
@@ -54,6 +54,8 @@
 struct RequestArrived {
   RequestKey key = 0;
   RequestMetadata metadata;
+  // MayBeServed() was false for it, and its body wasn't read.
+  bool body_omitted = false;
 };
 
 // The client has disconnected before its response was complete.
--- a/serving/include/scaleshed/serving/reducer.h
+++ b/serving/include/scaleshed/serving/reducer.h
@@ -28,6 +28,10 @@
 // its network paths to the backend servers that other daemons reach.
 bool TakesClients(const State& state);
 
+// Whether a request whose head has arrived may be served, as far as the route
+// and the API key tell. If not, it is refused whatever its body is.
+bool MayBeServed(const State& state, const RequestMetadata& metadata);
+
 // Whether this daemon holds the lease of the warm-up granter.
 bool IsWarmUpGranter(const State& state);
 
--- a/serving/src/admission.cc
+++ b/serving/src/admission.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "internal/steps.h"
 #include "scaleshed/serving/reducer.h"
@@ -93,50 +94,51 @@
                       : kRetryAfterNoDaemonServes;
 }
 
-// Refuses a request that can't be served whatever the load: state that is
-// missing or outdated, an unknown route, an unknown key. Returns true if it
-// did; else `route`, and for a route that needs a key `account`, are set.
-bool RefuseIfNotServable(State& state, const RequestArrived& event,
-                         const Route*& route, const ClientAccount*& account) {
+// Why a request can't be served whatever the load, and the Retry-After.
+struct Obstacle {
+  Refusal reason = Refusal::kNoConfiguration;
+  Duration retry_after{};
+};
+
+// What a request is served by; the account is nullptr where none is needed.
+struct Admission {
+  const Route* route = nullptr;
+  const ClientAccount* account = nullptr;
+};
+
+// Looks for state that is missing or outdated, an unknown route, an unknown
+// key.
+std::variant<Admission, Obstacle> CheckServable(
+    const State& state, const RequestMetadata& metadata) {
   if (!state.configuration) {
-    RefuseImmediately(state, event, Refusal::kNoConfiguration,
-                      kRetryAfterNoDaemonServes);
-    return true;
+    return Obstacle{.reason = Refusal::kNoConfiguration,
+                    .retry_after = kRetryAfterNoDaemonServes};
   }
-  const RequestMetadata& metadata = event.metadata;
-  route = state.configuration->FindRoute(metadata.host, metadata.path);
+  const Route* route =
+      state.configuration->FindRoute(metadata.host, metadata.path);
   const bool fresh = IsFresh(state);
   // The newest configuration may have another route, or one where this
   // configuration has none.
   if (!IsConfigurationUsable(state) || (route == nullptr && !fresh)) {
-    RefuseImmediately(state, event, Refusal::kConfigurationStale,
-                      RetryAfterForStaleState(state));
-    return true;
-  }
-  if (route == nullptr) {
-    RefuseImmediately(state, event, Refusal::kUnknownRoute, Duration::zero());
-    return true;
+    return Obstacle{.reason = Refusal::kConfigurationStale,
+                    .retry_after = RetryAfterForStaleState(state)};
   }
+  if (route == nullptr) return Obstacle{.reason = Refusal::kUnknownRoute};
   // A listed backend server may be gone by now.
   if (!AreBackendsUsable(state)) {
-    RefuseImmediately(state, event, Refusal::kBackendListStale,
-                      RetryAfterForStaleState(state));
-    return true;
+    return Obstacle{.reason = Refusal::kBackendListStale,
+                    .retry_after = RetryAfterForStaleState(state)};
   }
   const bool needs_key =
       !route->is_public && state.configuration->configuration().accounts;
-  if (!needs_key) return false;
+  if (!needs_key) return Admission{.route = route};
   if (!fresh) {
-    RefuseImmediately(state, event, Refusal::kConfigurationStale,
-                      RetryAfterForStaleState(state));
-    return true;
-  }
-  account = AccountOf(state, metadata);
-  if (account == nullptr) {
-    RefuseImmediately(state, event, Refusal::kUnknownKey, Duration::zero());
-    return true;
+    return Obstacle{.reason = Refusal::kConfigurationStale,
+                    .retry_after = RetryAfterForStaleState(state)};
   }
-  return false;
+  const ClientAccount* account = AccountOf(state, metadata);
+  if (account == nullptr) return Obstacle{.reason = Refusal::kUnknownKey};
+  return Admission{.route = route, .account = account};
 }
 
 // Whether this daemon has just started and its state has not yet been confirmed
@@ -160,9 +162,18 @@
                       kRetryAfterNoDaemonServes);
     return;
   }
-  const Route* route = nullptr;
-  const ClientAccount* account = nullptr;
-  if (RefuseIfNotServable(state, event, route, account)) return;
+  const auto checked = CheckServable(state, event.metadata);
+  if (const auto* obstacle = std::get_if<Obstacle>(&checked)) {
+    RefuseImmediately(state, event, obstacle->reason, obstacle->retry_after);
+    return;
+  }
+  // What was missing has come since the request's head was looked at.
+  if (event.body_omitted) {
+    RefuseImmediately(state, event, Refusal::kConfigurationStale,
+                      kRetryAfterOtherDaemonServes);
+    return;
+  }
+  const auto& [route, account] = std::get<Admission>(checked);
   if (state.stop_at && IsStream(route->kind) &&
       state.now - *state.stop_at > kStreamAdmissionTimeWhileStopping) {
     RefuseImmediately(state, event, Refusal::kStopping,
@@ -222,7 +233,7 @@
 
 void AdmitRequest(State& state, const RequestArrived& event) {
   state.effects.emplace_back(IncrementCounter{Counter::kRequests});
-  if (AwaitsFirstConfiguration(state) &&
+  if (AwaitsFirstConfiguration(state) && !event.body_omitted &&
       state.early_requests.size() < kMaxEarlyRequests) {
     state.early_requests.push_back({.request = event, .arrived = state.now});
     return;
@@ -335,3 +346,13 @@
 }
 
 }  // namespace scaleshed::serving::internal
+
+namespace scaleshed::serving {
+
+bool MayBeServed(const State& state, const RequestMetadata& metadata) {
+  if (internal::AwaitsFirstConfiguration(state)) return true;
+  return std::holds_alternative<internal::Admission>(
+      internal::CheckServable(state, metadata));
+}
+
+}  // namespace scaleshed::serving
--- a/serving/test/reducer_test.cc
+++ b/serving/test/reducer_test.cc
@@ -30,6 +30,30 @@
   CHECK(daemon.FirstEffect<StartAttempt>() != nullptr);
 }
 
+// Guards against a request without its body being sent to a server.
+TEST_CASE("A request whose body was left out is refused") {
+  Daemon daemon;
+  const auto refusal_of = [&](const std::string& path, const char* key) {
+    const RequestMetadata metadata{.id = "r",
+                                   .host = "h",
+                                   .path = path,
+                                   .keys = {key},
+                                   .deadline = seconds(4)};
+    const bool may_be_served = MayBeServed(daemon.state(), metadata);
+    daemon.Feed(RequestArrived{.key = daemon.next_key() + 100,
+                               .metadata = metadata,
+                               .body_omitted = true});
+    CHECK(daemon.FirstEffect<StartAttempt>() == nullptr);
+    const auto* refusal = daemon.FirstEffect<Refuse>();
+    REQUIRE(refusal != nullptr);
+    CHECK(may_be_served == (refusal->status == 503));
+    return refusal->status;
+  };
+  CHECK(refusal_of("/safe/x", "unknown") == 401);
+  CHECK(refusal_of("/nowhere/x", "k") == 404);
+  CHECK(refusal_of("/safe/x", "k") == 503);
+}
+
 // Guards against requests for a service that the configuration gives no part of
 // its route.
 TEST_CASE("A route whose shares weigh nothing is served by no service") {
