Silent connections: descriptors are kept for servers, the store and other daemons

What callers saw: beside 4,800 connections that said nothing, none of ten ordinary requests was served; look-ups and readiness were not answered either.

Cause: a listener took every connection, and a failed accept was tried again without pause. Without descriptors nothing opens to servers, to the store or to other daemons.

Evidence: client_crowds_test "Silent connections leave descriptors to others", 800 connections at each listener of a daemon with 600 descriptors, crowd and bounds fixed before the product changed.

Change: each listener has a share of the process's sockets; a connection beyond it closes one that ends anyway, one that never asked, the one longest at rest, or a request that comes slowly, and is closed unread where all are in use. New setting `max_descriptors`, by default the limit of the process. A listener that can't accept pauses for 50 ms.

--- a/config/include/scaleshed/config/settings.h
+++ b/config/include/scaleshed/config/settings.h
@@ -65,6 +65,8 @@
   std::int64_t max_body_bytes = 16 * 1024 * 1024;
   // Of the machine, for this process; clients' connections may take a part.
   double memory_mb = 160;
+  // Open descriptors of this process, at most; none: what the system allows.
+  std::optional<std::int64_t> max_descriptors;
   // Where set, the daemon serves the platform's clients instead of its own API.
   std::optional<FleetSettings> fleet;
 };
--- a/config/src/settings.cc
+++ b/config/src/settings.cc
@@ -19,6 +19,8 @@
 constexpr std::int64_t kMostBodyBytes = 256 * 1024 * 1024;
 constexpr std::int64_t kOneHourMillis = 3'600'000;
 constexpr double kMostMemoryMb = 1e6;
+constexpr std::int64_t kLeastDescriptors = 64;
+constexpr std::int64_t kMostDescriptors = 10'000'000;
 constexpr double kMostSeconds = 3600;
 constexpr double kMostRepeats = 1e6;
 constexpr double kMostOverage = 1000;
@@ -107,6 +109,9 @@
       "max_body_bytes", {1024, kMostBodyBytes}, settings.max_body_bytes);
   settings.memory_mb =
       reader.Number("memory_mb", {16, kMostMemoryMb}, settings.memory_mb);
+  const std::int64_t descriptors =
+      reader.Whole("max_descriptors", {kLeastDescriptors, kMostDescriptors}, 0);
+  if (descriptors > 0) settings.max_descriptors = descriptors;
   const YAML::Node fleet = reader.Child("fleet");
   if (fleet.IsDefined()) settings.fleet = ReadFleet(file, fleet, errors);
   reader.Finish();
--- a/config/test/config_test.cc
+++ b/config/test/config_test.cc
@@ -54,6 +54,24 @@
   CHECK(configuration.accounts.at("acme").limits.tokens_in_flight == 20);
 }
 
+TEST_CASE("A setting of the machine that is empty keeps its default") {
+  const auto parse = [](const std::string& machine) {
+    return ParseSettings("s.yaml",
+                         "instance: a\ndata_centre: z\nlisten: 1.1.1.1:1\n"
+                         "peer_listen: 1.1.1.1:2\nplatform: 1.1.1.1:3\n" +
+                             machine);
+  };
+  const auto given = parse("memory_mb: 260.5\nmax_descriptors: 4100\n");
+  REQUIRE(ValueOf(given) != nullptr);
+  CHECK(ValueOf(given)->memory_mb == 260.5);
+  CHECK(ValueOf(given)->max_descriptors == 4100);
+  const auto empty = parse("memory_mb: \nmax_descriptors: \n");
+  REQUIRE(ValueOf(empty) != nullptr);
+  CHECK(ValueOf(empty)->memory_mb == 160);
+  CHECK_FALSE(ValueOf(empty)->max_descriptors);
+  CHECK(ValueOf(parse("max_descriptors: 3\n")) == nullptr);
+}
+
 TEST_CASE("Text that is no YAML, or no mapping, is refused with its line") {
   CHECK(
       Errors({{"fleet", {"fleet.yaml", "models: [\n"}}}).find("fleet.yaml:") ==
--- a/daemon/src/daemon.cc
+++ b/daemon/src/daemon.cc
@@ -64,6 +64,8 @@
       http_(loop,
             {.address = settings.listen,
              .max_body_bytes = settings.max_body_bytes,
+             .max_connections =
+                 ClientLimitsOf(settings, settings.max_body_bytes).max_callers,
              .budget = budget_},
             [this](const std::shared_ptr<HttpExchange>& exchange) {
               callers_->Handle(exchange);
--- a/runtime/include/scaleshed/runtime/connection_budget.h
+++ b/runtime/include/scaleshed/runtime/connection_budget.h
@@ -22,12 +22,18 @@
   kSlowRequest,     // the request came too slowly while memory was short
   kNewestRequest,   // the last one to begin while memory was short
   kUnreadAnswer,    // its client doesn't read while memory is short
+  kIdle,            // at rest, and closed for a new connection
+  kSlowConnection,  // a request came too slowly while connections were short
+  kNewConnection,   // closed at once, as no other one could be
 };
-inline constexpr NameTable<ShedReason, 4> kShedReasonNames{{
+inline constexpr NameTable<ShedReason, 7> kShedReasonNames{{
     {ShedReason::kReadAhead, "read_ahead"},
     {ShedReason::kSlowRequest, "slow_request"},
     {ShedReason::kNewestRequest, "newest_request"},
     {ShedReason::kUnreadAnswer, "unread_answer"},
+    {ShedReason::kIdle, "idle"},
+    {ShedReason::kSlowConnection, "slow_connection"},
+    {ShedReason::kNewConnection, "new_connection"},
 }};
 
 struct ConnectionBudgetOptions {
@@ -65,6 +71,7 @@
 
  private:
   friend class BudgetCharge;
+  friend class HttpServer;
   friend class internal::ServerConnection;
 
   void Replace(std::uint64_t before, std::uint64_t after);
--- a/runtime/include/scaleshed/runtime/http_server.h
+++ b/runtime/include/scaleshed/runtime/http_server.h
@@ -150,6 +150,9 @@
   // A connection at rest, without a request or unsent bytes of an answer, is
   // closed after so long, and a body of which nothing came for so long refused.
   Duration idle_timeout = seconds(120);
+  // Open at once; above it connections at rest are closed, see ShedReason.
+  // Zero: no bound.
+  std::size_t max_connections = 0;
   // For what connections hold; may be shared with other servers. Empty: no
   // bound over connections.
   std::shared_ptr<ConnectionBudget> budget;
@@ -202,10 +205,14 @@
   EventLoop& loop_;
   HttpServerOptions options_;
   Handler handler_;
+  // Closes a connection for a new one; false if all are in use.
+  bool MakeRoom();
   std::uint64_t HeldBytes() const;
+  void OnAcceptError(int error);
 
   CutHandler cut_;
   HeadCheck head_check_;
+  Timer accept_again_;
   evconnlistener* listener_ = nullptr;
   std::uint16_t port_ = 0;
   std::map<const internal::ServerConnection*,
--- a/runtime/src/http_server.cc
+++ b/runtime/src/http_server.cc
@@ -14,6 +14,7 @@
 #include "internal/server_connection.h"
 #include "scaleshed/runtime/address.h"
 #include "scaleshed/runtime/http_query.h"
+#include "scaleshed/runtime/log.h"
 
 namespace scaleshed {
 namespace {
@@ -22,6 +23,11 @@
 // New connections that wait to be accepted; a full queue drops their opening
 // packets, which come again only after a second.
 constexpr int kAcceptQueue = 1024;
+// After a connection couldn't be accepted for lack of descriptors or memory.
+constexpr Duration kAcceptPause = milliseconds(50);
+// Connections at rest that are looked at for requests not yet read, before a
+// new connection is closed instead.
+constexpr int kMaxRoomAttempts = 8;
 
 std::string ReasonOf(int status) {
   const auto known =
@@ -152,7 +158,12 @@
 
 HttpServer::HttpServer(EventLoop& loop, const HttpServerOptions& options,
                        Handler handler)
-    : loop_(loop), options_(options), handler_(std::move(handler)) {
+    : loop_(loop),
+      options_(options),
+      handler_(std::move(handler)),
+      accept_again_(loop, [this] {
+        if (listener_ != nullptr) evconnlistener_enable(listener_);
+      }) {
   const auto name = SocketAddress(options.address);
   if (name) {
     sockaddr_in bound = *name;
@@ -164,6 +175,10 @@
   if (listener_ == nullptr) {
     throw std::runtime_error("can't listen on " + options.address);
   }
+  evconnlistener_set_error_cb(
+      listener_, [](evconnlistener* /*listener*/, void* arg) {
+        static_cast<HttpServer*>(arg)->OnAcceptError(EVUTIL_SOCKET_ERROR());
+      });
   sockaddr_in address{};
   socklen_t length = sizeof(address);
   getsockname(evconnlistener_get_fd(listener_),
@@ -207,13 +222,62 @@
 void HttpServer::OnAccept(evconnlistener* /*listener*/, int fd,
                           sockaddr* /*from*/, int /*length*/, void* arg) {
   auto* self = static_cast<HttpServer*>(arg);
+  const std::size_t most = self->options_.max_connections;
+  const bool is_full = most > 0 && self->connections_.size() >= most;
+  if (is_full && !self->MakeRoom()) {
+    if (self->options_.budget != nullptr)
+      self->options_.budget->Count(ShedReason::kNewConnection);
+    LogRoutine("connection_shed",
+               {{"why", std::string(NameIn(kShedReasonNames,
+                                           ShedReason::kNewConnection))},
+                {"held_bytes", std::to_string(self->HeldBytes())},
+                {"connections", std::to_string(self->connections_.size())}});
+    evutil_closesocket(fd);
+    return;
+  }
   auto connection = std::make_shared<internal::ServerConnection>(*self, fd);
   self->connections_[connection.get()] = connection;
   connection->Open();
 }
 
+bool HttpServer::MakeRoom() {
+  std::vector<std::shared_ptr<internal::ServerConnection>> open;
+  std::vector<internal::ConnectionLoad> loads;
+  const Time now = loop_.Now();
+  for (const auto& [key, connection] : connections_) {
+    open.push_back(connection);
+    loads.push_back(connection->Load(now));
+  }
+  for (int i = 0; i < kMaxRoomAttempts; ++i) {
+    const auto choice = internal::ChooseForConnection(loads);
+    if (!choice) return false;
+    internal::ServerConnection& chosen = *open[choice->index];
+    const bool rests = loads[choice->index].stage == ConnectionStage::kIdle &&
+                       !loads[choice->index].lingering;
+    if (rests && chosen.HasUnreadBytes()) {
+      // A request has come that the loop didn't get to yet.
+      loads[choice->index].stage = ConnectionStage::kAnswering;
+      continue;
+    }
+    if (options_.budget != nullptr) options_.budget->Count(choice->reason);
+    chosen.Shed(choice->reason);
+    return true;
+  }
+  return false;
+}
+
 std::uint64_t HttpServer::HeldBytes() const {
   return options_.budget == nullptr ? 0 : options_.budget->held_bytes();
 }
 
+// The listener would be tried again at once, and fail again.
+void HttpServer::OnAcceptError(int error) {
+  LogWarn("accept_failed",
+          {{"error", evutil_socket_error_to_string(error)},
+           {"connections", std::to_string(connections_.size())}});
+  MakeRoom();
+  evconnlistener_disable(listener_);
+  accept_again_.Once(kAcceptPause);
+}
+
 }  // namespace scaleshed
--- a/runtime/src/internal/server_connection.h
+++ b/runtime/src/internal/server_connection.h
@@ -96,11 +96,13 @@
   bool answer_metered_ = false;      // answer_meter_ knows of the unsent bytes
   std::uint64_t metered_taken_ = 0;  // BytesTaken() as answer_meter_ was told
   std::uint64_t discarded_bytes_ = 0;  // since all was sent
+  Time idle_since_{};
   Time linger_until_{};
   bool reading_head_ = false;
   bool checked_large_ = false;  // see CheckLargeRequest()
   bool discards_ = false;       // what comes belongs to no request any more
-  bool sheds_soon_ = false;     // ShedIfOver() is to be called from the loop
+  bool served_ = false;
+  bool sheds_soon_ = false;  // ShedIfOver() is to be called from the loop
   bool answering_ = false;
   bool client_keeps_ = true;
   bool closing_ = false;
--- a/runtime/src/internal/shedding.h
+++ b/runtime/src/internal/shedding.h
@@ -22,8 +22,10 @@
   // say.
   std::optional<double> request_rate;
   std::optional<double> answer_rate;
-  // When the request that is being read began.
+  // When the request that is being read began, or the connection's rest.
   Time since{};
+  bool lingering = false;  // all is sent, and its client is to close
+  bool served = false;     // a request was answered on it
 };
 
 struct ShedChoice {
@@ -37,6 +39,10 @@
 std::optional<ShedChoice> ChooseForMemory(
     const std::vector<ConnectionLoad>& loads, bool only_large);
 
+// Chooses which connection is closed for a new one; nothing if all are in use.
+std::optional<ShedChoice> ChooseForConnection(
+    const std::vector<ConnectionLoad>& loads);
+
 }  // namespace scaleshed::internal
 
 #endif  // SCALESHED_RUNTIME_INTERNAL_SHEDDING_H_
--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -94,7 +94,8 @@
       bev_(bufferevent_socket_new(server.loop_.base(), fd,
                                   BEV_OPT_CLOSE_ON_FREE)),
       timer_(server.loop_, [this] { OnTime(); }),
-      charge_(server.options_.budget) {
+      charge_(server.options_.budget),
+      idle_since_(server.loop_.Now()) {
   if (server.options_.budget != nullptr)
     server.options_.budget->connections_.insert(this);
   const int on = 1;
@@ -215,7 +216,7 @@
 }
 
 ConnectionLoad ServerConnection::Load(Time now) {
-  ConnectionLoad load{.stage = Stage()};
+  ConnectionLoad load{.stage = Stage(), .served = served_};
   const std::uint64_t read =
       evbuffer_get_length(bufferevent_get_input(bev_)) + socket_bytes_;
   if (answering_) {
@@ -226,8 +227,9 @@
   load.reads_head = reading_head_;
   load.reads_body = parser_.has_value();
   const bool reads = load.reads_head || load.reads_body;
-  load.since = request_began_;
+  load.since = reads ? request_began_ : idle_since_;
   if (reads) load.request_rate = request_meter_.Rate(now);
+  load.lingering = half_closed_;
   load.unsent_bytes = UnsentBytes();
   if (load.unsent_bytes > 0) {
     const std::uint64_t taken = BytesTaken();
@@ -261,6 +263,9 @@
              kRetryAfterShed);
       break;
     case ShedReason::kUnreadAnswer:
+    case ShedReason::kIdle:
+    case ShedReason::kSlowConnection:
+    case ShedReason::kNewConnection:
       Break(ConnectionEnd::kShed);
       return;
   }
@@ -480,7 +485,9 @@
 void ServerConnection::AnswerDone(bool close) {
   if (closed_) return;
   answering_ = false;
+  served_ = true;
   socket_bytes_ = 0;
+  idle_since_ = server_->loop_.Now();
   closing_ = close || !client_keeps_;
   if (UnsentBytes() > 0) {
     AwaitClient();
--- a/runtime/src/shedding.cc
+++ b/runtime/src/shedding.cc
@@ -1,11 +1,15 @@
 #include "internal/shedding.h"
 
+#include <tuple>
+
 namespace scaleshed::internal {
 namespace {
 
 // Bytes a second. At this rate a body of several megabytes takes longer than
 // clients wait for an answer.
 constexpr double kSlowRate = 256 * 1024;
+// A head is small: at this rate it takes a second.
+constexpr double kSlowHeadRate = 16 * 1024;
 
 bool IsReading(const ConnectionLoad& load) {
   return load.reads_head || load.reads_body;
@@ -70,4 +74,28 @@
       ShedReason::kUnreadAnswer);
 }
 
+std::optional<ShedChoice> ChooseForConnection(
+    const std::vector<ConnectionLoad>& loads) {
+  // First those that end anyway, then those whose client never asked anything.
+  const auto idle = Least(
+      loads,
+      [](const auto& it) {
+        return it.lingering || it.stage == ConnectionStage::kIdle;
+      },
+      [](const auto& it) {
+        return std::make_tuple(!it.lingering, it.served, it.since);
+      });
+  if (idle) return Choice(idle, ShedReason::kIdle);
+  return Choice(Least(
+                    loads,
+                    [](const auto& it) {
+                      const bool is_head = it.stage == ConnectionStage::kHead;
+                      return IsReading(it) &&
+                             IsSlow(it.request_rate,
+                                    is_head ? kSlowHeadRate : kSlowRate);
+                    },
+                    [](const auto& it) { return *it.request_rate; }),
+                ShedReason::kSlowConnection);
+}
+
 }  // namespace scaleshed::internal
--- a/runtime/test/connection_budget_test.cc
+++ b/runtime/test/connection_budget_test.cc
@@ -20,6 +20,7 @@
 namespace scaleshed {
 namespace {
 
+using internal::ChooseForConnection;
 using internal::ChooseForMemory;
 using internal::ConnectionLoad;
 
@@ -62,6 +63,19 @@
   CHECK_FALSE(ChooseForMemory({{.stage = ConnectionStage::kAnswering}}, false));
 }
 
+TEST_CASE("A connection at rest is closed before one that is used") {
+  const ConnectionLoad lingering{.since = Time(seconds(9)), .lingering = true};
+  const ConnectionLoad silent{.since = Time(seconds(5))};
+  const ConnectionLoad kept{.since = Time(seconds(1)), .served = true};
+  const ConnectionLoad slow = Reading(100, 1, seconds(1));
+  const ConnectionLoad fast = Reading(100, 1e9, seconds(1));
+  CHECK(ChooseForConnection({fast, slow, kept, silent, lingering})->index == 4);
+  CHECK(ChooseForConnection({fast, slow, kept, silent})->index == 3);
+  CHECK(ChooseForConnection({fast, slow, kept})->index == 2);
+  CHECK(ChooseForConnection({fast, slow})->index == 1);
+  CHECK_FALSE(ChooseForConnection({fast}));
+}
+
 // A server with room for one large body; it answers with the body's size.
 class BudgetServer {
  public:
--- a/testing/test/client_crowds_test.cc
+++ b/testing/test/client_crowds_test.cc
@@ -223,6 +223,32 @@
   CheckBounds(fleet);
 }
 
+// Guards against silent connections that take all descriptors.
+TEST_CASE("Silent connections leave descriptors to others") {
+  ProcessFleet::Options fleet_options = Options();
+  fleet_options.max_descriptors = 600;
+  for (int address = 0; address < 5; ++address) {
+    INFO("at address " << address);
+    ProcessFleet fleet(fleet_options);
+    const DaemonProcess& daemon = fleet.daemon();
+    const std::string addresses[] = {daemon.listen(), daemon.look_up(),
+                                     daemon.ready(), daemon.metrics(),
+                                     daemon.peer_listen()};
+    CrowdOptions options;
+    options.clients = 800;
+    const ClientCrowd crowd(fleet.loop(), addresses[address],
+                            std::move(options));
+    CHECK(fleet.Until([&] { return crowd.IsSettled(); }));
+    CHECK(fleet.ServesOrdinaryRequest());
+    CHECK(fleet.Get(daemon.look_up(), "/v1/resolve?name=h&region=r&zone=z1") ==
+          200);
+    CHECK(fleet.IsReady(daemon));
+    // A tenth is left for what the daemon itself opens.
+    CHECK(daemon.OpenDescriptors() <= 540);
+    CheckBounds(fleet);
+  }
+}
+
 // Guards against memory that grows with the copies of relayed bodies.
 TEST_CASE("Bodies that are relayed leave both daemons within their memory") {
   ProcessFleet::Options fleet_options = Options();
