--- a/runtime/src/internal/server_connection.h
+++ b/runtime/src/internal/server_connection.h
@@ -36,8 +36,9 @@
   ConnectionLoad Load(Time now);
   // Charges what the connection holds now.
   void UpdateCharge();
-  // Gives up what was chosen, so that others can go on.
+  // Gives up what ChooseForMemory() or ChooseForConnection() chose.
   void Shed(ShedReason reason);
+  // Whether the client has sent bytes that no request was read from yet.
   bool HasUnreadBytes() const;
   bool client_keeps() const { return client_keeps_; }
   ConnectionStage Stage() const;
@@ -56,6 +57,7 @@
   // Of the answers' bytes, those that the buffer holds.
   std::size_t UnsentBytes() const;
   std::uint64_t BytesTaken() const;
+  // What the body that is being read takes of memory.
   std::uint64_t BodyBytes() const;
   // Waits for the client to take some of the unsent bytes.
   void AwaitClient();
@@ -70,7 +72,10 @@
   // Makes connections give something up if this one takes the sum over the
   // budget. Not to be called from within the handler.
   void ShedIfOver();
+  // Drops what has come; what still comes is dropped as well.
   void DiscardInput();
+  // Of a client that was sent its last answer; ends the connection if the
+  // client goes on for too long.
   void AwaitEndOfInput();
   HttpRequest TakeRequest();
   void Dispatch(HttpRequest request);
@@ -91,11 +96,12 @@
   BudgetCharge charge_;
   RateMeter request_meter_;
   RateMeter answer_meter_;
-  std::size_t head_bytes_ = 0;       // of an unfinished head
-  std::size_t socket_bytes_ = 0;     // that reading has been suspended with
+  std::size_t head_bytes_ = 0;  // of an unfinished head
+  // What the socket may hold while reading is suspended.
+  std::size_t socket_bytes_ = 0;
   bool answer_metered_ = false;      // answer_meter_ knows of the unsent bytes
   std::uint64_t metered_taken_ = 0;  // BytesTaken() as answer_meter_ was told
-  std::uint64_t discarded_bytes_ = 0;  // since all was sent
+  std::uint64_t discarded_bytes_ = 0;  // since the last answer was sent
   Time idle_since_{};
   Time linger_until_{};
   bool reading_head_ = false;
