Server connection: dropped input is charged where it is dropped

DiscardInput() updates the charge itself, so that Refuse() and Shed() don't do it again behind it, and the check of a large request returns early in place of three nested conditions and a flag that was looked at twice.

--- a/runtime/src/server_connection.cc
+++ b/runtime/src/server_connection.cc
@@ -267,9 +267,8 @@
     case ShedReason::kSlowConnection:
     case ShedReason::kNewConnection:
       Break(ConnectionEnd::kShed);
-      return;
+      break;
   }
-  UpdateCharge();
 }
 
 void ServerConnection::DiscardInput() {
@@ -278,6 +277,7 @@
   evbuffer* in = bufferevent_get_input(bev_);
   discarded_bytes_ += evbuffer_get_length(in);
   evbuffer_drain(in, evbuffer_get_length(in));
+  UpdateCharge();
 }
 
 bool ServerConnection::HasUnreadBytes() const {
@@ -357,19 +357,17 @@
   const std::uint64_t named = parser_->content_length().value_or(0);
   const std::uint64_t bytes =
       std::max<std::uint64_t>(named, parser_->get().body().size());
-  const bool is_large = bytes > ConnectionBudget::kSmallBytes;
-  if (is_large && !std::exchange(checked_large_, true)) {
-    HttpRequest head = HeadOf(parser_->get());
-    if (server_->head_check_ && !server_->head_check_(head)) {
-      head.body_omitted = true;
-      parser_.reset();
-      client_keeps_ = false;
-      DiscardInput();
-      Dispatch(std::move(head));
-      return false;
-    }
-  }
-  return true;
+  if (bytes <= ConnectionBudget::kSmallBytes) return true;
+  checked_large_ = true;
+  if (!server_->head_check_) return true;
+  HttpRequest head = HeadOf(parser_->get());
+  if (server_->head_check_(head)) return true;
+  head.body_omitted = true;
+  parser_.reset();
+  client_keeps_ = false;
+  DiscardInput();
+  Dispatch(std::move(head));
+  return false;
 }
 
 // Waits for a whole head, so that it can be looked at as one piece.
@@ -478,7 +476,6 @@
   reading_head_ = false;
   closing_ = true;
   DiscardInput();
-  UpdateCharge();
   AwaitClient();
 }
 
