Tests: one Send() for blocking sockets; includes of the connection budget

The tests of slow clients and of the budget each had their own; the one that sends until all has gone serves both. connection_budget.h includes what it uses. http_test and four other unit tests hold.

--- a/runtime/include/scaleshed/runtime/connection_budget.h
+++ b/runtime/include/scaleshed/runtime/connection_budget.h
@@ -4,9 +4,8 @@
 #include <array>
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <set>
-#include <vector>
+#include <utility>
 
 #include "scaleshed/core/types.h"
 
--- a/runtime/test/connection_budget_test.cc
+++ b/runtime/test/connection_budget_test.cc
@@ -117,16 +117,6 @@
   std::thread thread_;
 };
 
-void Send(int fd, const std::string& bytes) {
-  std::size_t sent = 0;
-  while (sent < bytes.size()) {
-    const auto n =
-        send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-    if (n <= 0) return;
-    sent += static_cast<std::size_t>(n);
-  }
-}
-
 std::string Post(std::size_t length) {
   return "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
          std::to_string(length) + "\r\n\r\n";
--- a/runtime/test/loopback_client.h
+++ b/runtime/test/loopback_client.h
@@ -23,6 +23,17 @@
   return fd;
 }
 
+// Sends all of `bytes`, or less if the connection ends first.
+inline void Send(int fd, const std::string& bytes) {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    const auto n =
+        send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (n <= 0) return;
+    sent += static_cast<std::size_t>(n);
+  }
+}
+
 // Appends what comes next to `text`; false once the connection has ended.
 inline bool ReadSome(int fd, std::string& text) {
   char buf[4096];
--- a/runtime/test/slow_clients_test.cc
+++ b/runtime/test/slow_clients_test.cc
@@ -78,10 +78,6 @@
   HttpServer server_;
 };
 
-void Send(int fd, const std::string& bytes) {
-  (void)!send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-}
-
 // Sends a request and reads the large answer after a pause; how many bytes
 // came. `half_closes` says that the client sends no more, before it reads.
 std::size_t ReadAfterPause(Server& server, const std::string& request,
